--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,336 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	_ "github.com/honeydyke/honeydyke/internal/fixedseed"
+	"github.com/honeydyke/honeydyke/internal/admission"
+	"github.com/honeydyke/honeydyke/pkg/bundle"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+const (
+	slots    = 2
+	targets  = 3
+	deadline = time.Second
+)
+
+// planText is a deployment of two organisations, one pool and one pipeline.
+func planText(number int, pool string) []byte {
+	text := fmt.Sprintf(`{"name":"t","number":%d,"previous":"%s","objective":{"attainmentWeight":1,"costWeight":0},"organisations":[`, number, previous(number))
+	for i, org := range []string{"large", "small"} {
+		text += fmt.Sprintf(`{"name":%q,"weight":1,"keyDigests":["sha256:%064d"],"limits":{"concurrency":4,"requestsPerSecond":1000,"tokensPerSecond":1000}},`, org, i)
+	}
+	text += fmt.Sprintf(`],"pools":[{"name":%q,"kind":"service","checksFences":false,"checksKeys":false,"targets":[`, pool)
+	for i := range targets {
+		text += fmt.Sprintf(`{"name":"t%d","address":"127.0.0.1:%d","dataCentre":"d","slots":%d},`, i, i+1, slots)
+	}
+	return []byte(text + fmt.Sprintf(`]}],"pipelines":[{"name":"x","deadlineMs":10000,"stages":[
+		{"name":"s","pool":%q,"repeatable":true,"minimumMs":100,"cost":{"perCall":1,"perToken":0}}]}]}`, pool))
+}
+
+func previous(number int) string {
+	if number == 1 {
+		return ""
+	}
+	return fmt.Sprintf("sha256:%064d", number)
+}
+
+func plan(number int, pool string) *bundle.Plan {
+	p, err := bundle.Parse("test", planText(number, pool))
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+var start = time.Unix(1000, 0)
+
+// newCore returns a core with the plan in force.
+func newCore() (*admission.Core, *bundle.PipelinePlan) {
+	c := admission.New(admission.Config{DataCentre: "d", Seed: 1})
+	p := plan(1, "p")
+	c.Step(start, admission.Install{Plan: p})
+	return c, p.Pipeline("x")
+}
+
+func submit(c *admission.Core, now time.Time, id uint64, org string, p *bundle.PipelinePlan, until time.Duration) []admission.Effect {
+	return c.Step(now, admission.Submit{ID: id, Organisation: org, Pipeline: p, Deadline: start.Add(until)})
+}
+
+func refusalOf(effects []admission.Effect) *verdict.Error {
+	if len(effects) == 0 {
+		return nil
+	}
+	r, _ := effects[0].(admission.Refuse)
+	return r.Err
+}
+
+// fill takes every slot.
+func fill(c *admission.Core, p *bundle.PipelinePlan) {
+	for i := range targets * slots {
+		submit(c, start, uint64(i+1), "large", p, time.Minute)
+	}
+}
+
+func TestHoldingAndRefusing(t *testing.T) {
+	convey.Convey("Given a pool whose slots are all taken", t, func() {
+		c, p := newCore()
+		fill(c, p)
+		convey.Convey("work that can wait is held, and gets the next slot", func() {
+			convey.So(submit(c, start, 100, "small", p, deadline), convey.ShouldBeEmpty)
+			convey.So(c.Held(), convey.ShouldEqual, 1)
+			effects := c.Step(start.Add(100*time.Millisecond), admission.Ended{ID: 1, Took: 100 * time.Millisecond})
+			convey.So(effects[0].(admission.Grant).ID, convey.ShouldEqual, 100)
+		})
+		convey.Convey("work whose latest start passes is refused then, not at its deadline", func() {
+			submit(c, start, 100, "small", p, deadline)
+			convey.So(c.NextTick(start), convey.ShouldEqual, start.Add(900*time.Millisecond))
+			err := refusalOf(c.Step(start.Add(900*time.Millisecond), admission.Tick{}))
+			convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonOverload)
+			convey.So(err.Verdict(), convey.ShouldEqual, verdict.NotRun)
+			convey.So(err.RetryAfter(), convey.ShouldBeGreaterThan, 0)
+		})
+		convey.Convey("work that cannot start in time behind what is held is refused at once", func() {
+			for i := range 30 {
+				submit(c, start, uint64(100+i), "small", p, 500*time.Millisecond)
+			}
+			err := refusalOf(submit(c, start, 200, "small", p, 500*time.Millisecond))
+			convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonOverload)
+		})
+		convey.Convey("one organisation's burst does not push another's work back", func() {
+			for i := range 20 {
+				submit(c, start, uint64(100+i), "large", p, 10*time.Second)
+			}
+			submit(c, start, 200, "small", p, 10*time.Second)
+			// The burst's head start is one grant at most.
+			got := []uint64{}
+			for id := uint64(1); id <= 2; id++ {
+				for _, e := range c.Step(start.Add(100*time.Millisecond), admission.Ended{ID: id, Took: 100 * time.Millisecond}) {
+					got = append(got, e.(admission.Grant).ID)
+				}
+			}
+			convey.So(got, convey.ShouldContain, uint64(200))
+		})
+		convey.Convey("less slack goes first within an organisation", func() {
+			submit(c, start, 100, "small", p, 5*time.Second)
+			submit(c, start, 101, "small", p, time.Second)
+			effects := c.Step(start.Add(100*time.Millisecond), admission.Ended{ID: 1, Took: 100 * time.Millisecond})
+			convey.So(effects[0].(admission.Grant).ID, convey.ShouldEqual, 101)
+		})
+	})
+}
+
+func TestTargetsThatFailOrLeave(t *testing.T) {
+	broken := verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "")
+	convey.Convey("Given an idle pool", t, func() {
+		c, p := newCore()
+		convey.Convey("a target that leaves gets nothing, and older news does not bring it back", func() {
+			c.Step(start, admission.Report{Target: "t0", Incarnation: "i", Leaving: true})
+			c.Step(start, admission.Report{Target: "t0", Incarnation: "i", Leaving: false})
+			for i := range 4 {
+				g := submit(c, start, uint64(i+1), "large", p, deadline)[0].(admission.Grant)
+				convey.So(g.Target.Name, convey.ShouldNotEqual, "t0")
+			}
+			convey.Convey("until another incarnation speaks", func() {
+				c.Step(start, admission.Report{Target: "t0", Incarnation: "j"})
+				convey.So(c.Targets(start)[0].Leaving, convey.ShouldBeFalse)
+			})
+		})
+		convey.Convey("with all targets leaving, work is refused at once", func() {
+			for i := range targets {
+				c.Step(start, admission.Mark{Target: fmt.Sprint("t", i), Incarnation: "i"})
+			}
+			err := refusalOf(submit(c, start, 1, "large", p, deadline))
+			convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonNoTarget)
+		})
+		convey.Convey("targets that fail are ejected, never more than half, and come back", func() {
+			id := uint64(0)
+			for range 200 {
+				id++
+				if g, ok := submit(c, start, id, "large", p, deadline)[0].(admission.Grant); ok {
+					c.Step(start, admission.Ended{ID: g.ID, Err: broken})
+				}
+			}
+			ejected := 0
+			for _, s := range c.Targets(start) {
+				if s.Ejected {
+					ejected++
+				}
+			}
+			convey.So(ejected, convey.ShouldEqual, 1)
+			for _, s := range c.Targets(start.Add(time.Minute)) {
+				convey.So(s.Ejected, convey.ShouldBeFalse)
+			}
+		})
+	})
+}
+
+func TestLimitsOfOrganisations(t *testing.T) {
+	convey.Convey("Given an organisation with room for four requests", t, func() {
+		c, p := newCore()
+		open := func(id uint64, org string, tokens int) *verdict.Error {
+			return refusalOf(c.Step(start, admission.Open{ID: id, Organisation: org, Pipeline: p, Deadline: start.Add(deadline), Tokens: tokens}))
+		}
+		for i := range 4 {
+			convey.So(open(uint64(i+1), "large", 0), convey.ShouldBeNil)
+		}
+		convey.Convey("a fifth is refused and the other organisation is not", func() {
+			convey.So(open(5, "large", 0).Reason(), convey.ShouldEqual, verdict.ReasonLimit)
+			convey.So(open(6, "small", 0), convey.ShouldBeNil)
+		})
+		convey.Convey("closing one makes room, also after a new bundle", func() {
+			c.Step(start, admission.Install{Plan: plan(2, "p")})
+			c.Step(start, admission.Close{ID: 1})
+			convey.So(open(5, "large", 0), convey.ShouldBeNil)
+		})
+		convey.Convey("tokens run out and the refusal says when they are back", func() {
+			convey.So(open(5, "small", 1000), convey.ShouldBeNil)
+			err := open(6, "small", 500)
+			convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonLimit)
+			convey.So(err.RetryAfter(), convey.ShouldBeGreaterThanOrEqualTo, 500*time.Millisecond)
+		})
+	})
+}
+
+func TestRequestsKeepTheirPools(t *testing.T) {
+	convey.Convey("A request that began before its pool left the bundle still gets a target", t, func() {
+		c, p := newCore()
+		c.Step(start, admission.Open{ID: 1, Organisation: "large", Pipeline: p, Deadline: start.Add(deadline)})
+		c.Step(start, admission.Install{Plan: plan(2, "q")})
+		_, granted := submit(c, start, 2, "large", p, deadline)[0].(admission.Grant)
+		convey.So(granted, convey.ShouldBeTrue)
+		convey.Convey("and the pool is forgotten when no such request is left", func() {
+			c.Step(start, admission.Ended{ID: 2})
+			c.Step(start, admission.Close{ID: 1})
+			convey.So(refusalOf(submit(c, start, 3, "large", p, deadline)).Reason(), convey.ShouldEqual, verdict.ReasonNoTarget)
+		})
+	})
+}
+
+// oracle holds the core against the rules that must always hold.
+type oracle struct {
+	core     *admission.Core
+	pipeline *bundle.PipelinePlan
+	now      time.Time
+	waiting  map[uint64]bool
+	granted  map[uint64]string
+	leaving  map[string]bool
+	last     uint64
+}
+
+func (o *oracle) take(t *rapid.T, effects []admission.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case admission.Grant:
+			o.answered(t, e.ID)
+			o.granted[e.ID] = e.Target.Name
+			if o.leaving[e.Target.Name] {
+				t.Fatalf("%s is leaving and got work", e.Target.Name)
+			}
+		case admission.Refuse:
+			o.answered(t, e.ID)
+			if e.Err.Verdict() != verdict.NotRun {
+				t.Fatalf("a refusal of admission says %s", e.Err.Verdict())
+			}
+		}
+	}
+	o.check(t)
+}
+
+func (o *oracle) answered(t *rapid.T, id uint64) {
+	if !o.waiting[id] {
+		t.Fatalf("call %d got a second answer", id)
+	}
+	delete(o.waiting, id)
+}
+
+func (o *oracle) check(t *rapid.T) {
+	busy := map[string]int{}
+	for _, name := range o.granted {
+		busy[name]++
+	}
+	for _, s := range o.core.Targets(o.now) {
+		if s.InFlight != busy[s.Target] || s.InFlight > s.Slots {
+			t.Fatalf("%s: %d in flight, %d granted, %d slots", s.Target, s.InFlight, busy[s.Target], s.Slots)
+		}
+	}
+	if o.core.Held() != len(o.waiting) {
+		t.Fatalf("%d held, %d wait", o.core.Held(), len(o.waiting))
+	}
+	if o.core.Held() > 0 && o.core.NextTick(o.now).IsZero() {
+		t.Fatal("work is held and nothing will look at it")
+	}
+}
+
+func TestAdmissionAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		core, p := newCore()
+		o := &oracle{core: core, pipeline: p, now: start, waiting: map[uint64]bool{}, granted: map[uint64]string{}, leaving: map[string]bool{}}
+		name := func(t *rapid.T) string { return fmt.Sprint("t", rapid.IntRange(0, targets-1).Draw(t, "target")) }
+		pickGranted := func(t *rapid.T) uint64 {
+			for id := uint64(1); id <= o.last; id++ {
+				if _, ok := o.granted[id]; ok && rapid.Bool().Draw(t, "this") {
+					return id
+				}
+			}
+			return 0
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				o.last++
+				o.waiting[o.last] = true
+				o.take(t, core.Step(o.now, admission.Submit{
+					ID: o.last, Organisation: rapid.SampledFrom([]string{"large", "small"}).Draw(t, "organisation"), Pipeline: p,
+					Deadline: o.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond),
+					Exclude:  []string{name(t)}, Retry: rapid.IntRange(0, 5).Draw(t, "retry") == 0,
+				}))
+			},
+			"end": func(t *rapid.T) {
+				id := pickGranted(t)
+				if id == 0 {
+					return
+				}
+				delete(o.granted, id)
+				var err *verdict.Error
+				if rapid.Bool().Draw(t, "fails") {
+					err = verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "")
+				}
+				o.take(t, core.Step(o.now, admission.Ended{ID: id, Err: err, Took: 100 * time.Millisecond}))
+			},
+			"withdraw": func(t *rapid.T) {
+				for id := uint64(1); id <= o.last; id++ {
+					if o.waiting[id] {
+						delete(o.waiting, id)
+						o.take(t, core.Step(o.now, admission.Withdraw{ID: id}))
+						return
+					}
+				}
+			},
+			"report": func(t *rapid.T) {
+				n := name(t)
+				r := admission.Report{Target: n, Incarnation: rapid.SampledFrom([]string{"i", "j"}).Draw(t, "incarnation"), Running: rapid.IntRange(0, 9).Draw(t, "running")}
+				o.leaving[n] = false // the core may use it again only if this incarnation never said otherwise
+				effects := core.Step(o.now, r)
+				for _, s := range core.Targets(o.now) {
+					o.leaving[s.Target] = s.Leaving
+				}
+				o.take(t, effects)
+			},
+			"leave": func(t *rapid.T) {
+				n := name(t)
+				o.leaving[n] = true
+				o.take(t, core.Step(o.now, admission.Report{Target: n, Incarnation: "i", Leaving: true}))
+			},
+			"time passes": func(t *rapid.T) {
+				o.now = o.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+				o.take(t, core.Step(o.now, admission.Tick{}))
+			},
+		})
+	})
+}
