--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -164,12 +164,13 @@
 func (l *Lab) startTargets(b *bundle.Bundle) error {
 	for i := range b.Pools {
 		p := &b.Pools[i]
+		keys := standin.NewKeyLedger()
 		for j := range p.Targets {
 			t := &p.Targets[j]
 			if l.cfg.slots > 0 {
 				t.Slots = l.cfg.slots
 			}
-			s := standin.NewTarget(t.Name, l.targetOptions(p, t)...)
+			s := standin.NewTarget(t.Name, l.targetOptions(p, t, keys)...)
 			if err := s.Start(loopback); err != nil {
 				return err
 			}
@@ -180,12 +181,12 @@
 	return nil
 }
 
-func (l *Lab) targetOptions(p *bundle.Pool, t *bundle.Target) []standin.TargetOption {
+func (l *Lab) targetOptions(p *bundle.Pool, t *bundle.Target, keys *standin.KeyLedger) []standin.TargetOption {
 	opts := []standin.TargetOption{
 		standin.WithSlots(t.Slots), standin.WithSpeed(l.cfg.speeds[p.Kind]), standin.WithReportLag(l.cfg.reportLag),
 	}
 	if p.ChecksKeys {
-		opts = append(opts, standin.WithKeyCheck())
+		opts = append(opts, standin.WithKeys(keys))
 	}
 	return opts
 }
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -44,18 +44,21 @@
 		return
 	}
 	id := r.Header.Get(wire.HeaderIdentity)
-	key := ""
-	if t.checksKeys {
-		key = r.Header.Get(wire.HeaderIdempotency)
+	if t.keys.first(r.Header.Get(wire.HeaderIdempotency)) && !t.runStage(r, id, &call) {
+		return
 	}
-	i, fresh := t.book.begin(Run{Identity: id, Organisation: call.Organisation, Input: call.Input, Stage: call.Stage}, key)
+	t.answer(w, r, fault, message.StageAnswer{Request: id, Output: StageOutput(call), Tokens: 1})
+}
+
+// runStage does the work of a call and is false when the caller went away.
+func (t *Target) runStage(r *http.Request, id string, call *message.StageCall) bool {
+	i := t.book.begin(Run{Identity: id, Organisation: call.Organisation, Input: call.Input, Stage: call.Stage})
 	took := t.speed.Base + time.Duration(len(call.Input)/bytesPerKB)*t.speed.PerKB
-	if fresh && t.work(r.Context(), priority(r), took) != nil {
-		return
+	if t.work(r.Context(), priority(r), took) != nil {
+		return false
 	}
-	answer := message.StageAnswer{Request: id, Output: StageOutput(call), Tokens: 1}
-	t.answer(w, r, fault, answer)
 	t.book.end(i, 1, true)
+	return true
 }
 
 // beforeRun carries out the faults that come before anything runs.
@@ -159,7 +162,7 @@
 		return
 	}
 	id := r.Header.Get(wire.HeaderIdentity)
-	i, _ := t.book.begin(Run{Identity: id}, "")
+	i := t.book.begin(Run{Identity: id})
 	if err := t.queue.enter(r.Context(), max(priority(r), req.Priority)); err != nil {
 		return
 	}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -41,12 +41,12 @@
 
 // Target is a stand-in for one target of any kind.
 type Target struct {
-	name       string
-	slots      int
-	speed      Speed
-	lateBy     time.Duration
-	reportLag  time.Duration
-	checksKeys bool
+	name      string
+	slots     int
+	speed     Speed
+	lateBy    time.Duration
+	reportLag time.Duration
+	keys      *KeyLedger
 
 	calls  atomic.Int64
 	script script
@@ -77,8 +77,9 @@
 // WithReportLag makes load reports describe the past.
 func WithReportLag(d time.Duration) TargetOption { return func(t *Target) { t.reportLag = d } }
 
-// WithKeyCheck makes the target run one idempotency key at most once.
-func WithKeyCheck() TargetOption { return func(t *Target) { t.checksKeys = true } }
+// WithKeys makes the targets that share the ledger run one idempotency key at
+// most once.
+func WithKeys(l *KeyLedger) TargetOption { return func(t *Target) { t.keys = l } }
 
 // NewTarget returns a stopped stand-in called name.
 func NewTarget(name string, opts ...TargetOption) *Target {
@@ -87,8 +88,6 @@
 		opt(t)
 	}
 	t.queue.free = t.slots
-	t.book.byIdentity = make(map[string]int)
-	t.book.byKey = make(map[string]int)
 	return t
 }
 
@@ -257,28 +256,43 @@
 	Tokens int `json:"tokens,omitempty"`
 }
 
+// KeyLedger is what the targets of a pool know together of the idempotency keys
+// that ran, as one service with a store of its own does.
+type KeyLedger struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// NewKeyLedger returns an empty ledger.
+func NewKeyLedger() *KeyLedger { return &KeyLedger{seen: make(map[string]bool)} }
+
+// first says whether the key is new, and notes it. A call without a key, or at
+// targets that check none, is always new.
+func (l *KeyLedger) first(key string) bool {
+	if l == nil || key == "" {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen[key] {
+		return false
+	}
+	l.seen[key] = true
+	return true
+}
+
 // runBook records the calls that ran.
 type runBook struct {
-	mu         sync.Mutex
-	runs       []Run
-	byIdentity map[string]int
-	byKey      map[string]int
+	mu   sync.Mutex
+	runs []Run
 }
 
-// begin records a run and returns its index. With a key that ran before it
-// returns that run's index and false.
-func (b *runBook) begin(run Run, key string) (int, bool) {
+// begin records a run and returns its index.
+func (b *runBook) begin(run Run) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if key != "" {
-		if i, known := b.byKey[key]; known {
-			return i, false
-		}
-		b.byKey[key] = len(b.runs)
-	}
-	b.byIdentity[run.Identity]++
 	b.runs = append(b.runs, run)
-	return len(b.runs) - 1, true
+	return len(b.runs) - 1
 }
 
 func (b *runBook) end(i int, tokens int, whole bool) {
--- a/pkg/cmd/standin/standin.go
+++ b/pkg/cmd/standin/standin.go
@@ -85,7 +85,7 @@
 		standin.WithSlots(opts.Slots), standin.WithSpeed(opts.Speed), standin.WithReportLag(opts.ReportLag),
 	}
 	if opts.ChecksKeys {
-		options = append(options, standin.WithKeyCheck())
+		options = append(options, standin.WithKeys(standin.NewKeyLedger()))
 	}
 	t := standin.NewTarget(opts.Name, options...)
 	if err := t.Start(opts.Address); err != nil {
