--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"net"
@@ -85,6 +86,8 @@
 	announce    time.Duration
 	reportLag   time.Duration
 	slots       int
+	change      func(*settings.Settings)
+	targetTLS   *tls.Config
 }
 
 // WithNodes sets the number of nodes; 3 by default.
@@ -109,6 +112,14 @@
 // WithSlots overrides the slots of every target.
 func WithSlots(n int) Option { return func(c *config) { c.slots = n } }
 
+// WithSettings changes the settings of every node.
+func WithSettings(change func(*settings.Settings)) Option {
+	return func(c *config) { c.change = change }
+}
+
+// WithTargetTLS lets the targets speak TLS.
+func WithTargetTLS(cfg *tls.Config) Option { return func(c *config) { c.targetTLS = cfg } }
+
 // Start starts the deployment of a bundle, whose addresses it replaces, and
 // waits until every node serves or ctx ends.
 func Start(ctx context.Context, text []byte, opts ...Option) (*Lab, error) {
@@ -185,6 +196,9 @@
 	opts := []standin.TargetOption{
 		standin.WithSlots(t.Slots), standin.WithSpeed(l.cfg.speeds[p.Kind]), standin.WithReportLag(l.cfg.reportLag),
 	}
+	if l.cfg.targetTLS != nil {
+		opts = append(opts, standin.WithTLS(l.cfg.targetTLS))
+	}
 	if p.ChecksKeys {
 		opts = append(opts, standin.WithKeys(keys))
 	}
@@ -244,6 +258,9 @@
 // AddNode starts one more node, which knows the others as its peers.
 func (l *Lab) AddNode() (*Member, error) {
 	cfg := l.settings()
+	if l.cfg.change != nil {
+		l.cfg.change(cfg)
+	}
 	opts := append([]node.Option{node.WithLogger(l.cfg.log.With().Int("node", len(l.Nodes)).Logger())}, l.cfg.nodeOptions...)
 	n, err := node.New(cfg, opts...)
 	if err != nil {
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -47,6 +48,7 @@
 	lateBy    time.Duration
 	reportLag time.Duration
 	keys      *KeyLedger
+	tls       *tls.Config
 
 	calls  atomic.Int64
 	script script
@@ -81,6 +83,9 @@
 // most once.
 func WithKeys(l *KeyLedger) TargetOption { return func(t *Target) { t.keys = l } }
 
+// WithTLS lets the target speak TLS.
+func WithTLS(cfg *tls.Config) TargetOption { return func(t *Target) { t.tls = cfg } }
+
 // NewTarget returns a stopped stand-in called name.
 func NewTarget(name string, opts ...TargetOption) *Target {
 	t := &Target{name: name, slots: 8, lateBy: time.Second}
@@ -97,6 +102,9 @@
 	if err != nil {
 		return err
 	}
+	if t.tls != nil {
+		ln = tls.NewListener(ln, t.tls)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathStage, t.serveStage)
 	mux.HandleFunc("POST "+wire.PathChat, t.serveChat)
--- a/pkg/node/actors.go
+++ b/pkg/node/actors.go
@@ -125,7 +125,7 @@
 	node   *Node
 	state  rollout.State
 	signed bundle.Signed
-	// pendingSigned is the signed form of the newest plan.
+	// peerAnswered and serviceAnswered say which kinds of source have spoken.
 	peerAnswered    bool
 	serviceAnswered bool
 }
@@ -200,8 +200,7 @@
 	age := a.node.Age()
 	alone := len(a.node.cfg.Peers) == 0
 	enough := a.peerAnswered && (a.serviceAnswered || a.node.cfg.ConfigurationService == "" || age > startWait)
-	if enough || alone || age > aloneWait {
-		a.node.phase.CompareAndSwap(int32(Starting), int32(Serving))
+	if (enough || alone || age > aloneWait) && a.node.startServing() {
 		a.node.log.Info().Int("bundle", a.state.InForce().Number()).Msg("node: serving")
 	}
 }
--- a/pkg/node/callers.go
+++ b/pkg/node/callers.go
@@ -59,7 +59,7 @@
 
 // intake checks a call as far as all endpoints do and returns its organisation.
 func (n *Node) intake(r *http.Request) (*bundle.Plan, *bundle.Organisation, error) {
-	plan, err := n.ready()
+	plan, err := n.governing()
 	if err != nil {
 		return nil, nil, err
 	}
@@ -126,7 +126,7 @@
 
 // pipelineJob builds the job of a native call and sets the form of its answer.
 func (n *Node) pipelineJob(r *http.Request, org *bundle.Organisation, body []byte, out *reply) (*job, error) {
-	plan, err := n.ready()
+	plan, err := n.governing()
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -65,6 +65,7 @@
 	stall       time.Duration
 
 	phase    atomic.Int32
+	serving  chan struct{}
 	plan     atomic.Pointer[bundle.Plan]
 	lastID   atomic.Uint64
 	gate     *gate
@@ -120,6 +121,7 @@
 		now:         time.Now,
 		log:         zerolog.Nop(),
 		policy:      routing.Balanced{},
+		serving:     make(chan struct{}),
 		cut:         make(chan struct{}),
 		metrics:     newMetrics(),
 	}
@@ -211,6 +213,18 @@
 // Phase returns the phase that the node is in.
 func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
 
+// Ready returns a channel that is closed once the node takes work.
+func (n *Node) Ready() <-chan struct{} { return n.serving }
+
+// startServing ends the start of the node, unless it is leaving already.
+func (n *Node) startServing() bool {
+	if !n.phase.CompareAndSwap(int32(Starting), int32(Serving)) {
+		return false
+	}
+	close(n.serving)
+	return true
+}
+
 // Bundle returns the number of the bundle in force; 0 for none.
 func (n *Node) Bundle() int {
 	plan := n.plan.Load()
@@ -368,8 +382,8 @@
 	return n.system.Root.RequestFuture(pid, msg, askTimeout).Result()
 }
 
-// ready refuses work that the node must not take.
-func (n *Node) ready() (*bundle.Plan, error) {
+// governing returns the plan that governs new work, or refuses it.
+func (n *Node) governing() (*bundle.Plan, error) {
 	switch n.Phase() {
 	case Starting:
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the node has no bundle in force yet").WithRetryAfter(time.Second)
