Measure attainment and cost beside baselines and a bound

Cause: decisions were made without figures. Change: an experiment that sends one user's mix at several loads and conditions, with the same arrivals, to honeydyke and to four baselines; the bound is Moore and Hodgson's rule on each pool as one fast machine.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -55,10 +55,33 @@
 	// Seed makes arrivals repeatable.
 	Seed uint64
 	Mix  []Share
+	// Burst raises the rate for a while, again and again.
+	Burst Burst
 	// Check returns whether an answer is the right one; nil accepts all.
 	Check func(share Share, input, output string) bool
 }
 
+// Burst multiplies the rate by Factor for Length out of every Every; the zero
+// value is no burst. The mean rate of the plan stays as it is.
+type Burst struct {
+	Every  time.Duration
+	Length time.Duration
+	Factor float64
+}
+
+// at returns the factor of the rate at a time of the run.
+func (b Burst) at(t time.Duration) float64 {
+	if b.Every <= 0 {
+		return 1
+	}
+	share := b.Length.Seconds() / b.Every.Seconds()
+	rest := (1 - share*b.Factor) / (1 - share)
+	if t%b.Every < b.Length {
+		return b.Factor
+	}
+	return max(rest, 0.01)
+}
+
 // arrival is one request of a run.
 type arrival struct {
 	number int
@@ -114,6 +137,21 @@
 	return clients
 }
 
+// Arrival is one request of a plan.
+type Arrival struct {
+	At    time.Duration
+	Share Share
+}
+
+// Arrivals lists all requests of the plan, in order.
+func (p Plan) Arrivals() []Arrival {
+	var list []Arrival
+	for _, a := range p.arrivals() {
+		list = append(list, Arrival{At: a.at, Share: a.share})
+	}
+	return list
+}
+
 // arrivals draws all requests beforehand, so that a seed gives the same ones
 // whatever the nodes do.
 func (p Plan) arrivals() []arrival {
@@ -125,7 +163,7 @@
 	var list []arrival
 	at := 0.0
 	for {
-		at += rng.ExpFloat64() / p.Rate
+		at += rng.ExpFloat64() / (p.Rate * p.Burst.at(time.Duration(at*float64(time.Second))))
 		due := time.Duration(at * float64(time.Second))
 		if due >= p.Duration {
 			return list
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -190,17 +190,20 @@
 	if ceiling <= 0 {
 		ceiling = defaultCeiling
 	}
-	if pause(s.r.Context(), s.prefill(messages)) != nil {
+	if pause(s.r.Context(), s.t.pace(s.prefill(messages))) != nil {
 		return false
 	}
 	s.header()
 	tokens := EngineTokens(messages, ceiling)
 	from := min(len(tokens), len(prefix)/len(tokens[0]))
+	start := time.Now()
 	for i := from; i < len(tokens); i++ {
 		if i-from == (len(tokens)-from)/2 && s.damage() {
 			return false
 		}
-		if !s.token(tokens[i]) {
+		// Tokens keep an absolute pace, so that late timers do not add up.
+		due := start.Add(time.Duration(i-from+1) * s.t.pace(s.t.speed.PerToken))
+		if pause(s.r.Context(), time.Until(due)) != nil || !s.token(tokens[i]) {
 			return false
 		}
 	}
@@ -251,9 +254,6 @@
 }
 
 func (s *engineStream) token(text string) bool {
-	if pause(s.r.Context(), s.t.speed.PerToken) != nil {
-		return false
-	}
 	s.sent++
 	return s.chunk(openai.ChunkChoice{Delta: openai.Delta{Content: text}}, nil)
 }
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -50,12 +50,13 @@
 	keys      *KeyLedger
 	tls       *tls.Config
 
-	calls  atomic.Int64
-	script script
-	book   runBook
-	queue  slotQueue
-	reload reportLog
-	cache  prefixCache
+	calls    atomic.Int64
+	slowdown atomic.Int64
+	script   script
+	book     runBook
+	queue    slotQueue
+	reload   reportLog
+	cache    prefixCache
 
 	mu          sync.Mutex
 	incarnation string
@@ -145,6 +146,14 @@
 // ClearFaults takes back the faults that no call has met.
 func (t *Target) ClearFaults() { t.script.clear() }
 
+// SlowDown multiplies the time of all later work by a whole factor.
+func (t *Target) SlowDown(factor int) { t.slowdown.Store(int64(factor)) }
+
+// pace applies the slowdown to a time.
+func (t *Target) pace(d time.Duration) time.Duration {
+	return d * time.Duration(max(1, t.slowdown.Load()))
+}
+
 // Busy says whether a call is at work.
 func (t *Target) Busy() bool {
 	running, _ := t.queue.counts()
@@ -176,7 +185,7 @@
 		return err
 	}
 	defer t.queue.leave()
-	return pause(ctx, d)
+	return pause(ctx, t.pace(d))
 }
 
 func pause(ctx context.Context, d time.Duration) error {
--- a/pkg/cmd/experiment/experiment.go
+++ b/pkg/cmd/experiment/experiment.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -30,7 +31,7 @@
 	}
 	opts := &Options{Factory: f}
 	cmd.PersistentFlags().BoolVar(&opts.JSON, "json", false, "print JSON")
-	cmd.AddCommand(newCmdOverhead(opts))
+	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts))
 	return cmd
 }
 
@@ -63,3 +64,36 @@
 	cmd.Flags().DurationVar(&o.Work, "work", time.Millisecond, "time that the stand-in works")
 	return cmd
 }
+
+func newCmdPolicy(opts *Options) *cobra.Command {
+	var o experiment.PolicyOptions
+	svg := ""
+	cmd := &cobra.Command{
+		Use:   "policy",
+		Short: "Compare attainment and cost with baselines",
+		Long: "Send one user's mix at several loads under several conditions, with the same\n" +
+			"arrivals to honeydyke and to baselines, and print attainment, the bound that no\n" +
+			"scheduler can beat, and cost. A load of 1 fills the busiest pool.",
+		Example: "  honeydyke experiment policy --user kowhai --condition calm --load 0.6,1.2\n" +
+			"  honeydyke experiment policy --user floraria --svg calm > calm.svg",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			result, err := experiment.ComparePolicies(cmd.Context(), o, func(c experiment.PolicyCell) {
+				_, _ = fmt.Fprintln(opts.Factory.Err, c.Line())
+			})
+			if err == nil && svg != "" {
+				return result.Chart(svg).WriteSVG(opts.Factory.Out)
+			}
+			return opts.measure(result, err)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&o.User, "user", "kowhai", "kowhai or floraria")
+	flags.StringSliceVar(&o.Conditions, "condition", experiment.Conditions, "conditions")
+	flags.StringSliceVar(&o.Policies, "policy", experiment.Policies, "policies")
+	flags.Float64SliceVar(&o.Loads, "load", []float64{0.6, 0.9, 1.2, 2}, "loads")
+	flags.DurationVar(&o.Duration, "duration", 4*time.Second, "how long requests arrive in each cell")
+	flags.Uint64Var(&o.Seed, "seed", 1, "seed of the arrivals")
+	flags.StringVar(&svg, "svg", "", "print the chart of this condition as SVG")
+	return cmd
+}
