Refuse by what classes of requests can be carried, and build the fault matrix

Cause: under overload whoever came last was refused, so long work stayed and short work went. Change: while work is held for a pool, shares for each class (organisation, pipeline, size) are worked out from arrival rates: every organisation's weighted share first, cheapest classes first, cheap as the bundle weighs work and cost.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -49,6 +49,7 @@
 	open          map[uint64]openRequest
 	items         map[uint64]*item
 	times         *estimator
+	shedder       *shedder
 }
 
 // openRequest is a request that was let in and is not closed.
@@ -72,6 +73,7 @@
 		open:          make(map[uint64]openRequest),
 		items:         make(map[uint64]*item),
 		times:         newEstimator(),
+		shedder:       newShedder(),
 	}
 }
 
@@ -94,6 +96,8 @@
 		if t := c.targets[e.Target]; t != nil {
 			t.mark(e.Incarnation)
 		}
+	case Nodes:
+		c.shedder.nodes = e.Count
 	case Install:
 		return c.install(now, e)
 	case Tick:
@@ -141,6 +145,9 @@
 	if org == nil {
 		return refuse(e.ID, verdict.New(verdict.NotRun, verdict.ReasonUnauthorised, "no organisation %q in the bundle in force", e.Organisation))
 	}
+	if c.shed(now, e) {
+		return refuse(e.ID, c.overload(replanInterval))
+	}
 	if late := c.tooLate(now, e); late != nil {
 		return refuse(e.ID, late)
 	}
--- a/internal/admission/event.go
+++ b/internal/admission/event.go
@@ -73,6 +73,9 @@
 	Incarnation string
 }
 
+// Nodes tells how many nodes share the targets, this one included.
+type Nodes struct{ Count int }
+
 // Install puts a bundle in force.
 type Install struct{ Plan *bundle.Plan }
 
@@ -86,6 +89,7 @@
 func (Ended) isEvent()    {}
 func (Report) isEvent()   {}
 func (Mark) isEvent()     {}
+func (Nodes) isEvent()    {}
 func (Install) isEvent()  {}
 func (Tick) isEvent()     {}
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -38,6 +38,8 @@
 	Plan *bundle.Plan
 	// Targets holds the stand-ins by target name.
 	Targets map[string]*standin.Target
+	// Scripts holds the script that the targets of each pool share.
+	Scripts map[string]*standin.Script
 	// Configuration is the configuration service.
 	Configuration *standin.Configuration
 	// Instances is the platform's list.
@@ -86,6 +88,7 @@
 	announce    time.Duration
 	reportLag   time.Duration
 	slots       int
+	lateBy      time.Duration
 	change      func(*settings.Settings)
 	targetTLS   *tls.Config
 }
@@ -112,6 +115,9 @@
 // WithSlots overrides the slots of every target.
 func WithSlots(n int) Option { return func(c *config) { c.slots = n } }
 
+// WithLateBy sets the delay of targets that answer late.
+func WithLateBy(d time.Duration) Option { return func(c *config) { c.lateBy = d } }
+
 // WithSettings changes the settings of every node.
 func WithSettings(change func(*settings.Settings)) Option {
 	return func(c *config) { c.change = change }
@@ -123,7 +129,7 @@
 // Start starts the deployment of a bundle, whose addresses it replaces, and
 // waits until every node serves or ctx ends.
 func Start(ctx context.Context, text []byte, opts ...Option) (*Lab, error) {
-	cfg := config{nodes: 3, speeds: defaultSpeeds(), log: zerolog.Nop(), announce: time.Millisecond}
+	cfg := config{nodes: 3, speeds: defaultSpeeds(), log: zerolog.Nop(), announce: time.Millisecond, lateBy: time.Second}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
@@ -131,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Lab{cfg: cfg, Targets: make(map[string]*standin.Target), Instances: &standin.Instances{}}
+	l := &Lab{cfg: cfg, Targets: make(map[string]*standin.Target), Scripts: make(map[string]*standin.Script), Instances: &standin.Instances{}}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	_, l.key, err = ed25519.GenerateKey(nil)
 	if err != nil {
@@ -176,6 +182,7 @@
 	for i := range b.Pools {
 		p := &b.Pools[i]
 		keys := standin.NewKeyLedger()
+		l.Scripts[p.Name] = &standin.Script{}
 		for j := range p.Targets {
 			t := &p.Targets[j]
 			if l.cfg.slots > 0 {
@@ -195,6 +202,7 @@
 func (l *Lab) targetOptions(p *bundle.Pool, t *bundle.Target, keys *standin.KeyLedger) []standin.TargetOption {
 	opts := []standin.TargetOption{
 		standin.WithSlots(t.Slots), standin.WithSpeed(l.cfg.speeds[p.Kind]), standin.WithReportLag(l.cfg.reportLag),
+		standin.WithScript(l.Scripts[p.Name]), standin.WithLateBy(l.cfg.lateBy),
 	}
 	if l.cfg.targetTLS != nil {
 		opts = append(opts, standin.WithTLS(l.cfg.targetTLS))
@@ -256,12 +264,13 @@
 }
 
 // AddNode starts one more node, which knows the others as its peers.
-func (l *Lab) AddNode() (*Member, error) {
+func (l *Lab) AddNode(more ...node.Option) (*Member, error) {
 	cfg := l.settings()
 	if l.cfg.change != nil {
 		l.cfg.change(cfg)
 	}
 	opts := append([]node.Option{node.WithLogger(l.cfg.log.With().Int("node", len(l.Nodes)).Logger())}, l.cfg.nodeOptions...)
+	opts = append(opts, more...)
 	n, err := node.New(cfg, opts...)
 	if err != nil {
 		return nil, err
@@ -282,7 +291,9 @@
 func (l *Lab) settings() *settings.Settings {
 	var peers []string
 	for _, m := range l.Nodes {
-		peers = append(peers, m.PeerAddress())
+		if m.Phase() != node.Leaving {
+			peers = append(peers, m.PeerAddress())
+		}
 	}
 	public := l.key.Public().(ed25519.PublicKey)
 	return &settings.Settings{
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -167,6 +167,17 @@
 	return list[:min(len(list), n)]
 }
 
+// Live counts the nodes that spoke lately and are not leaving, this one included.
+func (v View) Live(now time.Time) int {
+	n := 1
+	for _, p := range v.peers {
+		if p.live(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Reads says whether this node is among the readers of the configuration
 // service: the first of its data centre by rank among the nodes that it has
 // heard lately. Nodes that do not hear each other each become one, so a
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -47,13 +47,27 @@
 // KnownFault says whether f is one of Faults.
 func KnownFault(f Fault) bool { return slices.Contains(Faults, f) }
 
-// script holds the faults that the next calls meet.
-type script struct {
-	mu   sync.Mutex
-	next []Fault
+// Step is a point in the life of a call at a target.
+type Step string
+
+// Steps of a call.
+const (
+	// Arrived is before anything of the call ran.
+	Arrived Step = "arrived"
+	// Worked is after it ran and before its answer; in the middle of an engine's
+	// answer.
+	Worked Step = "worked"
+)
+
+// Script holds what the next calls meet: faults, and hooks that run at a step.
+type Script struct {
+	mu    sync.Mutex
+	next  []Fault
+	hooks map[Step]func()
 }
 
-func (s *script) add(f Fault, times int) {
+// Add lets the next calls meet the fault.
+func (s *Script) Add(f Fault, times int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for range times {
@@ -61,8 +75,29 @@
 	}
 }
 
+// At runs hook, once, when the next call reaches the step.
+func (s *Script) At(step Step, hook func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hooks == nil {
+		s.hooks = make(map[Step]func())
+	}
+	s.hooks[step] = hook
+}
+
+// Clear takes back what no call has met.
+func (s *Script) Clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = nil
+	s.hooks = nil
+}
+
 // take returns the fault of one call; empty for none.
-func (s *script) take() Fault {
+func (s *Script) take() Fault {
+	if s == nil {
+		return ""
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.next) == 0 {
@@ -73,8 +108,16 @@
 	return f
 }
 
-func (s *script) clear() {
+// reached runs the hook of a step.
+func (s *Script) reached(step Step) {
+	if s == nil {
+		return
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.next = nil
+	hook := s.hooks[step]
+	delete(s.hooks, step)
+	s.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
 }
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -29,8 +29,7 @@
 
 // serveStage is the endpoint of pools and plain services.
 func (t *Target) serveStage(w http.ResponseWriter, r *http.Request) {
-	t.calls.Add(1)
-	fault := t.script.take()
+	fault := t.meet()
 	if t.beforeRun(w, r, fault) {
 		return
 	}
@@ -58,13 +57,24 @@
 		return false
 	}
 	t.book.end(i, 1, true)
+	t.pool.reached(Worked)
 	return true
 }
 
+// meet counts a call and returns the fault that it meets.
+func (t *Target) meet() Fault {
+	t.calls.Add(1)
+	t.pool.reached(Arrived)
+	if f := t.pool.take(); f != "" {
+		return f
+	}
+	return t.script.take()
+}
+
 // beforeRun carries out the faults that come before anything runs.
 func (t *Target) beforeRun(w http.ResponseWriter, r *http.Request, fault Fault) bool {
 	switch {
-	case t.isLeaving(), fault == Refuse:
+	case t.Leaving(), fault == Refuse:
 		refuse(w, r)
 		return true
 	case fault == RefuseBare:
@@ -78,7 +88,7 @@
 		http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
 		return true
 	case fault == Crash:
-		go t.Crash()
+		t.Crash()
 		reset(w)
 	}
 	return false
@@ -147,8 +157,7 @@
 
 // serveChat is the endpoint of engines.
 func (t *Target) serveChat(w http.ResponseWriter, r *http.Request) {
-	t.calls.Add(1)
-	fault := t.script.take()
+	fault := t.meet()
 	if t.beforeRun(w, r, fault) {
 		return
 	}
@@ -162,7 +171,7 @@
 		return
 	}
 	id := r.Header.Get(wire.HeaderIdentity)
-	i := t.book.begin(Run{Identity: id})
+	i := t.book.begin(Run{Identity: id, Input: lastMessage(&req)})
 	if err := t.queue.enter(r.Context(), max(priority(r), req.Priority)); err != nil {
 		return
 	}
@@ -172,6 +181,15 @@
 	t.book.end(i, s.sent, whole)
 }
 
+// lastMessage returns what the caller asked, below what stages put before it.
+func lastMessage(req *openai.ChatRequest) string {
+	messages, _ := splitPrefix(req)
+	if len(messages) == 0 {
+		return ""
+	}
+	return string(messages[len(messages)-1].Content)
+}
+
 // engineStream is one answer of an engine.
 type engineStream struct {
 	t     *Target
@@ -237,6 +255,7 @@
 // damage carries out the faults in the middle of a stream and is true when the
 // stream ends there.
 func (s *engineStream) damage() bool {
+	s.t.pool.reached(Worked)
 	switch s.fault {
 	case ResetDuring, ResetAfter:
 		reset(s.w)
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -52,7 +52,8 @@
 
 	calls    atomic.Int64
 	slowdown atomic.Int64
-	script   script
+	script   Script
+	pool     *Script
 	book     runBook
 	queue    slotQueue
 	reload   reportLog
@@ -61,6 +62,7 @@
 	mu          sync.Mutex
 	incarnation string
 	leaving     bool
+	stopped     bool
 	listener    net.Listener
 	server      *http.Server
 }
@@ -84,6 +86,10 @@
 // most once.
 func WithKeys(l *KeyLedger) TargetOption { return func(t *Target) { t.keys = l } }
 
+// WithScript lets the targets of a pool share a script, whose faults come before
+// a target's own.
+func WithScript(s *Script) TargetOption { return func(t *Target) { t.pool = s } }
+
 // WithTLS lets the target speak TLS.
 func WithTLS(cfg *tls.Config) TargetOption { return func(t *Target) { t.tls = cfg } }
 
@@ -117,6 +123,7 @@
 	defer t.mu.Unlock()
 	t.incarnation = ticket.NewSerial()
 	t.leaving = false
+	t.stopped = false
 	t.listener = ln
 	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	go func(s *http.Server) { _ = s.Serve(ln) }(t.server)
@@ -137,14 +144,22 @@
 func (t *Target) Crash() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.stopped = true
 	_ = t.server.Close()
 }
 
+// Stopped says whether the target has crashed and was not started again.
+func (t *Target) Stopped() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stopped
+}
+
 // Fail makes the next calls meet the fault.
-func (t *Target) Fail(f Fault, times int) { t.script.add(f, times) }
+func (t *Target) Fail(f Fault, times int) { t.script.Add(f, times) }
 
 // ClearFaults takes back the faults that no call has met.
-func (t *Target) ClearFaults() { t.script.clear() }
+func (t *Target) ClearFaults() { t.script.Clear() }
 
 // SlowDown multiplies the time of all later work by a whole factor.
 func (t *Target) SlowDown(factor int) { t.slowdown.Store(int64(factor)) }
@@ -173,7 +188,8 @@
 // Runs returns how often each input ran, by identity of the call.
 func (t *Target) Runs() []Run { return t.book.all() }
 
-func (t *Target) isLeaving() bool {
+// Leaving says whether the target is leaving.
+func (t *Target) Leaving() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.leaving
@@ -262,7 +278,8 @@
 type Run struct {
 	// Identity is the identity of the call.
 	Identity string `json:"identity"`
-	// Organisation and Input are what the call carried; an engine's are empty.
+	// Organisation and Input are what the call carried; an engine is told no
+	// organisation.
 	Organisation string `json:"organisation,omitempty"`
 	Input        string `json:"input,omitempty"`
 	// Stage is empty for an engine.
--- a/pkg/cmd/experiment/experiment.go
+++ b/pkg/cmd/experiment/experiment.go
@@ -7,9 +7,11 @@
 	"io"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/honeydyke/honeydyke/internal/experiment"
+	"github.com/honeydyke/honeydyke/internal/matrix"
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
 )
 
@@ -31,7 +33,7 @@
 	}
 	opts := &Options{Factory: f}
 	cmd.PersistentFlags().BoolVar(&opts.JSON, "json", false, "print JSON")
-	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts))
+	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts), newCmdMatrix(opts))
 	return cmd
 }
 
@@ -97,3 +99,27 @@
 	flags.StringVar(&svg, "svg", "", "print the chart of this condition as SVG")
 	return cmd
 }
+
+func newCmdMatrix(opts *Options) *cobra.Command {
+	var o matrix.Options
+	cmd := &cobra.Command{
+		Use:     "matrix",
+		Short:   "Bring about every fault at every step",
+		Long:    "Send requests that meet every fault at every stage and step, alone and in pairs,\nhold each end against what the stand-ins saw, and print the table.",
+		Example: "  honeydyke experiment matrix --pairs 100",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			result, err := matrix.Run(cmd.Context(), o)
+			if err := opts.measure(result, err); err != nil {
+				return err
+			}
+			if n := len(result.Broken()); n > 0 {
+				return errors.Errorf("%d cells are broken", n)
+			}
+			return nil
+		},
+	}
+	cmd.Flags().IntVar(&o.Pairs, "pairs", 100, "cells with two faults")
+	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the pairs")
+	return cmd
+}
--- a/pkg/node/actors.go
+++ b/pkg/node/actors.go
@@ -225,6 +225,7 @@
 		a.round()
 	case tick:
 		a.view = a.view.WithTime(a.node.now())
+		a.node.gate.apply(admission.Nodes{Count: a.view.Live(a.node.now())})
 		a.round()
 	case heard:
 		a.hear(m.word)
