--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -20,6 +20,10 @@
 	maxHeld = 4096
 	// minimumRetryAfter is the shortest time after which to come back.
 	minimumRetryAfter = 50 * time.Millisecond
+	// patienceFactor is how many times the expected time an attempt may take.
+	patienceFactor = 8
+	// minimumPatience keeps short stages from being given up for a hiccup.
+	minimumPatience = 250 * time.Millisecond
 	// retrySpread widens a retry time by up to this share, so that callers that
 	// were refused together do not come back together.
 	retrySpread = 0.5
@@ -254,10 +258,10 @@
 	if p == nil {
 		return refuse(e.ID, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "the pool is not in the bundle in force"))
 	}
-	if e.Retry && !p.takeRetry() {
+	if e.Retry != First && !p.takeRetry(e.Retry) {
 		return refuse(e.ID, verdict.New(verdict.NotRun, verdict.ReasonRetryExhausted, "the pool's budget of retries is spent"))
 	}
-	if !e.Retry {
+	if e.Retry == First {
 		p.earnRetry(now)
 	}
 	it := c.newItem(now, e)
@@ -330,7 +334,8 @@
 	it.target = t
 	t.granted = now
 	t.inFlight++
-	return Grant{ID: it.ID, Target: t.spec, Pool: p.spec}
+	patience := max(patienceFactor*it.expected, minimumPatience)
+	return Grant{ID: it.ID, Target: t.spec, Pool: p.spec, Patience: patience}
 }
 
 func (c *Core) withdraw(now time.Time, e Withdraw) []Effect {
--- a/internal/admission/event.go
+++ b/internal/admission/event.go
@@ -41,10 +41,22 @@
 	Prefix uint64
 	// Exclude names targets to avoid while there are others.
 	Exclude []string
-	// Retry is true for every attempt but the first.
-	Retry bool
+	// Retry says what the attempt draws from the pool's budget of retries.
+	Retry Retry
 }
 
+// Retry is the kind of an attempt.
+type Retry int
+
+const (
+	// First is the first attempt of a stage.
+	First Retry = iota
+	// AfterProof follows an attempt that provably did not run.
+	AfterProof
+	// AfterLoss follows an attempt that may have run.
+	AfterLoss
+)
+
 // Withdraw takes back a Submit that was not answered, or gives back a grant
 // that was not used.
 type Withdraw struct{ ID uint64 }
@@ -104,6 +116,9 @@
 	ID     uint64
 	Target bundle.Target
 	Pool   *bundle.Pool
+	// Patience is how long an attempt may take before another target is the
+	// better bet.
+	Patience time.Duration
 }
 
 // Refuse answers an Open or Submit for good; nothing ran.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -15,6 +15,8 @@
 	// retryShare is how many retries a first attempt pays for when the pool is
 	// idle; the share shrinks to nothing as the pool fills.
 	retryShare = 0.2
+	// proofPrice is what a retry after a proof of not-run takes of the budget.
+	proofPrice = 0.2
 	// retryBank is the most retries saved up.
 	retryBank = 10
 	// fairAllowance is how much more work an organisation with a weight of 1 may
@@ -110,11 +112,17 @@
 	p.retries = min(retryBank, p.retries+retryShare*(1-p.load(now)))
 }
 
-func (p *pool) takeRetry() bool {
-	if p.retries < 1 {
+// takeRetry pays for a retry from the budget. One after a proof of not-run has
+// cost the target next to nothing and is cheap.
+func (p *pool) takeRetry(kind Retry) bool {
+	price := 1.0
+	if kind == AfterProof {
+		price = proofPrice
+	}
+	if p.retries < price {
 		return false
 	}
-	p.retries--
+	p.retries -= price
 	return true
 }
 
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -68,6 +68,9 @@
 
 // report takes in the target's own word.
 func (t *target) report(now time.Time, r Report) {
+	if t.incarnation != "" && t.incarnation != r.Incarnation {
+		t.pardon()
+	}
 	t.incarnation = r.Incarnation
 	t.leaving = t.marks[r.Incarnation]
 	if r.Leaving {
@@ -78,6 +81,14 @@
 	t.foreign = max(0, r.Running+r.Waiting-t.inFlight)
 }
 
+// pardon ends an ejection: a new incarnation is not blamed for the old one. It is
+// still tried with one call at a time first.
+func (t *target) pardon() {
+	t.failures = 0
+	t.ejections = 0
+	t.ejectedUntil = time.Time{}
+}
+
 // ended takes in the end of a call and says whether the target is ejected.
 func (t *target) ended(now time.Time, err *verdict.Error, mayEject bool) bool {
 	if err == nil {
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/wire"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -42,6 +44,9 @@
 	Identity string
 	// Deadline ends the call; it is checked again just before the first write.
 	Deadline time.Time
+	// Patience is how long the call may take before it counts as stalled; zero
+	// for as long as the deadline allows.
+	Patience time.Duration
 	// Key is an idempotency key for targets that check them; empty for none.
 	Key string
 	// Priority is lower for work that is served first.
@@ -129,6 +134,11 @@
 func (c *Client) Do(ctx context.Context, call Call) (*message.StageAnswer, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
+	if call.Patience > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeoutCause(ctx, call.Patience, errStalled)
+		defer stop()
+	}
 	ex, err := c.send(ctx, call)
 	if err != nil {
 		return nil, err
@@ -266,7 +276,13 @@
 	return verdict.New(v, reason, "the call got no answer").WithCause(err)
 }
 
+// errStalled ends the context of a call that outlasted its patience.
+var errStalled = errors.New("the call outlasted its patience")
+
 func reasonOfContext(ctx context.Context) verdict.Reason {
+	if context.Cause(ctx) == errStalled {
+		return verdict.ReasonStalled
+	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return verdict.ReasonDeadline
 	}
--- a/internal/matrix/matrix.go
+++ b/internal/matrix/matrix.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/honeydyke/honeydyke/examples"
 	"github.com/honeydyke/honeydyke/internal/lab"
 	"github.com/honeydyke/honeydyke/internal/standin"
@@ -43,6 +45,7 @@
 	everyAttempt = 8
 	// pauseLength is longer than every deadline of the matrix.
 	pauseLength = time.Hour
+	deadlineMs  = 900
 	cellLimit   = 20 * time.Second
 )
 
@@ -104,6 +107,8 @@
 	// Pairs is the number of cells with two faults, drawn at random.
 	Pairs int
 	Seed  uint64
+	// Progress hears of each cell; nil for none.
+	Progress func(c Cell, took time.Duration)
 }
 
 // Run runs the whole matrix and returns its cells.
@@ -116,8 +121,12 @@
 	cells := append(singles(r.lab.Plan), pairs(r.lab.Plan, opts)...)
 	for i := range cells {
 		cells[i].input = fmt.Sprintf("cell %d", i)
+		start := time.Now()
 		if err := r.run(ctx, &cells[i]); err != nil {
-			return nil, err
+			return nil, errors.Wrapf(err, "cell %d, %s, %v", i, cells[i].Form, cells[i].Faults)
+		}
+		if opts.Progress != nil {
+			opts.Progress(cells[i], time.Since(start))
 		}
 	}
 	r.sweep(cells)
@@ -187,9 +196,13 @@
 	return &runner{lab: l, spare: l.Nodes[0]}, nil
 }
 
-// quiet takes the waves and the limits out of the way.
+// quiet takes the waves and the limits out of the way and shortens the deadlines,
+// which calls that fall silent wait for.
 func quiet(b *bundle.Bundle) {
 	b.Rollout = nil
+	for i := range b.Pipelines {
+		b.Pipelines[i].DeadlineMs = deadlineMs
+	}
 	for i := range b.Organisations {
 		b.Organisations[i].Limits = bundle.Limits{Concurrency: 1000, RequestsPerSecond: 10_000, TokensPerSecond: 10_000_000}
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -14,7 +14,7 @@
 
 // provenAttempts bounds the attempts of a stage whose earlier ones provably did
 // not run, as after a failed dial or a target's refusal.
-const provenAttempts = 4
+const provenAttempts = 6
 
 // Status is the state of one stage.
 type Status int
@@ -178,6 +178,8 @@
 	Attempt int
 	// Exclude names targets that the attempt avoids.
 	Exclude []string
+	// AfterProof is true when the attempt before provably did not run.
+	AfterProof bool
 	// Prefix is the text that the stage has given the caller already; the
 	// attempt must go on from it.
 	Prefix string
@@ -229,7 +231,7 @@
 	var effects []Effect
 	for _, i := range s.pipeline.Order {
 		if s.stages[i].Status == Waiting && s.needsDone(i) {
-			var run Effect
+			var run Run
 			s, run = s.start(i)
 			effects = append(effects, run)
 		}
@@ -251,7 +253,7 @@
 	return slices.IndexFunc(s.pipeline.Stages, func(st bundle.Stage) bool { return st.Name == name })
 }
 
-func (s State) start(i int) (State, Effect) {
+func (s State) start(i int) (State, Run) {
 	st := s.stages[i]
 	st.Status = Running
 	st.Attempt++
@@ -332,6 +334,7 @@
 		s = s.WithStage(e.Stage, st)
 	}
 	s, run := s.start(e.Stage)
+	run.AfterProof = e.Err.Verdict() == verdict.NotRun
 	return s, []Effect{run}
 }
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -92,7 +92,7 @@
 	}
 	resp, err := c.send(ctx, http.MethodPost, wire.PathPipelines+req.Pipeline, body, headersOf(req))
 	if err != nil {
-		return nil, err
+		return nil, ofTicket(req, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if req.Identity != "" && resp.Header.Get(wire.HeaderIdentity) != req.Identity {
@@ -111,6 +111,16 @@
 	return &answer, nil
 }
 
+// ofTicket keeps a request with a ticket from being called not run because one
+// node could not be reached: an earlier use of the ticket may have run. Only the
+// ticket's home can say.
+func ofTicket(req Request, err error) error {
+	if req.Ticket == "" {
+		return err
+	}
+	return verdict.From(err).WithVerdict(verdict.MayHaveRun).WithUnsafeRetry()
+}
+
 func headersOf(req Request) http.Header {
 	h := make(http.Header)
 	if req.Deadline > 0 {
--- a/pkg/cmd/experiment/experiment.go
+++ b/pkg/cmd/experiment/experiment.go
@@ -102,6 +102,7 @@
 
 func newCmdMatrix(opts *Options) *cobra.Command {
 	var o matrix.Options
+	verbose := false
 	cmd := &cobra.Command{
 		Use:     "matrix",
 		Short:   "Bring about every fault at every step",
@@ -109,6 +110,11 @@
 		Example: "  honeydyke experiment matrix --pairs 100",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if verbose {
+				o.Progress = func(c matrix.Cell, took time.Duration) {
+					_, _ = fmt.Fprintf(opts.Factory.Err, "%6d ms %s, %v: %s %v\n", took.Milliseconds(), c.Form, c.Faults, c.End, c.Broken)
+				}
+			}
 			result, err := matrix.Run(cmd.Context(), o)
 			if err := opts.measure(result, err); err != nil {
 				return err
@@ -119,6 +125,7 @@
 			return nil
 		},
 	}
+	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "print each cell as it ends")
 	cmd.Flags().IntVar(&o.Pairs, "pairs", 100, "cells with two faults")
 	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the pairs")
 	return cmd
--- a/pkg/node/runner.go
+++ b/pkg/node/runner.go
@@ -205,7 +205,7 @@
 		Deadline:     r.job.deadline,
 		Size:         len(r.job.input),
 		Exclude:      e.Exclude,
-		Retry:        e.Attempt > 1,
+		Retry:        retryOf(e),
 	}
 	if pool := r.job.plan.Pool(spec.Pool); pool != nil && pool.Kind == bundle.KindEngine {
 		s.Size = r.ceiling(spec)
@@ -214,6 +214,16 @@
 	return s
 }
 
+func retryOf(e request.Run) admission.Retry {
+	switch {
+	case e.Attempt == 1:
+		return admission.First
+	case e.AfterProof:
+		return admission.AfterProof
+	}
+	return admission.AfterLoss
+}
+
 func (r *run) ceiling(spec bundle.Stage) int {
 	ceiling := spec.MaxTokens
 	if ceiling == 0 {
@@ -235,6 +245,9 @@
 		Once:     !spec.Repeatable,
 		Permit:   r.node.checkAwake,
 	}
+	if spec.Repeatable && e.Attempt < spec.AttemptLimit() {
+		call.Patience = grant.Patience
+	}
 	if grant.Pool.ChecksKeys && r.job.key != "" {
 		call.Key = r.job.key + "/" + spec.Name
 	}
