Go on from the text sent when an engine is lost, where the bundle allows it

Cause: a long reply whose engine dies ended in an error, and all of it was generated again. Change: the stage's onLoss, fail or continue; the request core gives the next attempt the text sent as its prefix. A fault of the stand-in was mended on the way: tokens of answers that a reset ended were not counted.

--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -183,6 +183,8 @@
 	// Prefix is the text that the stage has given the caller already; the
 	// attempt must go on from it.
 	Prefix string
+	// PrefixTokens is what the prefix took to generate.
+	PrefixTokens int
 }
 
 // Emit passes text to the caller.
@@ -258,6 +260,9 @@
 	st.Status = Running
 	st.Attempt++
 	run := Run{Stage: i, Attempt: st.Attempt, Exclude: st.Excluded, Prefix: st.Output()}
+	if run.Prefix != "" {
+		run.PrefixTokens = st.Tokens
+	}
 	return s.WithStage(i, st), run
 }
 
@@ -349,7 +354,7 @@
 		return false
 	}
 	if e.Stage == s.pipeline.Last && s.emitted > 0 {
-		return false // the caller has part of an answer that another run need not repeat
+		return s.mayContinue(e)
 	}
 	if e.Err.Verdict() == verdict.NotRun && st.Unproven == 0 {
 		return st.Attempt < provenAttempts
@@ -357,6 +362,14 @@
 	return spec.Repeatable && st.Unproven < spec.AttemptLimit() && st.Attempt < provenAttempts
 }
 
+// mayContinue decides whether another engine goes on from the text that the
+// caller has. Another run would not repeat it, so it cannot start anew.
+func (s State) mayContinue(e Broke) bool {
+	st := s.stages[e.Stage]
+	spec := s.pipeline.Stages[e.Stage]
+	return spec.OnLoss == bundle.StageOnLossContinue && st.Unproven <= spec.AttemptLimit() && st.Attempt < provenAttempts
+}
+
 // fail ends the request with its final refusal.
 func (s State) fail(err *verdict.Error) (State, []Effect) {
 	s.finished = true
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -99,6 +99,37 @@
 	}
 }
 
+func TestLostStreams(t *testing.T) {
+	lost := verdict.New(verdict.MayHaveRun, verdict.ReasonCut, "")
+	for _, onLoss := range []bundle.StageOnLoss{bundle.StageOnLossFail, bundle.StageOnLossContinue} {
+		p := *diamond
+		p.Stages = []bundle.Stage{{Name: "generate", Repeatable: true, OnLoss: onLoss}}
+		p.Order, p.Last = []int{0}, 0
+		convey.Convey("Given a stream with onLoss "+string(onLoss), t, func() {
+			s, _ := request.Step(request.New(&p, start.Add(time.Minute)), start, request.Begin{})
+			broke := request.Broke{Stage: 0, Attempt: 1, Target: "t", Err: lost, Tokens: 2}
+			convey.Convey("that is lost before the caller has any text, it runs again, unseen", func() {
+				_, effects := request.Step(s, start, broke)
+				convey.So(effects, convey.ShouldResemble, []request.Effect{request.Run{Stage: 0, Attempt: 2, Exclude: []string{"t"}}})
+			})
+			convey.Convey("that is lost later, it ends in an error or goes on from the text sent", func() {
+				s, _ = request.Step(s, start, request.Text{Stage: 0, Attempt: 1, Text: "two "})
+				s, _ = request.Step(s, start, request.Text{Stage: 0, Attempt: 1, Text: "words "})
+				s, effects := request.Step(s, start, broke)
+				if onLoss == bundle.StageOnLossFail {
+					convey.So(s.Finished(), convey.ShouldBeTrue)
+					return
+				}
+				convey.So(effects, convey.ShouldResemble, []request.Effect{
+					request.Run{Stage: 0, Attempt: 2, Exclude: []string{"t"}, Prefix: "two words ", PrefixTokens: 2},
+				})
+				_, effects = request.Step(s, start, request.Text{Stage: 0, Attempt: 2, Text: "more"})
+				convey.So(effects, convey.ShouldResemble, []request.Effect{request.Emit{Text: "more"}})
+			})
+		})
+	}
+}
+
 // attempt is a running attempt as the world sees it.
 type attempt struct {
 	stage, number int
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -177,8 +177,9 @@
 	}
 	defer t.queue.leave()
 	s := engineStream{t: t, w: w, r: r, req: &req, id: id, fault: fault}
-	whole := s.run()
-	t.book.end(i, s.sent, whole)
+	whole := false
+	defer func() { t.book.end(i, s.sent, whole) }() // also when the fault ends it by a panic
+	whole = s.run()
 }
 
 // lastMessage returns what the caller asked, below what stages put before it.
@@ -212,8 +213,10 @@
 		return false
 	}
 	s.header()
-	tokens := EngineTokens(messages, ceiling)
-	from := min(len(tokens), len(prefix)/len(tokens[0]))
+	// A continued answer's ceiling is what is left of the whole one's.
+	from := strings.Count(prefix, " ")
+	tokens := EngineTokens(messages, ceiling+from)
+	from = min(from, len(tokens))
 	start := time.Now()
 	for i := from; i < len(tokens); i++ {
 		if i-from == (len(tokens)-from)/2 && s.damage() {
--- a/pkg/bundle/bundle_gen.go
+++ b/pkg/bundle/bundle_gen.go
@@ -156,6 +156,10 @@
 	// Stages whose outputs it reads.
 	Needs []string `json:"needs,omitempty,omitzero"`
 
+	// What follows when an engine is lost in the middle of a stream: an explicit
+	// error, or another engine that goes on from the text sent.
+	OnLoss StageOnLoss `json:"onLoss,omitempty,omitzero"`
+
 	// Pool corresponds to the JSON schema field "pool".
 	Pool string `json:"pool"`
 
@@ -163,6 +167,11 @@
 	Repeatable bool `json:"repeatable"`
 }
 
+type StageOnLoss string
+
+const StageOnLossContinue StageOnLoss = "continue"
+const StageOnLossFail StageOnLoss = "fail"
+
 // Target is one back end.
 type Target struct {
 	// IP number and port.
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -168,6 +168,9 @@
 	if !s.Repeatable && s.Attempts > 1 {
 		c.add(key+"/attempts", "a stage that may not be repeated has one attempt")
 	}
+	if pool != nil && s.OnLoss == StageOnLossContinue && (pool.Kind != KindEngine || !s.Repeatable) {
+		c.add(key+"/onLoss", "only a repeatable stage of an engine can continue")
+	}
 	if pool != nil && s.Adapter != "" {
 		c.checkAdapter(key, s, pool)
 	}
--- a/pkg/cmd/experiment/experiment.go
+++ b/pkg/cmd/experiment/experiment.go
@@ -33,7 +33,7 @@
 	}
 	opts := &Options{Factory: f}
 	cmd.PersistentFlags().BoolVar(&opts.JSON, "json", false, "print JSON")
-	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts), newCmdMatrix(opts))
+	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts), newCmdMatrix(opts), newCmdStreams(opts))
 	return cmd
 }
 
@@ -130,3 +130,21 @@
 	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the pairs")
 	return cmd
 }
+
+func newCmdStreams(opts *Options) *cobra.Command {
+	var o experiment.StreamOptions
+	cmd := &cobra.Command{
+		Use:     "streams",
+		Short:   "Compare ways to treat a stream whose engine is lost",
+		Long:    "Lose the engine of some replies in mid-stream and compare an explicit error, after\nwhich the caller asks again, with another engine that goes on from the text sent.",
+		Example: "  honeydyke experiment streams --streams 200 --every 4",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			result, err := experiment.CompareStreams(cmd.Context(), o)
+			return opts.measure(result, err)
+		},
+	}
+	cmd.Flags().IntVar(&o.Streams, "streams", 200, "replies")
+	cmd.Flags().IntVar(&o.EveryNth, "every", 4, "one reply in so many loses its engine")
+	return cmd
+}
--- a/pkg/node/runner.go
+++ b/pkg/node/runner.go
@@ -300,13 +300,28 @@
 	if spec.Adapter != "" {
 		model = spec.Adapter
 	}
-	return &openai.ChatRequest{
+	req := &openai.ChatRequest{
 		Model:         model,
 		Messages:      composeMessages(spec, r.job, needs),
 		MaxTokens:     r.ceiling(spec),
 		Stream:        true,
 		StreamOptions: &openai.StreamOptions{IncludeUsage: true},
 	}
+	if e.Prefix != "" {
+		continueFrom(req, e)
+	}
+	return req
+}
+
+// continueFrom lets the engine go on from the text that the caller has, as the
+// final message of the assistant. The tokens spent on it are taken off the
+// ceiling, so that both parts together keep to it.
+func continueFrom(req *openai.ChatRequest, e request.Run) {
+	newTurn := false
+	req.Messages = append(req.Messages, openai.Message{Role: openai.RoleAssistant, Content: openai.Content(e.Prefix)})
+	req.ContinueFinalMessage = true
+	req.AddGenerationPrompt = &newTurn
+	req.MaxTokens = max(1, req.MaxTokens-e.PrefixTokens)
 }
 
 // composeMessages builds what an engine reads: the stage's instruction, the
