--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -20,6 +20,9 @@
 	maxHeld = 4096
 	// minimumRetryAfter is the shortest time after which to come back.
 	minimumRetryAfter = 50 * time.Millisecond
+	// idleWorth is what a look at a target of an idle pool is worth beside one of
+	// a pool whose slots are all taken, which adds 1.
+	idleWorth = 0.1
 	// patienceFactor is how many times the expected time an attempt may take.
 	patienceFactor = 8
 	// minimumPatience keeps short stages from being given up for a hiccup.
@@ -366,6 +369,9 @@
 		}
 		c.times.learn(it.Pipeline, it.Stage, it.Size, e.Took)
 	}
+	if e.Err != nil && e.Err.Reason() == verdict.ReasonRefused {
+		t.looked = time.Time{}
+	}
 	t.ended(now, e.Err, t.pool.mayEject(now))
 	return c.dispatch(now, t.pool)
 }
@@ -488,6 +494,28 @@
 	return list
 }
 
+// NextReport returns the target whose load report is worth reading most, and
+// false when there is none: the older the last look and the busier its pool, the
+// more. A refusal makes a target worth a look at once, since it may be leaving.
+func (c *Core) NextReport(now time.Time) (bundle.Target, bool) {
+	var best *target
+	worth := 0.0
+	for _, name := range sortedKeys(c.pools) {
+		p := c.pools[name]
+		busy := idleWorth + p.load(now)
+		for _, t := range p.targets {
+			if w := busy * now.Sub(t.looked).Seconds(); best == nil || w > worth {
+				best, worth = t, w
+			}
+		}
+	}
+	if best == nil {
+		return bundle.Target{}, false
+	}
+	best.looked = now
+	return best.spec, true
+}
+
 // Targets describes every target, in the order of their names.
 func (c *Core) Targets(now time.Time) []message.TargetState {
 	states := make([]message.TargetState, 0, len(c.targets))
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -23,8 +23,10 @@
 	hash uint64
 	pool *pool
 
-	inFlight    int
-	granted     time.Time
+	inFlight int
+	granted  time.Time
+	// looked is when a report of the target was last asked for.
+	looked      time.Time
 	incarnation string
 	leaving     bool
 	// marks holds the incarnations that are known to be leaving.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/message"
-	"github.com/honeydyke/honeydyke/internal/routing"
 )
 
 const (
@@ -22,10 +21,15 @@
 	liveFor = 5 * time.Second
 	// forgetAfter is how long a peer that never answers stays known.
 	forgetAfter = 10 * time.Minute
-	// readers is how many nodes of a data centre read the configuration service.
-	readers = 2
-	// maxPeersTold bounds the peers named in one exchange.
-	maxPeersTold = 32
+	// spokeLately is how far back peers count for the size of the fleet.
+	spokeLately = time.Minute
+	// maxPeersTold and maxMarksTold bound what one exchange names.
+	maxPeersTold = 4
+	maxMarksTold = 32
+	// tellFor is how long a leaving mark is passed on after it was learnt. The
+	// exchange spreads it to everybody in a few rounds; a node that starts later
+	// has the target's own word.
+	tellFor = 30 * time.Second
 	// MaxMarks bounds the leaving marks held; the oldest go first.
 	MaxMarks = 4096
 )
@@ -55,12 +59,21 @@
 	dataCentre string
 	peers      map[string]Peer
 	marks      []message.LeavingMark
-	known      map[message.LeavingMark]bool
+	// listed is how many instances the platform lists; 0 before it did.
+	listed int
+	// readers says when each reader of this data centre was last known to read.
+	readers map[string]time.Time
+	// wanting is since when fewer readers than wanted are known; zero when enough
+	// are.
+	wanting time.Time
+	reading bool
+	// learnt says when each mark became known.
+	learnt map[message.LeavingMark]time.Time
 }
 
 // New returns the view of a node that knows nobody.
 func New(self, dataCentre string) View {
-	return View{self: self, dataCentre: dataCentre, peers: map[string]Peer{}, known: map[message.LeavingMark]bool{}}
+	return View{self: self, dataCentre: dataCentre, peers: map[string]Peer{}, learnt: map[message.LeavingMark]time.Time{}, readers: map[string]time.Time{}}
 }
 
 // WithAddresses adds peers known by address only.
@@ -89,8 +102,11 @@
 			Bundle: ex.Bundle, Digest: ex.Digest, Leaving: leavingFor(old, ex), Heard: now, Added: added,
 		}
 	}
+	if ex.DataCentre == v.dataCentre {
+		v = v.withReaders(now, ex.Readers)
+	}
 	v = v.WithAddresses(now, ex.Peers)
-	return v.WithMarks(ex.Marks)
+	return v.WithMarks(now, ex.Marks)
 }
 
 // leavingFor keeps a leaving mark for the incarnation that gave it.
@@ -99,10 +115,10 @@
 }
 
 // WithMarks adds leaving marks and returns those that are news.
-func (v View) WithMarks(marks []message.LeavingMark) (View, []message.LeavingMark) {
+func (v View) WithMarks(now time.Time, marks []message.LeavingMark) (View, []message.LeavingMark) {
 	var news []message.LeavingMark
 	for _, m := range marks {
-		if !v.known[m] && !slices.Contains(news, m) {
+		if _, known := v.learnt[m]; !known && !slices.Contains(news, m) {
 			news = append(news, m)
 		}
 	}
@@ -113,10 +129,14 @@
 	if len(v.marks) > MaxMarks {
 		v.marks = v.marks[len(v.marks)-MaxMarks:]
 	}
-	v.known = make(map[message.LeavingMark]bool, len(v.marks))
+	learnt := make(map[message.LeavingMark]time.Time, len(v.marks))
 	for _, m := range v.marks {
-		v.known[m] = true
+		learnt[m] = now
+		if at, known := v.learnt[m]; known {
+			learnt[m] = at
+		}
 	}
+	v.learnt = learnt
 	return v, news
 }
 
@@ -138,6 +158,17 @@
 // Marks returns the leaving marks; the caller must not change them.
 func (v View) Marks() []message.LeavingMark { return v.marks }
 
+// FreshMarks returns the newest marks that are still passed on.
+func (v View) FreshMarks(now time.Time) []message.LeavingMark {
+	var fresh []message.LeavingMark
+	for i := len(v.marks) - 1; i >= 0 && len(fresh) < maxMarksTold; i-- {
+		if now.Sub(v.learnt[v.marks[i]]) <= tellFor {
+			fresh = append(fresh, v.marks[i])
+		}
+	}
+	return fresh
+}
+
 // Peers returns the peers in the order of their addresses.
 func (v View) Peers() []Peer {
 	list := make([]Peer, 0, len(v.peers))
@@ -160,35 +191,38 @@
 	return live[:min(len(live), maxPeersTold)]
 }
 
-// Sample returns up to n peers at random.
+// Sample returns up to n peers at random. Every other time they are of this data
+// centre where such are known, so that news of its readers spreads in it at a
+// pace that does not fall as the fleet grows.
 func (v View) Sample(n int, rng *rand.Rand) []Peer {
 	list := v.Peers()
+	if near := slices.DeleteFunc(slices.Clone(list), v.elsewhere); len(near) > 0 && rng.IntN(2) == 0 {
+		list = near
+	}
 	rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(len(list), n)]
 }
 
-// Live counts the nodes that spoke lately and are not leaving, this one included.
-func (v View) Live(now time.Time) int {
+func (v View) elsewhere(p Peer) bool { return p.DataCentre != v.dataCentre }
+
+// WithList takes in the platform's lagging list of instances that are not
+// leaving, this node among them.
+func (v View) WithList(now time.Time, addresses []string) View {
+	v.listed = len(addresses)
+	return v.WithAddresses(now, addresses)
+}
+
+// Size estimates how many nodes there are, this one included: as many as the
+// platform lists, or as spoke within the last minute where it lists none.
+func (v View) Size(now time.Time) int {
+	if v.listed > 0 {
+		return v.listed
+	}
 	n := 1
 	for _, p := range v.peers {
-		if p.live(now) {
+		if !p.Leaving && !p.Heard.IsZero() && now.Sub(p.Heard) <= spokeLately {
 			n++
 		}
 	}
 	return n
 }
-
-// Reads says whether this node is among the readers of the configuration
-// service: the first of its data centre by rank among the nodes that it has
-// heard lately. Nodes that do not hear each other each become one, so a
-// partition leaves readers on both sides.
-func (v View) Reads(now time.Time) bool {
-	own := routing.Hash(v.self)
-	above := 0
-	for _, p := range v.peers {
-		if p.DataCentre == v.dataCentre && p.live(now) && routing.Hash(p.Address) > own {
-			above++
-		}
-	}
-	return above < readers
-}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -27,6 +27,9 @@
 
 	// Peers corresponds to the JSON schema field "peers".
 	Peers []string `json:"peers,omitempty,omitzero"`
+
+	// Readers corresponds to the JSON schema field "readers".
+	Readers []Reader `json:"readers,omitempty,omitzero"`
 }
 
 // LeavingMark says that one incarnation of a target is leaving; it is never taken
@@ -153,6 +156,16 @@
 	Stream bool `json:"stream,omitempty,omitzero"`
 }
 
+// Reader is a node of the sender's data centre that reads the configuration
+// service.
+type Reader struct {
+	// Time since it said so, in milliseconds.
+	AgeMs int `json:"ageMs"`
+
+	// Node corresponds to the JSON schema field "node".
+	Node string `json:"node"`
+}
+
 // Refusal is an answer that is not whole.
 type Refusal struct {
 	// Short machine-readable cause.
--- a/pkg/cmd/experiment/experiment.go
+++ b/pkg/cmd/experiment/experiment.go
@@ -178,6 +178,7 @@
 	}
 	flags := cmd.Flags()
 	flags.IntVar(&o.Nodes, "nodes", 30, "node processes")
+	flags.DurationVar(&o.Settle, "settle", 15*time.Second, "how long the nodes get to know each other first")
 	flags.DurationVar(&o.Calm, "calm", 10*time.Second, "how long the idle nodes are watched")
 	flags.DurationVar(&o.Storm, "storm", 16*time.Second, "how long load and faults last; 0 for none")
 	flags.Float64Var(&o.Rate, "rate", 100, "requests a second")
--- a/pkg/node/actors.go
+++ b/pkg/node/actors.go
@@ -17,15 +17,17 @@
 const (
 	// gossipInterval is how often a node exchanges news with a few peers.
 	gossipInterval = time.Second
-	// gossipFanOut is how many peers a node tells at a time.
+	// gossipFanOut is how many peers a node tells of news at once; without news
+	// it tells one.
 	gossipFanOut = 3
 	// startWait is how long a new node waits for all sources it asked.
 	startWait = 2 * time.Second
 	// aloneWait is how long a node whose peers are all silent waits before it
 	// serves what the configuration service alone says.
 	aloneWait = 30 * time.Second
-	// loadInterval is how often load reports are read.
-	loadInterval = 250 * time.Millisecond
+	// reportInterval is how often one load report is read; the admission core
+	// names the target whose report is worth most.
+	reportInterval = 200 * time.Millisecond
 	// serviceRetry is the pause after a failed read of the service.
 	serviceRetry = 500 * time.Millisecond
 	// listInterval is how often the platform's list is read.
@@ -53,14 +55,12 @@
 	describePeers struct{}
 	// heard is a peer's word, from a call or an answer.
 	heard struct{ word message.Exchange }
-	// addressesSeen are peers named by the platform's list.
+	// addressesSeen are the instances that the platform lists.
 	addressesSeen struct{ addresses []string }
 	// tellPeers starts a round of exchange at once.
 	tellPeers struct{}
 	// marked are leaving marks that this node learnt itself.
 	marked struct{ marks []message.LeavingMark }
-	// planChanged tells which targets to ask for reports.
-	planChanged struct{ plan *bundle.Plan }
 )
 
 // bundleState answers describeBundle. It is immutable.
@@ -82,12 +82,12 @@
 		return newMemberActor(n)
 	}))
 	n.loads = root.Spawn(actor.PropsFromProducer(func() actor.Actor {
-		return &loadActor{node: n, asked: make(map[string]bool)}
+		return &loadActor{node: n}
 	}))
 	n.pulse.beat(n.Age())
 	go n.every(ctx, pulseInterval, n.beat)
 	go n.every(ctx, gossipInterval, func() { root.Send(n.members, tick{}) })
-	go n.every(ctx, loadInterval, func() { root.Send(n.loads, tick{}) })
+	go n.every(ctx, reportInterval, func() { root.Send(n.loads, tick{}) })
 	go n.followService(ctx)
 	go n.followList(ctx)
 }
@@ -185,7 +185,6 @@
 	plan := next.InForce()
 	a.node.gate.apply(admission.Install{Plan: plan})
 	a.node.plan.Store(plan)
-	a.node.system.Root.Send(a.node.loads, planChanged{plan})
 	a.node.log.Info().Int("number", plan.Number()).Msg("bundle: in force")
 	a.serve()
 }
@@ -222,15 +221,15 @@
 func (a *memberActor) Receive(c actor.Context) {
 	switch m := c.Message().(type) {
 	case *actor.Started, tellPeers:
-		a.round()
+		a.round(gossipFanOut)
 	case tick:
-		a.view = a.view.WithTime(a.node.now())
-		a.node.gate.apply(admission.Nodes{Count: a.view.Live(a.node.now())})
-		a.round()
+		a.view = a.view.WithTime(a.node.now()).WithDuty(a.node.now())
+		a.node.gate.apply(admission.Nodes{Count: a.view.Size(a.node.now())})
+		a.round(1)
 	case heard:
 		a.hear(m.word)
 	case addressesSeen:
-		a.view = a.view.WithAddresses(a.node.now(), m.addresses)
+		a.view = a.view.WithList(a.node.now(), m.addresses)
 	case marked:
 		a.mark(m.marks)
 	case describePeers:
@@ -240,9 +239,9 @@
 
 // round tells a few peers what this node knows; their answers come back as
 // heard.
-func (a *memberActor) round() {
+func (a *memberActor) round(fanOut int) {
 	word := a.node.word(a.view, a.rng)
-	for _, p := range a.view.Sample(gossipFanOut, a.rng) {
+	for _, p := range a.view.Sample(fanOut, a.rng) {
 		go a.node.exchangeWith(p.Address, word)
 	}
 }
@@ -256,11 +255,11 @@
 }
 
 func (a *memberActor) mark(marks []message.LeavingMark) {
-	view, news := a.view.WithMarks(marks)
+	view, news := a.view.WithMarks(a.node.now(), marks)
 	a.view = view
 	a.apply(news)
 	if len(news) > 0 {
-		a.round()
+		a.round(gossipFanOut)
 	}
 }
 
@@ -275,7 +274,7 @@
 func (n *Node) word(view membership.View, rng *rand.Rand) message.Exchange {
 	ex := message.Exchange{
 		Node: n.PeerAddress(), Incarnation: n.incarnation, DataCentre: n.cfg.DataCentre,
-		Leaving: n.Phase() == Leaving, Peers: view.Told(n.now(), rng), Marks: view.Marks(),
+		Leaving: n.Phase() == Leaving, Peers: view.Told(n.now(), rng), Marks: view.FreshMarks(n.now()), Readers: view.Readers(n.now()),
 	}
 	if reply, err := n.ask(n.bundles, describeBundle{}); err == nil {
 		if b, ok := reply.(bundleState); ok && b.state.Newest() != nil {
@@ -286,43 +285,34 @@
 	return ex
 }
 
-// loadActor reads the load reports of the targets in force.
+// loadActor reads the load reports of the targets, one at a time.
 type loadActor struct {
 	node    *Node
-	targets []bundle.Target
-	asked   map[string]bool
+	reading bool
 }
 
-// reportDone says that a target's report was read or could not be.
-type reportDone struct{ target string }
+// reportDone says that a report was read or could not be.
+type reportDone struct{}
 
 // Receive implements actor.Actor.
 func (a *loadActor) Receive(c actor.Context) {
-	switch m := c.Message().(type) {
-	case planChanged:
-		a.targets = nil
-		for _, p := range m.plan.Bundle().Pools {
-			a.targets = append(a.targets, p.Targets...)
-		}
-		a.ask(c)
+	switch c.Message().(type) {
 	case tick:
-		a.ask(c)
+		a.read(c.Self())
 	case reportDone:
-		delete(a.asked, m.target)
+		a.reading = false
 	}
 }
 
-// ask reads each report that is not being read already.
-func (a *loadActor) ask(c actor.Context) {
-	for _, t := range a.targets {
-		if a.asked[t.Name] {
-			continue
-		}
-		a.asked[t.Name] = true
-		self := c.Self()
-		go func() {
-			a.node.readReport(t)
-			a.node.system.Root.Send(self, reportDone{t.Name})
-		}()
+// read reads the report that is worth most, unless one is being read.
+func (a *loadActor) read(self *actor.PID) {
+	target, ok := a.node.gate.nextReport()
+	if a.reading || !ok {
+		return
 	}
+	a.reading = true
+	go func() {
+		a.node.readReport(target)
+		a.node.system.Root.Send(self, reportDone{})
+	}()
 }
--- a/pkg/node/gate.go
+++ b/pkg/node/gate.go
@@ -142,6 +142,13 @@
 	g.apply(admission.Ended{ID: grant.ID, Err: err, Took: took})
 }
 
+// nextReport returns the target whose load report is worth most.
+func (g *gate) nextReport() (bundle.Target, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.NextReport(g.now())
+}
+
 // gateState is a copy of what the core holds.
 type gateState struct {
 	inFlight      int
--- a/pkg/node/sources.go
+++ b/pkg/node/sources.go
@@ -189,7 +189,7 @@
 		return true
 	}
 	view, ok := reply.(peerView)
-	return !ok || view.view.Reads(n.now())
+	return !ok || view.view.Reading()
 }
 
 func (n *Node) readService(ctx context.Context, tag string) (string, error) {
