Use a part of a large pool's targets, and measure slopes for the capacity page

Change: a node uses 32 targets of a pool, its own data centre's first, by rendezvous hashing, and more when half of those are not usable; its part of the slots counts them all. Experiments capacity and work give the slopes for the page.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -222,6 +223,55 @@
 	})
 }
 
+func TestLargePoolsAreUsedInPart(t *testing.T) {
+	convey.Convey("Given a pool of 1,000 targets and 50 nodes", t, func() {
+		text := strings.Replace(string(planText(1, "p")), "]}],\"pipelines\"", manyTargets(1000)+"]}],\"pipelines\"", 1)
+		p, err := bundle.Parse("large", []byte(text))
+		convey.So(err, convey.ShouldBeNil)
+		used := map[string]int{}
+		for node := range 50 {
+			c := admission.New(admission.Config{DataCentre: "far", Seed: uint64(node) * 7919})
+			c.Step(start, admission.Install{Plan: p})
+			mine := map[string]bool{}
+			for i := range 100 {
+				g := c.Step(start, admission.Submit{ID: uint64(i + 1), Organisation: "large", Pipeline: p.Pipeline("x"), Deadline: start.Add(time.Hour)})
+				if granted, ok := g[0].(admission.Grant); ok {
+					mine[granted.Target.Name] = true
+					c.Step(start, admission.Ended{ID: granted.ID, Took: time.Millisecond})
+				}
+			}
+			convey.So(len(mine), convey.ShouldBeLessThanOrEqualTo, 32)
+			for name := range mine {
+				used[name]++
+			}
+		}
+		convey.Convey("nodes spread over most of the targets", func() {
+			convey.So(len(used), convey.ShouldBeGreaterThan, 600)
+		})
+	})
+	convey.Convey("A node whose targets all leave uses others", t, func() {
+		text := strings.Replace(string(planText(1, "p")), "]}],\"pipelines\"", manyTargets(100)+"]}],\"pipelines\"", 1)
+		p, err := bundle.Parse("large", []byte(text))
+		convey.So(err, convey.ShouldBeNil)
+		c := admission.New(admission.Config{DataCentre: "d", Seed: 1})
+		c.Step(start, admission.Install{Plan: p})
+		for i := range 102 {
+			c.Step(start, admission.Mark{Target: fmt.Sprint("t", i), Incarnation: "i"})
+		}
+		_, granted := submit(c, start, 1, "large", p.Pipeline("x"), deadline)[0].(admission.Grant)
+		convey.So(granted, convey.ShouldBeTrue)
+	})
+}
+
+// manyTargets adds n targets after those of planText.
+func manyTargets(n int) string {
+	text := ""
+	for i := range n {
+		text += fmt.Sprintf(`{"name":"t%d","address":"127.1.%d.%d:1","dataCentre":"d%d","slots":2},`, i+targets, i/250, i%250, i%4)
+	}
+	return text
+}
+
 // oracle holds the core against the rules that must always hold.
 type oracle struct {
 	core     *admission.Core
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -5,6 +5,7 @@
 package admission
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -102,6 +103,7 @@
 	case Mark:
 		if t := c.targets[e.Target]; t != nil {
 			t.mark(e.Incarnation)
+			t.pool.widen(now)
 		}
 	case Nodes:
 		c.shedder.nodes = max(1, e.Count)
@@ -372,7 +374,9 @@
 	if e.Err != nil && e.Err.Reason() == verdict.ReasonRefused {
 		t.looked = time.Time{}
 	}
-	t.ended(now, e.Err, t.pool.mayEject(now))
+	if t.ended(now, e.Err, t.pool.mayEject(now)) {
+		t.pool.widen(now)
+	}
 	return c.dispatch(now, t.pool)
 }
 
@@ -382,6 +386,7 @@
 		return nil
 	}
 	t.report(now, e)
+	t.pool.widen(now)
 	t.pool.noteLoad(now)
 	return c.dispatch(now, t.pool)
 }
@@ -461,7 +466,9 @@
 		}
 		p.spec = spec
 		p.retired = 0
-		p.targets = c.installTargets(p, targets)
+		p.all = c.installTargets(p, targets)
+		p.allSlots = slotsOf(p.all)
+		p.targets = p.all[:min(subset, len(p.all))]
 		pools[spec.Name] = p
 	}
 	for name, p := range c.pools {
@@ -491,9 +498,24 @@
 		all[spec.Name] = t
 		list = append(list, t)
 	}
+	slices.SortStableFunc(list, c.byPreference)
 	return list
 }
 
+// byPreference orders targets for this node: those of its data centre first, each
+// part by rendezvous hashing, so that nodes spread over all targets.
+func (c *Core) byPreference(a, b *target) int {
+	return cmp.Compare(c.preference(b), c.preference(a))
+}
+
+func (c *Core) preference(t *target) uint64 {
+	w := routing.Weight(c.cfg.Seed, t.hash)
+	if t.spec.DataCentre == c.cfg.DataCentre {
+		return w | 1<<63
+	}
+	return w
+}
+
 // NextReport returns the target whose load report is worth reading most, and
 // false when there is none: the older the last look and the busier its pool, the
 // more. A refusal makes a target worth a look at once, since it may be leaving.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -17,6 +17,8 @@
 	retryShare = 0.2
 	// proofPrice is what a retry after a proof of not-run takes of the budget.
 	proofPrice = 0.2
+	// subset is how many targets of a pool a node uses while they are well.
+	subset = 32
 	// retryBank is the most retries saved up.
 	retryBank = 10
 	// fairAllowance is how much more work an organisation with a weight of 1 may
@@ -29,7 +31,12 @@
 
 // pool holds the targets of one pool and the work that waits for them.
 type pool struct {
-	spec    *bundle.Pool
+	spec *bundle.Pool
+	// all holds every target of the pool, those that this node prefers first.
+	all []*target
+	// allSlots counts the slots of all.
+	allSlots int
+	// targets is the part of all that this node uses; see widen.
 	targets []*target
 	queues  map[string]*queue
 	held    int
@@ -83,6 +90,45 @@
 	return n
 }
 
+// share returns this node's part of the pool's slots: of all of them, as far as
+// the targets that it uses are usable, divided among the nodes.
+func (p *pool) share(now time.Time, nodes int) float64 {
+	used := slotsOf(p.targets)
+	if used == 0 {
+		return 0
+	}
+	usable := float64(p.slots(now)) / float64(used)
+	return usable * float64(p.allSlots) / float64(nodes)
+}
+
+func slotsOf(targets []*target) int {
+	n := 0
+	for _, t := range targets {
+		n += t.spec.Slots
+	}
+	return n
+}
+
+// widen lets the node use more targets while fewer than half of those that it
+// uses are usable. A node uses few of a large pool's targets, so that its
+// connections, reports and decisions do not grow with the pool.
+func (p *pool) widen(now time.Time) {
+	for len(p.targets) < len(p.all) && 2*p.usable(now) < min(subset, len(p.all)) {
+		p.targets = p.all[:min(len(p.all), 2*max(1, len(p.targets)))]
+	}
+}
+
+// usable counts the targets in use that may get work.
+func (p *pool) usable(now time.Time) int {
+	n := 0
+	for _, t := range p.targets {
+		if !t.leaving && !t.ejected(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // load returns the share of the slots that this node's calls take.
 func (p *pool) load(now time.Time) float64 {
 	slots := p.slots(now)
@@ -227,7 +273,7 @@
 // never longer than all held work takes. The other nodes take their
 // parts of the slots.
 func (p *pool) wait(now time.Time, nodes int, organisation string, weight float64, latest time.Time) time.Duration {
-	slots := float64(p.slots(now)) / float64(nodes)
+	slots := p.share(now, nodes)
 	if slots == 0 || p.held == 0 {
 		return 0
 	}
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -175,7 +175,7 @@
 		return
 	}
 	demands := c.demandsOn(now, p)
-	room := headroom * float64(p.slots(now)) / float64(c.shedder.nodes)
+	room := headroom * p.share(now, c.shedder.nodes)
 	c.grantShares(demands, room)
 	for _, d := range demands {
 		if d.rate > 0 {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -243,7 +243,7 @@
 	}
 	chosen := indexes[0]
 	for _, i := range indexes {
-		if weight(prefix, cs[i].Hash) > weight(prefix, cs[chosen].Hash) {
+		if Weight(prefix, cs[i].Hash) > Weight(prefix, cs[chosen].Hash) {
 			chosen = i
 		}
 	}
@@ -255,9 +255,9 @@
 	return chosen
 }
 
-// weight mixes two hashes; the multiplier and shifts are those of MurmurHash3's
+// Weight mixes two hashes for rendezvous hashing; the multiplier and shifts are those of MurmurHash3's
 // 64-bit finaliser.
-func weight(a, b uint64) uint64 {
+func Weight(a, b uint64) uint64 {
 	x := a ^ b
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/pkg/cmd/experiment/experiment.go
+++ b/pkg/cmd/experiment/experiment.go
@@ -34,7 +34,7 @@
 	}
 	opts := &Options{Factory: f}
 	cmd.PersistentFlags().BoolVar(&opts.JSON, "json", false, "print JSON")
-	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts), newCmdMatrix(opts), newCmdStreams(opts), newCmdFleet(opts))
+	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts), newCmdMatrix(opts), newCmdStreams(opts), newCmdFleet(opts), newCmdCapacity(opts), newCmdWork(opts))
 	return cmd
 }
 
@@ -185,3 +185,39 @@
 	flags.Uint64Var(&o.Seed, "seed", 1, "seed of the arrivals")
 	return cmd
 }
+
+func newCmdCapacity(opts *Options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "capacity",
+		Short:   "Measure the cost of each duty at several sizes",
+		Long:    "Measure the cost of each duty at several sizes and fit a line through it, for\ndocs/CAPACITY.md.",
+		Example: "  honeydyke experiment capacity",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			result, err := experiment.MeasureCapacity(cmd.Context())
+			return opts.measure(result, err)
+		},
+	}
+}
+
+func newCmdWork(opts *Options) *cobra.Command {
+	var o experiment.WorkOptions
+	cmd := &cobra.Command{
+		Use:     "work",
+		Short:   "Measure what requests and tokens cost one node process",
+		Long:    "Send load at several rates to one node process of this program and fit lines through\nthe processor time that it uses, for docs/CAPACITY.md.",
+		Example: "  honeydyke experiment work --duration 4s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			program, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			o.Command = []string{program}
+			result, err := experiment.MeasureWork(cmd.Context(), o)
+			return opts.measure(result, err)
+		},
+	}
+	cmd.Flags().DurationVar(&o.Duration, "duration", 4*time.Second, "how long each rate lasts")
+	return cmd
+}
