Pass bundle changes on as steps, look at busy pools and ejected targets first

Cause: a change of a bundle of 9,000 targets moved 1.07 MB to every node. Load reports are read by the square of a pool's load, and those of ejected targets soon, since a new incarnation ends an ejection. The matrix failed once because an ejection left by one cell stood in the way of another; cells that must end whole now wait for healthy targets.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -23,7 +23,7 @@
 	minimumRetryAfter = 50 * time.Millisecond
 	// idleWorth is what a look at a target of an idle pool is worth beside one of
 	// a pool whose slots are all taken, which adds 1.
-	idleWorth = 0.1
+	idleWorth = 0.02
 	// patienceFactor is how many times the expected time an attempt may take.
 	patienceFactor = 8
 	// minimumPatience keeps short stages from being given up for a hiccup.
@@ -524,8 +524,12 @@
 	worth := 0.0
 	for _, name := range sortedKeys(c.pools) {
 		p := c.pools[name]
-		busy := idleWorth + p.load(now)
+		load := p.load(now)
 		for _, t := range p.targets {
+			busy := idleWorth + load*load
+			if t.ejected(now) {
+				busy = 1 // a new incarnation ends an ejection
+			}
 			if w := busy * now.Sub(t.looked).Seconds(); best == nil || w > worth {
 				best, worth = t, w
 			}
--- a/internal/experiment/capacity.go
+++ b/internal/experiment/capacity.go
@@ -1,13 +1,17 @@
 package experiment
 
 import (
+	"bytes"
 	"context"
+	"crypto/ed25519"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"strings"
 	"time"
 
 	"gonum.org/v1/gonum/stat"
@@ -70,6 +74,8 @@
 		{"memory of a plan in force", "targets", "KB", []int{1000, 3000, 10000}, planMemory},
 		{"taking in an exchange", "peers known", "us", []int{10, 100, 300, 880}, exchangeCost},
 		{"size of an exchange", "peers known", "bytes", []int{10, 100, 300, 880}, exchangeBytes},
+		{"one change sent whole", "targets", "bytes", []int{100, 1000, 3000, 9000}, wholeBytes},
+		{"one change sent as a step", "targets", "bytes", []int{100, 1000, 3000, 9000}, stepBytes},
 		{"minting and spending a ticket", "tickets in the book", "us", []int{100, 1000, 10000, 50000}, ticketCost},
 		{"memory of the ticket book", "spent tickets", "KB", []int{1000, 10000, 50000}, bookMemory},
 	}
@@ -105,6 +111,9 @@
 func (s *Slope) fit() {
 	s.Fixed, s.PerOne = stat.LinearRegression(s.X, s.Y, nil, false)
 	s.R2 = stat.RSquared(s.X, s.Y, nil, s.Fixed, s.PerOne)
+	if math.IsNaN(s.R2) {
+		s.R2 = 1 // all points are the same, and so is the line
+	}
 }
 
 // microseconds times f over several rounds.
@@ -152,7 +161,8 @@
 	if err != nil {
 		panic(err) // a bundle always encodes
 	}
-	return text
+	// One target or organisation a line, as operators write them.
+	return bytes.ReplaceAll(text, []byte("},{"), []byte("},\n{"))
 }
 
 func sizedPlan(targets, organisations int) *bundle.Plan {
@@ -259,6 +269,42 @@
 	}
 }
 
+// change returns a bundle and the same with one weight changed, both signed by
+// two approvers.
+func change(targets int) (before, after bundle.Signed) {
+	text := string(sizedBundle(targets, 1200))
+	signed := func(text string) bundle.Signed {
+		s := bundle.Signed{Text: text}
+		for _, name := range []string{"mere", "tane"} {
+			s = s.WithSignature(bundle.Sign(name, ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), []byte(text)))
+		}
+		return s
+	}
+	next := strings.Replace(text, `"number":1,`, `"number":2,`, 1)
+	last := strings.LastIndex(next, `"weight":1`)
+	return signed(text), signed(next[:last] + `"weight":2` + next[last+len(`"weight":1`):])
+}
+
+func stepBytes(targets int) func() float64 {
+	before, after := change(targets)
+	return func() float64 {
+		return jsonSize(bundle.History{}.With(before).With(after).Transfer(bundle.Digest([]byte(before.Text))))
+	}
+}
+
+func wholeBytes(targets int) func() float64 {
+	_, after := change(targets)
+	return func() float64 { return jsonSize(bundle.History{}.With(after).Transfer("")) }
+}
+
+func jsonSize(v any) float64 {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // messages always encode
+	}
+	return float64(len(raw))
+}
+
 func ticketCost(spent int) func() float64 {
 	sealer, err := ticket.NewSealer(make([]byte, 32))
 	if err != nil {
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/honeydyke/honeydyke/examples"
 	"github.com/honeydyke/honeydyke/internal/lab"
 	"github.com/honeydyke/honeydyke/internal/load"
+	"github.com/honeydyke/honeydyke/internal/wait"
 	"github.com/honeydyke/honeydyke/pkg/bundle"
 )
 
@@ -148,18 +149,7 @@
 			return errors.Wrap(err, "a node does not serve")
 		}
 	}
-	return sleep(ctx, f.opts.Settle)
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.For(ctx, f.opts.Settle)
 }
 
 // calm watches the idle fleet.
@@ -170,7 +160,7 @@
 	}
 	calls := f.lab.Configuration.Calls()
 	start := time.Now()
-	if err := sleep(ctx, f.opts.Calm); err != nil {
+	if err := wait.For(ctx, f.opts.Calm); err != nil {
 		return err
 	}
 	seconds := time.Since(start).Seconds()
@@ -245,11 +235,11 @@
 	}
 	third := f.nodes[:len(f.nodes)/3]
 	signal(third, syscall.SIGSTOP)
-	if err := sleep(ctx, time.Second); err != nil {
+	if err := wait.For(ctx, time.Second); err != nil {
 		return err
 	}
 	woken := func() time.Time {
-		_ = sleep(ctx, pauseOfNodes)
+		_ = wait.For(ctx, pauseOfNodes)
 		signal(third, syscall.SIGCONT)
 		return time.Now()
 	}
@@ -294,7 +284,7 @@
 		if s, err := p.State(ctx); err == nil && s.Bundle >= number {
 			return time.Since(start)
 		}
-		_ = sleep(ctx, inForcePoll)
+		_ = wait.For(ctx, inForcePoll)
 	}
 	return inForceLimit
 }
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -17,6 +17,7 @@
 	"github.com/honeydyke/honeydyke/internal/plot"
 	"github.com/honeydyke/honeydyke/internal/routing"
 	"github.com/honeydyke/honeydyke/internal/standin"
+	"github.com/honeydyke/honeydyke/internal/wait"
 	"github.com/honeydyke/honeydyke/pkg/bundle"
 	"github.com/honeydyke/honeydyke/pkg/node"
 )
@@ -264,19 +265,11 @@
 
 // failFor lets every call of the failing pool break for a while.
 func (w workload) failFor(ctx context.Context, l *lab.Lab, after, length time.Duration) {
-	wait := func(d time.Duration) {
-		timer := time.NewTimer(d)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-	}
-	wait(after)
+	_ = wait.For(ctx, after)
 	for _, t := range l.Pool(w.failing) {
 		t.Fail(standin.ResetAfter, failedCalls)
 	}
-	wait(length)
+	_ = wait.For(ctx, length)
 	for _, t := range l.Pool(w.failing) {
 		t.ClearFaults()
 	}
--- a/internal/experiment/storm.go
+++ b/internal/experiment/storm.go
@@ -8,6 +8,7 @@
 	"github.com/honeydyke/honeydyke/examples"
 	"github.com/honeydyke/honeydyke/internal/lab"
 	"github.com/honeydyke/honeydyke/internal/load"
+	"github.com/honeydyke/honeydyke/internal/wait"
 )
 
 // stormMix holds repeatable requests and ones that may not be repeated.
@@ -59,7 +60,7 @@
 		func() { signal(paused, syscall.SIGCONT); f.lab.Configuration.SetDown(false) },
 	}
 	for _, act := range acts {
-		if err := sleep(ctx, step); err != nil {
+		if err := wait.For(ctx, step); err != nil {
 			return err
 		}
 		act()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -218,7 +218,8 @@
 }
 
 func (l *Lab) sign(b bundle.Bundle) ([]byte, error) {
-	text, err := json.Marshal(b)
+	// Steps between bundles are made of lines, as operators write them.
+	text, err := json.MarshalIndent(b, "", " ")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/wait"
 	"github.com/honeydyke/honeydyke/pkg/client"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -100,7 +101,7 @@
 	var running sync.WaitGroup
 	start := time.Now()
 	for _, a := range p.arrivals() {
-		if !sleepUntil(ctx, start.Add(a.at)) {
+		if wait.For(ctx, time.Until(start.Add(a.at))) != nil {
 			break
 		}
 		running.Add(1)
@@ -219,14 +220,3 @@
 	head := fmt.Sprintf("request %d: ", number)
 	return head + strings.Repeat("x", max(0, size-len(head)))
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/matrix/run.go
+++ b/internal/matrix/run.go
@@ -45,6 +45,12 @@
 		}
 		defer r.lab.Remove(t.entry)
 	}
+	if t.mustBeWhole() {
+		// What earlier cells did to the targets must not stand in the way.
+		if err := lab.Poll(ctx, r.healthy); err != nil {
+			return err
+		}
+	}
 	t.place()
 	t.request(ctx)
 	t.checkNodes()
@@ -257,7 +263,7 @@
 	if !renewed {
 		return nil
 	}
-	return lab.Poll(ctx, func() bool { return r.healthy() })
+	return lab.Poll(ctx, r.healthy)
 }
 
 // healthy says whether the spare node takes every target for good.
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/openai"
+	"github.com/honeydyke/honeydyke/internal/wait"
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
@@ -101,7 +102,7 @@
 	case ResetAfter:
 		reset(w)
 	case Late:
-		_ = pause(r.Context(), t.lateBy)
+		_ = wait.For(r.Context(), t.lateBy)
 	case WrongIdentity:
 		id = foreignIdentity
 		a.Request = foreignIdentity
@@ -209,7 +210,7 @@
 	if ceiling <= 0 {
 		ceiling = defaultCeiling
 	}
-	if pause(s.r.Context(), s.t.pace(s.prefill(messages))) != nil {
+	if wait.For(s.r.Context(), s.t.pace(s.prefill(messages))) != nil {
 		return false
 	}
 	s.header()
@@ -224,7 +225,7 @@
 		}
 		// Tokens keep an absolute pace, so that late timers do not add up.
 		due := start.Add(time.Duration(i-from+1) * s.t.pace(s.t.speed.PerToken))
-		if pause(s.r.Context(), time.Until(due)) != nil || !s.token(tokens[i]) {
+		if wait.For(s.r.Context(), time.Until(due)) != nil || !s.token(tokens[i]) {
 			return false
 		}
 	}
@@ -266,7 +267,7 @@
 		<-s.r.Context().Done()
 		return true
 	case Late:
-		_ = pause(s.r.Context(), s.t.lateBy)
+		_ = wait.For(s.r.Context(), s.t.lateBy)
 	case Cut:
 		return true
 	case WrongBody:
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -17,6 +17,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/ticket"
+	"github.com/honeydyke/honeydyke/internal/wait"
 	"github.com/honeydyke/honeydyke/internal/wire"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -201,21 +202,7 @@
 		return err
 	}
 	defer t.queue.leave()
-	return pause(ctx, t.pace(d))
-}
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.For(ctx, t.pace(d))
 }
 
 // refuse answers that nothing ran, by the contract of the header.
--- a/pkg/cmd/bundle/diff/diff.go
+++ b/pkg/cmd/bundle/diff/diff.go
@@ -41,11 +41,11 @@
 }
 
 func run(opts *Options) error {
-	before, err := load(opts.Factory, opts.Before)
+	before, err := opts.Factory.ReadBundle(opts.Before)
 	if err != nil {
 		return err
 	}
-	after, err := load(opts.Factory, opts.After)
+	after, err := opts.Factory.ReadBundle(opts.After)
 	if err != nil {
 		return err
 	}
@@ -63,11 +63,3 @@
 	}
 	return nil
 }
-
-func load(f *factory.Factory, file string) (*bundle.Plan, error) {
-	text, err := f.Read(file)
-	if err != nil {
-		return nil, err
-	}
-	return bundle.Parse(file, text)
-}
--- a/pkg/cmd/bundle/show/show.go
+++ b/pkg/cmd/bundle/show/show.go
@@ -40,11 +40,7 @@
 }
 
 func run(opts *Options) error {
-	text, err := opts.Factory.Read(opts.File)
-	if err != nil {
-		return err
-	}
-	plan, err := bundle.Parse(opts.File, text)
+	plan, err := opts.Factory.ReadBundle(opts.File)
 	if err != nil {
 		return err
 	}
--- a/pkg/cmd/factory/factory.go
+++ b/pkg/cmd/factory/factory.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/honeydyke/honeydyke/pkg/bundle"
 	"github.com/honeydyke/honeydyke/pkg/client"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -63,6 +64,15 @@
 	return f.ReadFile(name)
 }
 
+// ReadBundle reads and checks a bundle.
+func (f *Factory) ReadBundle(file string) (*bundle.Plan, error) {
+	text, err := f.Read(file)
+	if err != nil {
+		return nil, err
+	}
+	return bundle.Parse(file, text)
+}
+
 // Logger returns a log on standard error.
 func (f *Factory) Logger(level string, text bool) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
--- a/pkg/cmd/send/send.go
+++ b/pkg/cmd/send/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/honeydyke/honeydyke/internal/wait"
 	"github.com/honeydyke/honeydyke/pkg/client"
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -36,7 +37,7 @@
 
 // NewCmdSend returns the verb.
 func NewCmdSend(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
-	opts := &Options{Factory: f, Pause: pause}
+	opts := &Options{Factory: f, Pause: wait.For}
 	cmd := &cobra.Command{
 		Use:   "send --node <url> --pipeline <name> <input>",
 		Short: "Send one request",
@@ -72,17 +73,6 @@
 	return cmd
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func run(ctx context.Context, opts *Options) error {
 	if opts.Input == "-" {
 		text, err := opts.Factory.Read("-")
--- a/pkg/node/actors.go
+++ b/pkg/node/actors.go
@@ -65,8 +65,8 @@
 
 // bundleState answers describeBundle. It is immutable.
 type bundleState struct {
-	state  rollout.State
-	signed bundle.Signed
+	state   rollout.State
+	history bundle.History
 }
 
 // peerView answers describePeers. It is immutable.
@@ -122,9 +122,9 @@
 
 // bundleActor owns the node's rollout.State.
 type bundleActor struct {
-	node   *Node
-	state  rollout.State
-	signed bundle.Signed
+	node    *Node
+	state   rollout.State
+	history bundle.History
 	// peerAnswered and serviceAnswered say which kinds of source have spoken.
 	peerAnswered    bool
 	serviceAnswered bool
@@ -145,7 +145,7 @@
 		a.apply(a.state.WithTime(a.node.now()))
 		a.serve()
 	case describeBundle:
-		c.Respond(bundleState{state: a.state, signed: a.signed})
+		c.Respond(bundleState{state: a.state, history: a.history})
 	}
 }
 
@@ -163,7 +163,7 @@
 		return
 	}
 	if next.Newest() != before {
-		a.signed = m.signed
+		a.history = a.history.With(m.signed)
 		if before != nil && !bundle.Follows(before, m.plan) {
 			a.node.log.Warn().Int("from", before.Number()).Int("to", m.plan.Number()).Msg("bundle: numbers were missed, the newest is taken whole")
 		}
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -112,15 +112,16 @@
 	writeJSON(w, http.StatusOK, own)
 }
 
-// serveBundle answers with the newest verified bundle and its signatures.
-func (n *Node) serveBundle(w http.ResponseWriter, _ *http.Request) {
+// serveBundle answers with what leads to the newest verified bundle: a step
+// from the one whose digest the query "from" names, or the whole.
+func (n *Node) serveBundle(w http.ResponseWriter, r *http.Request) {
 	reply, err := n.ask(n.bundles, describeBundle{})
 	b, ok := reply.(bundleState)
 	if err != nil || !ok || b.state.Newest() == nil {
 		http.Error(w, "no bundle", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, b.signed)
+	writeJSON(w, http.StatusOK, b.history.Transfer(r.URL.Query().Get("from")))
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, out any) error {
--- a/pkg/node/sources.go
+++ b/pkg/node/sources.go
@@ -17,6 +17,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/admission"
 	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/wait"
 	"github.com/honeydyke/honeydyke/internal/wire"
 	"github.com/honeydyke/honeydyke/pkg/bundle"
 )
@@ -138,13 +139,42 @@
 	return number > 0 && (newest == nil || newest.Number() < number)
 }
 
+// fetchFromPeer asks a peer for its bundle: for a step from the newest known
+// here, and for the whole when the step does not lead to a good one.
 func (n *Node) fetchFromPeer(ctx context.Context, address string) error {
-	req, err := n.peers.peerRequest(http.MethodGet, address, wire.PathBundle, nil)
+	own := n.newestSigned()
+	if own.Text != "" && n.fetchStep(ctx, address, own) == nil {
+		return nil
+	}
+	return n.fetchStep(ctx, address, bundle.Signed{})
+}
+
+// newestSigned returns the newest verified bundle as it was signed.
+func (n *Node) newestSigned() bundle.Signed {
+	reply, err := n.ask(n.bundles, describeBundle{})
+	b, ok := reply.(bundleState)
+	if err != nil || !ok {
+		return bundle.Signed{}
+	}
+	return b.history.Newest()
+}
+
+// fetchStep asks for what leads from own to the peer's bundle.
+func (n *Node) fetchStep(ctx context.Context, address string, own bundle.Signed) error {
+	path := wire.PathBundle
+	if own.Text != "" {
+		path += "?from=" + url.QueryEscape(bundle.Digest([]byte(own.Text)))
+	}
+	req, err := n.peers.peerRequest(http.MethodGet, address, path, nil)
 	if err != nil {
 		return err
 	}
-	var signed bundle.Signed
-	if _, err := get(ctx, n.peers.peers, req, signedBytes, &signed); err != nil {
+	var transfer bundle.Transfer
+	if _, err := get(ctx, n.peers.peers, req, signedBytes, &transfer); err != nil {
+		return err
+	}
+	signed, err := transfer.Apply(own)
+	if err != nil {
 		return err
 	}
 	return n.offer(address, signed)
@@ -169,13 +199,13 @@
 	tag := ""
 	for ctx.Err() == nil {
 		if tag != "" && !n.reads() {
-			n.rest(ctx, serviceRetry)
+			_ = wait.For(ctx, serviceRetry)
 			continue
 		}
 		next, err := n.readService(ctx, tag)
 		if err != nil {
 			n.log.Warn().Err(err).Msg("service: not read")
-			n.rest(ctx, serviceRetry)
+			_ = wait.For(ctx, serviceRetry)
 			continue
 		}
 		tag = next
@@ -233,7 +263,7 @@
 	}
 	for ctx.Err() == nil {
 		n.readList(ctx)
-		n.rest(ctx, listInterval)
+		_ = wait.For(ctx, listInterval)
 	}
 }
 
@@ -286,13 +316,3 @@
 		n.system.Root.Send(n.members, marked{[]message.LeavingMark{{Target: t.Name, Incarnation: report.Incarnation}}})
 	}
 }
-
-// rest waits for d or the end of ctx.
-func (n *Node) rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
