--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -211,13 +211,16 @@
 func TestRequestsKeepTheirPools(t *testing.T) {
 	convey.Convey("A request that began before its pool left the bundle still gets a target", t, func() {
 		c, p := newCore()
-		c.Step(start, admission.Open{ID: 1, Organisation: "large", Pipeline: p, Deadline: start.Add(deadline)})
+		c.Step(start, admission.Open{ID: 1, Organisation: "large", Bundle: 1, Pipeline: p, Deadline: start.Add(deadline)})
 		c.Step(start, admission.Install{Plan: plan(2, "q")})
+		// One of the earlier bundle that is let in just after the change counts too.
+		c.Step(start, admission.Open{ID: 9, Organisation: "large", Bundle: 1, Pipeline: p, Deadline: start.Add(deadline)})
+		c.Step(start, admission.Close{ID: 1})
 		_, granted := submit(c, start, 2, "large", p, deadline)[0].(admission.Grant)
 		convey.So(granted, convey.ShouldBeTrue)
 		convey.Convey("and the pool is forgotten when no such request is left", func() {
 			c.Step(start, admission.Ended{ID: 2})
-			c.Step(start, admission.Close{ID: 1})
+			c.Step(start, admission.Close{ID: 9})
 			convey.So(refusalOf(submit(c, start, 3, "large", p, deadline)).Reason(), convey.ShouldEqual, verdict.ReasonNoTarget)
 		})
 	})
@@ -272,6 +275,16 @@
 	return text
 }
 
+func TestHeldWorkOutlivesItsPool(t *testing.T) {
+	convey.Convey("Work held for a pool that is forgotten can still be withdrawn", t, func() {
+		c, p := newCore()
+		fill(c, p)
+		submit(c, start, 100, "small", p, deadline)
+		c.Step(start, admission.Install{Plan: plan(2, "q")})
+		convey.So(c.Step(start, admission.Withdraw{ID: 100}), convey.ShouldBeEmpty)
+	})
+}
+
 // oracle holds the core against the rules that must always hold.
 type oracle struct {
 	core     *admission.Core
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -41,8 +41,8 @@
 	Policy routing.Policy
 	// Seed makes the random choices repeatable.
 	Seed uint64
-	// NeverRefuse turns early refusal and ordering by slack off; work is then
-	// held first come, first served, until its deadline. It serves baselines.
+	// NeverRefuse turns early refusal off; work is then held until its deadline,
+	// the earliest deadline first. It serves baselines.
 	NeverRefuse bool
 }
 
@@ -63,7 +63,7 @@
 // openRequest is a request that was let in and is not closed.
 type openRequest struct {
 	organisation *organisation
-	// bundle is the number of the bundle in force when it was let in.
+	// bundle is the number of the bundle that governs it.
 	bundle int
 }
 
@@ -163,7 +163,7 @@
 	if err := org.take(now, e.Tokens); err != nil {
 		return refuse(e.ID, c.spread(err))
 	}
-	c.open[e.ID] = openRequest{organisation: org, bundle: c.plan.Number()}
+	c.open[e.ID] = openRequest{organisation: org, bundle: e.Bundle}
 	return []Effect{Admit{ID: e.ID}}
 }
 
@@ -270,6 +270,7 @@
 		p.earnRetry(now)
 	}
 	it := c.newItem(now, e)
+	it.pool = p
 	if err := c.hopeless(now, p, it); err != nil {
 		return refuse(e.ID, err)
 	}
@@ -350,7 +351,7 @@
 	}
 	delete(c.items, e.ID)
 	if it.target == nil {
-		c.pools[it.Pipeline.Stages[it.Stage].Pool].remove(now, it)
+		it.pool.remove(now, it)
 		return nil
 	}
 	it.target.inFlight--
--- a/internal/admission/event.go
+++ b/internal/admission/event.go
@@ -14,8 +14,10 @@
 type Open struct {
 	ID           uint64
 	Organisation string
-	Pipeline     *bundle.PipelinePlan
-	Deadline     time.Time
+	// Bundle is the number of the bundle that governs the request.
+	Bundle   int
+	Pipeline *bundle.PipelinePlan
+	Deadline time.Time
 	// Size is the length of the input in bytes.
 	Size int
 	// Tokens is the most tokens that the request may generate.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -72,6 +72,7 @@
 	// time.
 	latest time.Time
 	index  int
+	pool   *pool
 	target *target
 }
 
--- a/pkg/node/actors.go
+++ b/pkg/node/actors.go
@@ -27,7 +27,7 @@
 	aloneWait = 30 * time.Second
 	// reportInterval is how often one load report is read; the admission core
 	// names the target whose report is worth most.
-	reportInterval = 200 * time.Millisecond
+	reportInterval = 250 * time.Millisecond
 	// serviceRetry is the pause after a failed read of the service.
 	serviceRetry = 500 * time.Millisecond
 	// listInterval is how often the platform's list is read.
--- a/pkg/node/callers.go
+++ b/pkg/node/callers.go
@@ -138,7 +138,6 @@
 	if err := json.Unmarshal(body, &req); err != nil || req.MaxTokens < 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body is not a request of a pipeline").WithCause(err)
 	}
-	j.caller = out.id
 	j.input = req.Input
 	j.maxTokens = req.MaxTokens
 	out.form = nativeForm{id: out.id, stream: req.Stream, bundle: plan.Number()}
@@ -218,7 +217,6 @@
 	if err != nil {
 		return nil, err
 	}
-	j.caller = out.id
 	j.messages = req.Messages
 	j.input = joinMessages(req.Messages)
 	j.maxTokens = req.CeilingOfTokens()
--- a/pkg/node/gate.go
+++ b/pkg/node/gate.go
@@ -86,11 +86,11 @@
 }
 
 // open lets a request in; the returned function closes it.
-func (g *gate) open(org *bundle.Organisation, s request.State, size int) (func(), error) {
+func (g *gate) open(j *job, s request.State) (func(), error) {
 	id, answer := g.ask(func(id uint64) admission.Event {
 		return admission.Open{
-			ID: id, Organisation: org.Name, Pipeline: s.Pipeline(), Deadline: s.Deadline(),
-			Size: size, Tokens: ceilingOf(s.Pipeline()),
+			ID: id, Organisation: j.organisation.Name, Bundle: j.plan.Number(), Pipeline: s.Pipeline(), Deadline: s.Deadline(),
+			Size: len(j.input), Tokens: ceilingOf(s.Pipeline()),
 		}
 	})
 	if refusal, refused := (<-answer).(admission.Refuse); refused {
--- a/pkg/node/runner.go
+++ b/pkg/node/runner.go
@@ -30,9 +30,7 @@
 type job struct {
 	// id is unique to the job in the whole fleet; identities of calls to targets
 	// are made from it.
-	id string
-	// caller is the identity that the caller gave or got.
-	caller       string
+	id           string
 	organisation *bundle.Organisation
 	plan         *bundle.Plan
 	pipeline     *bundle.PipelinePlan
@@ -55,7 +53,7 @@
 // The error is a *verdict.Error whose verdict speaks of the whole request.
 func (n *Node) run(ctx context.Context, j *job, emit func(text string) error) (*result, error) {
 	state := request.New(j.pipeline, j.deadline)
-	closeRequest, err := n.gate.open(j.organisation, state, len(j.input))
+	closeRequest, err := n.gate.open(j, state)
 	if err != nil {
 		return nil, err
 	}
