Judge the storm's answers by the bundle that it began with

Cause: the race detector found that the fleet experiment read the lab's plan while it published the next one. Change: the plan is taken before the load starts; the bundle published in the storm changes no answer.

--- a/internal/experiment/storm.go
+++ b/internal/experiment/storm.go
@@ -23,10 +23,12 @@
 // storm sends load while a tenth of the nodes is killed, a tenth paused and
 // woken, a tenth stopped as planned, targets leave and a bundle is rolled out.
 func (f *fleet) storm(ctx context.Context) error {
+	// The bundle published during the storm changes no answer.
+	governing := f.lab.Plan
 	plan := load.Plan{
 		Key: examples.Key, Rate: f.opts.Rate, Duration: f.opts.Storm, Seed: f.opts.Seed, Mix: stormMix,
 		Check: func(s load.Share, input, output string) bool {
-			return output == lab.Expected(f.lab.Plan, s.Organisation, s.Pipeline, input)
+			return output == lab.Expected(governing, s.Organisation, s.Pipeline, input)
 		},
 	}
 	for _, p := range f.nodes {
