--- /dev/null
+++ b/internal/admission/pool.go
@@ -0,0 +1,258 @@
+package admission
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/routing"
+	"github.com/honeydyke/honeydyke/pkg/bundle"
+)
+
+const (
+	// retryShare is how many retries a first attempt pays for when the pool is
+	// idle; the share shrinks to nothing as the pool fills.
+	retryShare = 0.2
+	// retryBank is the most retries saved up.
+	retryBank = 10
+	// maxEjectedShare is the largest share of a pool that may be ejected.
+	maxEjectedShare = 0.5
+)
+
+// pool holds the targets of one pool and the work that waits for them.
+type pool struct {
+	spec    *bundle.Pool
+	targets []*target
+	queues  map[string]*queue
+	held    int
+	// heldWork is the expected time of all held work.
+	heldWork time.Duration
+	// virtual is the largest virtual time of any queue that was served.
+	virtual float64
+	retries float64
+	turn    uint64
+	// retired is the number of the bundle that no longer names the pool; 0
+	// while it is in force.
+	retired int
+	scratch []routing.Candidate
+	indexes []int
+}
+
+// queue holds one organisation's work, the least slack first.
+type queue struct {
+	organisation string
+	weight       float64
+	// virtual is the weighted work that the organisation has had.
+	virtual float64
+	items   itemHeap
+}
+
+// item is one Submit that waits or runs.
+type item struct {
+	Submit
+	expected time.Duration
+	// latest is the latest start from which the request can still be whole in
+	// time.
+	latest time.Time
+	index  int
+	target *target
+}
+
+func newPool(spec *bundle.Pool) *pool {
+	return &pool{spec: spec, queues: make(map[string]*queue), retries: retryBank}
+}
+
+// slots counts the slots of the targets that may get work.
+func (p *pool) slots(now time.Time) int {
+	n := 0
+	for _, t := range p.targets {
+		if !t.leaving && !t.ejected(now) {
+			n += t.spec.Slots
+		}
+	}
+	return n
+}
+
+// load returns the share of the slots that this node's calls take.
+func (p *pool) load(now time.Time) float64 {
+	slots := p.slots(now)
+	if slots == 0 {
+		return 1
+	}
+	busy := 0
+	for _, t := range p.targets {
+		busy += t.inFlight
+	}
+	return min(1, float64(busy)/float64(slots))
+}
+
+// mayEject says whether one more target may be ejected.
+func (p *pool) mayEject(now time.Time) bool {
+	ejected := 1
+	for _, t := range p.targets {
+		if t.ejected(now) {
+			ejected++
+		}
+	}
+	return float64(ejected) <= maxEjectedShare*float64(len(p.targets))
+}
+
+// earnRetry lets a first attempt pay into the budget of retries.
+func (p *pool) earnRetry(now time.Time) {
+	p.retries = min(retryBank, p.retries+retryShare*(1-p.load(now)))
+}
+
+func (p *pool) takeRetry() bool {
+	if p.retries < 1 {
+		return false
+	}
+	p.retries--
+	return true
+}
+
+// choose returns a free target for the item, or nil. Excluded targets are
+// taken only where no other target may get work.
+func (p *pool) choose(now time.Time, it *item, c *Config, rng *rand.Rand) *target {
+	if !p.fill(now, it.Exclude, c.DataCentre) {
+		p.fill(now, nil, c.DataCentre)
+	}
+	p.turn++
+	q := routing.Query{Prefix: it.Prefix, Turn: p.turn}
+	i := routing.Choose(c.Policy, p.scratch, q, rng)
+	if i < 0 {
+		return nil
+	}
+	return p.targets[p.indexes[i]]
+}
+
+// fill lists the usable targets outside exclude and says whether there are any.
+func (p *pool) fill(now time.Time, exclude []string, dataCentre string) bool {
+	p.scratch = p.scratch[:0]
+	p.indexes = p.indexes[:0]
+	for i, t := range p.targets {
+		if t.usable(now) && !slices.Contains(exclude, t.spec.Name) {
+			p.scratch = append(p.scratch, t.candidate(now, dataCentre))
+			p.indexes = append(p.indexes, i)
+		}
+	}
+	return len(p.scratch) > 0
+}
+
+// hold puts the item into its organisation's queue.
+func (p *pool) hold(it *item, weight float64) {
+	q := p.queues[it.Organisation]
+	if q == nil {
+		q = &queue{organisation: it.Organisation}
+		p.queues[it.Organisation] = q
+	}
+	q.weight = weight
+	if len(q.items) == 0 {
+		q.virtual = max(q.virtual, p.virtual)
+	}
+	heap.Push(&q.items, it)
+	p.held++
+	p.heldWork += it.expected
+}
+
+// remove takes a held item out of its queue.
+func (p *pool) remove(it *item) {
+	q := p.queues[it.Organisation]
+	heap.Remove(&q.items, it.index)
+	p.held--
+	p.heldWork -= it.expected
+	if len(q.items) == 0 && q.virtual <= p.virtual {
+		delete(p.queues, it.Organisation)
+	}
+}
+
+// next returns the queue whose organisation has had the least for its weight.
+func (p *pool) next() *queue {
+	var least *queue
+	for _, q := range p.queues {
+		if len(q.items) == 0 {
+			continue
+		}
+		if least == nil || q.virtual < least.virtual || (q.virtual == least.virtual && q.organisation < least.organisation) {
+			least = q
+		}
+	}
+	return least
+}
+
+// charge counts work that an organisation has got.
+func (p *pool) charge(q *queue, work time.Duration) {
+	p.virtual = max(p.virtual, q.virtual)
+	q.virtual += work.Seconds() / q.weight
+}
+
+// wait predicts how long new work of an organisation would be held: the work
+// ahead of it in its own queue at the organisation's share of the slots, and
+// never longer than all held work takes.
+func (p *pool) wait(now time.Time, organisation string, weight float64, latest time.Time) time.Duration {
+	slots := p.slots(now)
+	if slots == 0 || p.held == 0 {
+		return 0
+	}
+	var ahead time.Duration
+	weights := weight
+	for name, q := range p.queues {
+		if name != organisation {
+			if len(q.items) > 0 {
+				weights += q.weight
+			}
+			continue
+		}
+		for _, it := range q.items {
+			if !it.latest.After(latest) {
+				ahead += it.expected
+			}
+		}
+	}
+	all := p.heldWork / time.Duration(slots)
+	own := time.Duration(float64(ahead) * weights / weight / float64(slots))
+	return min(all, own)
+}
+
+// back returns when the first ejected target may be tried again; zero when no
+// target can come back without news.
+func (p *pool) back(now time.Time) time.Time {
+	var first time.Time
+	for _, t := range p.targets {
+		if t.leaving || !t.ejected(now) {
+			continue
+		}
+		if first.IsZero() || t.ejectedUntil.Before(first) {
+			first = t.ejectedUntil
+		}
+	}
+	return first
+}
+
+// itemHeap orders items by their latest start.
+type itemHeap []*item
+
+func (h itemHeap) Len() int           { return len(h) }
+func (h itemHeap) Less(i, j int) bool { return h[i].latest.Before(h[j].latest) }
+
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push implements heap.Interface.
+func (h *itemHeap) Push(x any) {
+	it := x.(*item)
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+// Pop implements heap.Interface.
+func (h *itemHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/internal/delivery/conn.go
@@ -0,0 +1,87 @@
+package delivery
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+var errSealed = errors.New("the connection is sealed")
+
+// guardedConn proves whether a request's first byte may have left. The
+// transport gives a connection to one request at a time: arm is called when it
+// does, before any byte of that request is written.
+type guardedConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	check  func() error
+	begun  bool
+	sealed bool
+}
+
+// arm prepares the connection for one request; check runs just before the
+// first byte is written, and the byte is not written when it fails.
+func (c *guardedConn) arm(check func() error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.check = check
+	c.begun = false
+}
+
+// seal stops all later writes for good and says whether any write of the armed
+// request has begun.
+func (c *guardedConn) seal() (begun bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.begun
+}
+
+// Write implements net.Conn. The window that remains lies between the end of
+// the check and the system call below.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	if err := c.beginWrite(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *guardedConn) beginWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return errSealed
+	}
+	if c.begun || c.check == nil {
+		return nil
+	}
+	if err := c.check(); err != nil {
+		c.sealed = true
+		return err
+	}
+	c.begun = true
+	return nil
+}
+
+// guardOf finds the guarded connection below a connection of the transport.
+func guardOf(conn net.Conn) *guardedConn {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	g, _ := conn.(*guardedConn)
+	return g
+}
+
+func dialGuarded(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &guardedConn{Conn: conn}, nil
+	}
+}
--- /dev/null
+++ b/internal/delivery/delivery.go
@@ -0,0 +1,329 @@
+// Package delivery carries calls to targets over HTTP and proves, for every
+// call that fails, whether the target may have run it.
+//
+// A call is "not run" only when its first byte was never written, or when the
+// target's own answer says so by contract: the header Honeydyke-Verdict with
+// the value "not-run", on an answer that carries the call's identity.
+package delivery
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/wire"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleTimeout     = 30 * time.Second
+	idlePerTarget   = 64
+	defaultStall    = 10 * time.Second
+	keepAlivePeriod = 15 * time.Second
+)
+
+// Call is one attempt of one stage at one target.
+type Call struct {
+	// Address is the target's IP number and port.
+	Address string
+	// Path is the path of the target's endpoint.
+	Path string
+	// Identity is unique to the attempt; the answer must echo it.
+	Identity string
+	// Deadline ends the call; it is checked again just before the first write.
+	Deadline time.Time
+	// Key is an idempotency key for targets that check them; empty for none.
+	Key string
+	// Priority is lower for work that is served first.
+	Priority int
+	// Once is true when a second run would do harm. Such a call gets a new
+	// connection, so that an idle one closed by the target cannot swallow it.
+	Once bool
+	// Body is the JSON sent.
+	Body []byte
+	// Permit is checked with the deadline just before the first write; nil
+	// permits.
+	Permit func() error
+}
+
+// Client sends calls. Create it with New.
+type Client struct {
+	shared *http.Client
+	once   *http.Client
+	scheme string
+	now    func() time.Time
+	stall  time.Duration
+}
+
+// Option changes a Client under construction.
+type Option func(*Client)
+
+// WithClock sets the clock, which must be monotonic.
+func WithClock(now func() time.Time) Option { return func(c *Client) { c.now = now } }
+
+// WithStall sets the longest silence of a stream before it counts as stalled.
+func WithStall(d time.Duration) Option { return func(c *Client) { c.stall = d } }
+
+// WithTLS calls targets over TLS.
+func WithTLS(cfg *tls.Config) Option {
+	return func(c *Client) {
+		c.scheme = "https"
+		c.shared = newHTTPClient(cfg, false)
+		c.once = newHTTPClient(cfg, true)
+	}
+}
+
+// New returns a client.
+func New(opts ...Option) *Client {
+	c := &Client{
+		shared: newHTTPClient(nil, false),
+		once:   newHTTPClient(nil, true),
+		scheme: "http",
+		now:    time.Now,
+		stall:  defaultStall,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// newHTTPClient returns a client that sends a request once: it follows no
+// redirect and speaks no HTTP/2, whose transport re-sends refused requests.
+func newHTTPClient(cfg *tls.Config, fresh bool) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	transport := &http.Transport{
+		DialContext:         dialGuarded(dialer),
+		TLSClientConfig:     cfg,
+		Protocols:           protocols,
+		DisableCompression:  true,
+		DisableKeepAlives:   fresh,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: idlePerTarget,
+	}
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// CloseIdle closes connections that no call uses.
+func (c *Client) CloseIdle() {
+	c.shared.CloseIdleConnections()
+	c.once.CloseIdleConnections()
+}
+
+// Do sends a call and returns the whole answer. The error is a *verdict.Error.
+func (c *Client) Do(ctx context.Context, call Call) (*message.StageAnswer, error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	ex, err := c.send(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	defer ex.close()
+	body, err := ex.readWhole(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var answer message.StageAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, ex.broken(verdict.ReasonTargetError, "the answer is not the JSON expected").WithCause(err)
+	}
+	if answer.Request != call.Identity {
+		return nil, ex.broken(verdict.ReasonIdentity, "the answer is for %q, the call was %q", answer.Request, call.Identity)
+	}
+	return &answer, nil
+}
+
+// exchange is one call whose answer's header has arrived.
+type exchange struct {
+	call Call
+	conn *guardedConn
+	resp *http.Response
+}
+
+func (ex *exchange) close() { _ = ex.resp.Body.Close() }
+
+// broken returns the error for an answer that cannot be trusted, and keeps its
+// connection from carrying another call.
+func (ex *exchange) broken(reason verdict.Reason, format string, args ...any) *verdict.Error {
+	if ex.conn != nil {
+		ex.conn.seal()
+	}
+	return verdict.New(verdict.MayHaveRun, reason, format, args...)
+}
+
+// send writes the call and checks the answer's header. On an error nothing is
+// left open.
+func (c *Client) send(ctx context.Context, call Call) (*exchange, error) {
+	var sent attempt
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		sent.take(guardOf(info.Conn), func() error { return c.checkPermit(call) })
+	}}
+	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the call could not be built").WithCause(err)
+	}
+	client := c.shared
+	if call.Once {
+		client = c.once
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, sent.failure(ctx, err)
+	}
+	ex := &exchange{call: call, conn: sent.conn.Load(), resp: resp}
+	if err := ex.checkHeader(); err != nil {
+		ex.close()
+		return nil, err
+	}
+	return ex, nil
+}
+
+// checkPermit runs just before the first byte leaves. A process that was paused
+// finds here that it woke too late.
+func (c *Client) checkPermit(call Call) error {
+	if !c.now().Before(call.Deadline) {
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline passed before the first byte was written")
+	}
+	if call.Permit == nil {
+		return nil
+	}
+	return call.Permit()
+}
+
+func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	// The plain Reader hides the type of the body, so that net/http sets no
+	// GetBody and its transport has nothing to re-send.
+	body := struct{ io.Reader }{bytes.NewReader(call.Body)}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.scheme+"://"+call.Address+call.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(call.Body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(wire.HeaderIdentity, call.Identity)
+	req.Header.Set(wire.HeaderDeadline, wire.Milliseconds(call.Deadline.Sub(c.now())))
+	if call.Priority != 0 {
+		req.Header.Set(wire.HeaderPriority, strconv.Itoa(call.Priority))
+	}
+	if call.Key != "" {
+		req.Header.Set(wire.HeaderIdempotency, call.Key)
+	}
+	return req, nil
+}
+
+// attempt remembers what became of the first write of one call.
+type attempt struct {
+	conn    atomic.Pointer[guardedConn]
+	refusal atomic.Pointer[verdict.Error]
+}
+
+// take arms the connection that the transport gave to the call.
+func (a *attempt) take(conn *guardedConn, check func() error) {
+	if conn == nil {
+		return
+	}
+	conn.arm(func() error {
+		err := check()
+		if err != nil {
+			a.refusal.Store(verdict.From(err))
+		}
+		return err
+	})
+	a.conn.Store(conn)
+}
+
+// failure gives the verdict on a call that got no answer.
+func (a *attempt) failure(ctx context.Context, err error) *verdict.Error {
+	v := verdict.NotRun
+	reason := verdict.ReasonDial
+	if conn := a.conn.Load(); conn != nil {
+		reason = verdict.ReasonConnection
+		if conn.seal() {
+			v = verdict.MayHaveRun
+		}
+	}
+	if refusal := a.refusal.Load(); refusal != nil && v == verdict.NotRun {
+		return refusal.WithVerdict(v)
+	}
+	if ctx.Err() != nil {
+		reason = reasonOfContext(ctx)
+	}
+	return verdict.New(v, reason, "the call got no answer").WithCause(err)
+}
+
+func reasonOfContext(ctx context.Context) verdict.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return verdict.ReasonDeadline
+	}
+	return verdict.ReasonCancelled
+}
+
+func (ex *exchange) checkHeader() error {
+	echoed := ex.resp.Header.Get(wire.HeaderIdentity)
+	status := ex.resp.StatusCode
+	switch {
+	case echoed != ex.call.Identity:
+		return ex.broken(verdict.ReasonIdentity, "status %d answers %q, the call was %q", status, echoed, ex.call.Identity)
+	case status == http.StatusOK:
+		return nil
+	case ex.resp.Header.Get(wire.HeaderVerdict) == verdict.NotRun.String():
+		return verdict.New(verdict.NotRun, verdict.ReasonRefused, "the target refused with status %d", status).
+			WithRetryAfter(retryAfter(ex.resp.Header))
+	default:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonTargetError, "the target answered with status %d", status).
+			WithRetryAfter(retryAfter(ex.resp.Header))
+	}
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// delimited says whether the answer's end can be told from a lost connection.
+func (ex *exchange) delimited() bool {
+	if ex.resp.ContentLength >= 0 {
+		return true
+	}
+	return len(ex.resp.TransferEncoding) > 0 && ex.resp.TransferEncoding[0] == "chunked"
+}
+
+func (ex *exchange) readWhole(ctx context.Context) ([]byte, error) {
+	if !ex.delimited() {
+		return nil, ex.broken(verdict.ReasonCut, "the answer has no length; its end cannot be proved")
+	}
+	body, err := io.ReadAll(io.LimitReader(ex.resp.Body, wire.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, ex.cut(ctx, err)
+	}
+	if len(body) > wire.MaxAnswerBytes {
+		return nil, ex.broken(verdict.ReasonTooLarge, "the answer has more than %d bytes", wire.MaxAnswerBytes)
+	}
+	return body, nil
+}
+
+// cut returns the error for an answer that ended before its end.
+func (ex *exchange) cut(ctx context.Context, err error) *verdict.Error {
+	if ctx.Err() != nil {
+		return ex.broken(reasonOfContext(ctx), "the call was ended while its answer arrived").WithCause(err)
+	}
+	return ex.broken(verdict.ReasonCut, "the answer ended before its end").WithCause(err)
+}
--- /dev/null
+++ b/internal/standin/fault.go
@@ -0,0 +1,74 @@
+package standin
+
+import (
+	"slices"
+	"sync"
+)
+
+// Fault is a way in which a stand-in fails on command.
+type Fault string
+
+// Faults of targets.
+const (
+	// Refuse answers 503 with the contract that nothing ran.
+	Refuse Fault = "refuse"
+	// RefuseBare answers 503 without that contract.
+	RefuseBare Fault = "refuse-bare"
+	// ResetBefore closes the connection before the body is read.
+	ResetBefore Fault = "reset-before"
+	// ResetDuring closes the connection in the middle of the answer.
+	ResetDuring Fault = "reset-during"
+	// ResetAfter runs the call and closes the connection without an answer.
+	ResetAfter Fault = "reset-after"
+	// Stall runs the call and stops in the middle of the answer.
+	Stall Fault = "stall"
+	// Late runs the call and answers after LateBy.
+	Late Fault = "late"
+	// Twice sends the answer twice on the connection.
+	Twice Fault = "twice"
+	// WrongIdentity answers with another call's identity.
+	WrongIdentity Fault = "wrong-identity"
+	// WrongBody answers with the right header and another call's body.
+	WrongBody Fault = "wrong-body"
+	// Cut ends the answer cleanly before its end mark.
+	Cut Fault = "cut"
+	// Redirect answers 307 to the same endpoint.
+	Redirect Fault = "redirect"
+	// Crash ends all connections and stops listening.
+	Crash Fault = "crash"
+)
+
+// Faults lists every fault of a target.
+var Faults = []Fault{
+	Refuse, RefuseBare, ResetBefore, ResetDuring, ResetAfter, Stall, Late, Twice,
+	WrongIdentity, WrongBody, Cut, Redirect, Crash,
+}
+
+// KnownFault says whether f is one of Faults.
+func KnownFault(f Fault) bool { return slices.Contains(Faults, f) }
+
+// script holds the faults that the next calls meet.
+type script struct {
+	mu   sync.Mutex
+	next []Fault
+}
+
+func (s *script) add(f Fault, times int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range times {
+		s.next = append(s.next, f)
+	}
+}
+
+// take returns the fault of one call; empty for none.
+func (s *script) take() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.next) == 0 {
+		return ""
+	}
+	f := s.next[0]
+	s.next = s.next[1:]
+	return f
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,112 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/wire"
+)
+
+const maxWatch = 30 * time.Second
+
+// Configuration is a stand-in for the read-only configuration service. It holds
+// one value, the signed bundle, and counts each call; a watch counts as one.
+type Configuration struct {
+	calls atomic.Int64
+	down  atomic.Bool
+
+	mu      sync.Mutex
+	value   []byte
+	changed chan struct{}
+}
+
+// NewConfiguration returns a service that holds value.
+func NewConfiguration(value []byte) *Configuration {
+	return &Configuration{value: value, changed: make(chan struct{})}
+}
+
+// Put changes the value, as the platform's own publishing does.
+func (c *Configuration) Put(value []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.value = value
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// SetDown makes the service fail every call, or serve again.
+func (c *Configuration) SetDown(down bool) { c.down.Store(down) }
+
+// Calls returns how many calls came so far.
+func (c *Configuration) Calls() int64 { return c.calls.Load() }
+
+// ServeHTTP answers with the value and its entity tag. With the query "after"
+// it waits until the tag is another one.
+func (c *Configuration) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.calls.Add(1)
+	if c.down.Load() {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), maxWatch)
+	defer cancel()
+	value, tag, changed := c.get()
+	if r.URL.Query().Get("after") == tag {
+		select {
+		case <-changed:
+			value, tag, _ = c.get()
+		case <-ctx.Done():
+		}
+	}
+	w.Header().Set("ETag", tag)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(value)
+}
+
+func (c *Configuration) get() (value []byte, tag string, changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := sha256.Sum256(c.value)
+	return c.value, `"` + hex.EncodeToString(sum[:8]) + `"`, c.changed
+}
+
+// Instances is a stand-in for the platform's lagging list of instances.
+type Instances struct {
+	mu   sync.Mutex
+	list []Instance
+}
+
+// Instance is one line of the list.
+type Instance struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	Leaving    bool   `json:"leaving"`
+}
+
+// Set replaces the list.
+func (l *Instances) Set(list []Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = list
+}
+
+// ServeHTTP answers with the list.
+func (l *Instances) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	list := append([]Instance{}, l.list...)
+	l.mu.Unlock()
+	writeJSON(w, list)
+}
+
+// PlatformHandler serves both on the paths that nodes know.
+func PlatformHandler(c *Configuration, l *Instances) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+wire.PathConfiguration, c)
+	mux.Handle("GET "+wire.PathInstances, l)
+	return mux
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,311 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/openai"
+	"github.com/honeydyke/honeydyke/internal/wire"
+)
+
+const (
+	defaultCeiling = 64
+	bytesPerKB     = 1024
+	// foreignIdentity is the identity that crossed answers carry.
+	foreignIdentity = "somebody-else"
+	// cacheEntries bounds an engine's prefix cache.
+	cacheEntries = 64
+	// cacheShare is the share of the time before the first token that a cached
+	// prefix costs.
+	cacheShare = 0.1
+)
+
+// serveStage is the endpoint of pools and plain services.
+func (t *Target) serveStage(w http.ResponseWriter, r *http.Request) {
+	fault := t.script.take()
+	if t.beforeRun(w, r, fault) {
+		return
+	}
+	raw, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxRequestBytes))
+	if err != nil {
+		reset(w)
+	}
+	var call message.StageCall
+	if err := json.Unmarshal(raw, &call); err != nil {
+		refuse(w, r)
+		return
+	}
+	id := r.Header.Get(wire.HeaderIdentity)
+	key := ""
+	if t.checksKeys {
+		key = r.Header.Get(wire.HeaderIdempotency)
+	}
+	i, fresh := t.book.begin(Run{Identity: id, Organisation: call.Organisation, Input: call.Input, Stage: call.Stage}, key)
+	took := t.speed.Base + time.Duration(len(call.Input)/bytesPerKB)*t.speed.PerKB
+	if fresh && t.work(r.Context(), priority(r), took) != nil {
+		return
+	}
+	answer := message.StageAnswer{Request: id, Output: StageOutput(call), Tokens: 1}
+	t.answer(w, r, fault, answer)
+	t.book.end(i, 1, true)
+}
+
+// beforeRun carries out the faults that come before anything runs.
+func (t *Target) beforeRun(w http.ResponseWriter, r *http.Request, fault Fault) bool {
+	switch {
+	case t.isLeaving(), fault == Refuse:
+		refuse(w, r)
+		return true
+	case fault == RefuseBare:
+		w.Header().Set(wire.HeaderIdentity, r.Header.Get(wire.HeaderIdentity))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	case fault == ResetBefore:
+		reset(w)
+	case fault == Redirect:
+		w.Header().Set(wire.HeaderIdentity, r.Header.Get(wire.HeaderIdentity))
+		http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
+		return true
+	case fault == Crash:
+		go t.Crash()
+		reset(w)
+	}
+	return false
+}
+
+// answer writes the answer with the fault's damage.
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, fault Fault, a message.StageAnswer) {
+	id := a.Request
+	switch fault {
+	case ResetAfter:
+		reset(w)
+	case Late:
+		_ = pause(r.Context(), t.lateBy)
+	case WrongIdentity:
+		id = foreignIdentity
+		a.Request = foreignIdentity
+	case WrongBody:
+		a.Request = foreignIdentity
+	}
+	raw, err := json.Marshal(a)
+	if err != nil {
+		reset(w)
+	}
+	w.Header().Set(wire.HeaderIdentity, id)
+	w.Header().Set("Content-Type", "application/json")
+	switch fault {
+	case ResetDuring, Stall:
+		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+		_, _ = w.Write(raw[:len(raw)/2])
+		_ = http.NewResponseController(w).Flush()
+		if fault == Stall {
+			<-r.Context().Done()
+		}
+		reset(w)
+	case Cut, Twice:
+		writeRaw(w, fault, id, raw)
+	default:
+		_, _ = w.Write(raw)
+	}
+}
+
+// writeRaw takes the connection over: Cut sends half an answer without a length
+// and closes cleanly, Twice sends the answer two times.
+func writeRaw(w http.ResponseWriter, fault Fault, id string, raw []byte) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		reset(w)
+	}
+	defer func() { _ = conn.Close() }()
+	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + wire.HeaderIdentity + ": " + id + "\r\n"
+	if fault == Cut {
+		_, _ = fmt.Fprintf(buf, "%sConnection: close\r\n\r\n%s", head, raw[:len(raw)/2])
+		_ = buf.Flush()
+		return
+	}
+	for range 2 {
+		_, _ = fmt.Fprintf(buf, "%sContent-Length: %d\r\n\r\n%s", head, len(raw), raw)
+	}
+	_ = buf.Flush()
+}
+
+func priority(r *http.Request) int {
+	n, _ := strconv.Atoi(r.Header.Get(wire.HeaderPriority))
+	return n
+}
+
+// serveChat is the endpoint of engines.
+func (t *Target) serveChat(w http.ResponseWriter, r *http.Request) {
+	fault := t.script.take()
+	if t.beforeRun(w, r, fault) {
+		return
+	}
+	raw, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxRequestBytes))
+	if err != nil {
+		reset(w)
+	}
+	var req openai.ChatRequest
+	if err := json.Unmarshal(raw, &req); err != nil || !req.Stream {
+		refuse(w, r)
+		return
+	}
+	id := r.Header.Get(wire.HeaderIdentity)
+	i, _ := t.book.begin(Run{Identity: id}, "")
+	if err := t.queue.enter(r.Context(), max(priority(r), req.Priority)); err != nil {
+		return
+	}
+	defer t.queue.leave()
+	s := engineStream{t: t, w: w, r: r, req: &req, id: id, fault: fault}
+	whole := s.run()
+	t.book.end(i, s.sent, whole)
+}
+
+// engineStream is one answer of an engine.
+type engineStream struct {
+	t     *Target
+	w     http.ResponseWriter
+	r     *http.Request
+	req   *openai.ChatRequest
+	id    string
+	fault Fault
+	sent  int
+}
+
+// run generates the answer and is true when all of it was sent.
+func (s *engineStream) run() bool {
+	messages, prefix := splitPrefix(s.req)
+	ceiling := s.req.CeilingOfTokens()
+	if ceiling <= 0 {
+		ceiling = defaultCeiling
+	}
+	if pause(s.r.Context(), s.prefill(messages)) != nil {
+		return false
+	}
+	s.header()
+	tokens := EngineTokens(messages, ceiling)
+	from := min(len(tokens), len(prefix)/len(tokens[0]))
+	for i := from; i < len(tokens); i++ {
+		if i-from == (len(tokens)-from)/2 && s.damage() {
+			return false
+		}
+		if !s.token(tokens[i]) {
+			return false
+		}
+	}
+	return s.end()
+}
+
+func (s *engineStream) prefill(messages []openai.Message) time.Duration {
+	size := 0
+	var text strings.Builder
+	for _, m := range messages {
+		size += len(m.Content)
+		text.WriteString(string(m.Content))
+	}
+	full := s.t.speed.Base + time.Duration(size/bytesPerKB)*s.t.speed.PerKB
+	if s.t.cache.touch(text.String()) {
+		return time.Duration(cacheShare * float64(full))
+	}
+	return full
+}
+
+func (s *engineStream) header() {
+	id := s.id
+	if s.fault == WrongIdentity {
+		id = foreignIdentity
+	}
+	s.w.Header().Set(wire.HeaderIdentity, id)
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// damage carries out the faults in the middle of a stream and is true when the
+// stream ends there.
+func (s *engineStream) damage() bool {
+	switch s.fault {
+	case ResetDuring, ResetAfter:
+		reset(s.w)
+	case Stall:
+		<-s.r.Context().Done()
+		return true
+	case Late:
+		_ = pause(s.r.Context(), s.t.lateBy)
+	case Cut:
+		return true
+	case WrongBody:
+		s.id = foreignIdentity
+	}
+	return false
+}
+
+func (s *engineStream) token(text string) bool {
+	if pause(s.r.Context(), s.t.speed.PerToken) != nil {
+		return false
+	}
+	s.sent++
+	return s.chunk(openai.ChunkChoice{Delta: openai.Delta{Content: text}}, nil)
+}
+
+func (s *engineStream) end() bool {
+	finish := openai.FinishStop
+	usage := &openai.Usage{CompletionTokens: s.sent, TotalTokens: s.sent}
+	rounds := 1
+	if s.fault == Twice {
+		rounds = 2
+	}
+	for range rounds {
+		if !s.chunk(openai.ChunkChoice{FinishReason: &finish}, usage) {
+			return false
+		}
+		if _, err := io.WriteString(s.w, "data: "+openai.DoneMark+"\n\n"); err != nil {
+			return false
+		}
+	}
+	return http.NewResponseController(s.w).Flush() == nil
+}
+
+func (s *engineStream) chunk(choice openai.ChunkChoice, usage *openai.Usage) bool {
+	raw, err := json.Marshal(openai.Chunk{
+		ID: openai.CompletionID(s.id), Object: openai.ObjectChunk, Model: s.req.Model,
+		Choices: []openai.ChunkChoice{choice}, Usage: usage,
+	})
+	if err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(s.w, "data: %s\n\n", raw); err != nil {
+		return false
+	}
+	return http.NewResponseController(s.w).Flush() == nil
+}
+
+// prefixCache remembers the newest prompts, as an engine's prefix cache does.
+type prefixCache struct {
+	mu      sync.Mutex
+	prompts []string
+}
+
+// touch says whether the prompt was cached, and caches it.
+func (c *prefixCache) touch(prompt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hit := false
+	for i, p := range c.prompts {
+		if p == prompt {
+			hit = true
+			c.prompts = append(c.prompts[:i], c.prompts[i+1:]...)
+			break
+		}
+	}
+	c.prompts = append(c.prompts, prompt)
+	if len(c.prompts) > cacheEntries {
+		c.prompts = c.prompts[1:]
+	}
+	return hit
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,69 @@
+// Package wire names the headers, paths and limits that the processes share.
+package wire
+
+import (
+	"strconv"
+	"time"
+)
+
+// Headers between callers, nodes and targets.
+const (
+	// HeaderIdentity carries the identity of a request and is echoed by answers.
+	HeaderIdentity = "X-Request-Id"
+	// HeaderDeadline carries the time left, in milliseconds.
+	HeaderDeadline = "Honeydyke-Deadline-Ms"
+	// HeaderVerdict carries the verdict of an answer that is not whole.
+	HeaderVerdict = "Honeydyke-Verdict"
+	// HeaderTicket carries a ticket.
+	HeaderTicket = "Honeydyke-Ticket"
+	// HeaderOrganisation carries the organisation between nodes.
+	HeaderOrganisation = "Honeydyke-Organisation"
+	// HeaderBundle carries the number of the bundle that governs a request.
+	HeaderBundle = "Honeydyke-Bundle"
+	// HeaderPriority carries a priority; a lower number is served first.
+	HeaderPriority = "Honeydyke-Priority"
+	// HeaderIdempotency carries a key that a target may check.
+	HeaderIdempotency = "Idempotency-Key"
+)
+
+// Paths of targets.
+const (
+	PathStage = "/v1/stage"
+	PathChat  = "/v1/chat/completions"
+	PathLoad  = "/v1/load"
+)
+
+// Paths of nodes.
+const (
+	PathPipelines = "/v1/pipelines/"
+	PathTickets   = "/v1/tickets"
+	PathModels    = "/v1/models"
+	PathExchange  = "/peer/v1/exchange"
+	PathBundle    = "/peer/v1/bundle"
+	PathForward   = "/peer/v1/forward/"
+	PathState     = "/state"
+	PathReady     = "/readyz"
+	PathHealth    = "/healthz"
+	PathMetrics   = "/metrics"
+)
+
+// Paths of the platform.
+const (
+	// PathConfiguration holds the signed bundle; the query "after" waits for a
+	// change of the entity tag it names.
+	PathConfiguration = "/v1/values/bundle"
+	PathInstances     = "/v1/instances"
+)
+
+// Limits on what strangers send.
+const (
+	MaxRequestBytes = 4 << 20
+	MaxAnswerBytes  = 16 << 20
+	MaxHeaderBytes  = 64 << 10
+	MaxEventBytes   = 1 << 20
+)
+
+// Milliseconds formats d for a header; it never gives a negative number.
+func Milliseconds(d time.Duration) string {
+	return strconv.FormatInt(max(d, 0).Milliseconds(), 10)
+}
--- /dev/null
+++ b/pkg/cmd/factory/factory.go
@@ -0,0 +1,115 @@
+// Package factory passes the parts that all commands share: streams, clock,
+// files and the client.
+package factory
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/honeydyke/honeydyke/pkg/client"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// Exit codes of the program.
+const (
+	// ExitOK means that the command did what it was asked to.
+	ExitOK = 0
+	// ExitFailure means that it failed.
+	ExitFailure = 1
+	// ExitUsage means that the arguments are wrong.
+	ExitUsage = 2
+	// ExitNotRun means that a request provably did not run.
+	ExitNotRun = 3
+	// ExitMayHaveRun means that a request may have run.
+	ExitMayHaveRun = 4
+)
+
+// Factory holds the shared parts. Tests replace any of them.
+type Factory struct {
+	In        io.Reader
+	Out       io.Writer
+	Err       io.Writer
+	Now       func() time.Time
+	ReadFile  func(name string) ([]byte, error)
+	NewClient func(base, key string) *client.Client
+	Version   string
+}
+
+// New returns the factory of the real program.
+func New(version string) *Factory {
+	return &Factory{
+		In:        os.Stdin,
+		Out:       os.Stdout,
+		Err:       os.Stderr,
+		Now:       time.Now,
+		ReadFile:  os.ReadFile,
+		NewClient: func(base, key string) *client.Client { return client.New(base, key) },
+		Version:   version,
+	}
+}
+
+// Read returns the content of a file, or of standard input for "-".
+func (f *Factory) Read(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(f.In)
+	}
+	return f.ReadFile(name)
+}
+
+// Logger returns a log on standard error.
+func (f *Factory) Logger(level string, text bool) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Wrap(err, "log level")
+	}
+	var w io.Writer = f.Err
+	if text {
+		w = zerolog.ConsoleWriter{Out: f.Err, NoColor: true, TimeFormat: time.TimeOnly}
+	}
+	return zerolog.New(w).Level(parsed).With().Timestamp().Logger(), nil
+}
+
+// PrintJSON writes v to standard output as indented JSON.
+func (f *Factory) PrintJSON(v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(f.Out, string(raw))
+	return err
+}
+
+// UsageError is an error of the arguments.
+type UsageError struct{ Err error }
+
+// Error implements error.
+func (e UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e UsageError) Unwrap() error { return e.Err }
+
+// Usagef returns an error of the arguments.
+func Usagef(format string, args ...any) error { return UsageError{errors.Errorf(format, args...)} }
+
+// ExitCode maps an error to the program's exit code.
+func ExitCode(err error) int {
+	var usage UsageError
+	var v *verdict.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &v) && v.Verdict() == verdict.NotRun:
+		return ExitNotRun
+	case errors.As(err, &v):
+		return ExitMayHaveRun
+	}
+	return ExitFailure
+}
--- /dev/null
+++ b/pkg/cmd/root/root.go
@@ -0,0 +1,48 @@
+// Package root assembles the program's commands.
+package root
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
+	"github.com/honeydyke/honeydyke/pkg/cmd/version"
+)
+
+// Version is set by the linker in releases.
+var Version = "0.1.0-dev"
+
+// Main runs the program with arguments and returns its exit code.
+func Main(args []string) int {
+	f := factory.New(Version)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	cmd := NewCmdRoot(f)
+	cmd.SetArgs(args)
+	err := cmd.ExecuteContext(ctx)
+	if err != nil {
+		_, _ = fmt.Fprintln(f.Err, "honeydyke:", err)
+	}
+	return factory.ExitCode(err)
+}
+
+// NewCmdRoot returns the command that holds all others.
+func NewCmdRoot(f *factory.Factory) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "honeydyke <command>",
+		Short:         "Serve multi-stage model pipelines from a signed bundle",
+		Long:          "Honeydyke serves pipelines of encoding, retrieval, reranking and generation.\nA signed, versioned bundle decides which target serves each stage of each\nrequest, when work is held back and when it is refused.",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	cmd.SetOut(f.Out)
+	cmd.SetErr(f.Err)
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return factory.UsageError{Err: err} })
+	cmd.AddCommand(version.NewCmdVersion(f, nil))
+	return cmd
+}
--- /dev/null
+++ b/pkg/node/gate.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/admission"
+	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/request"
+	"github.com/honeydyke/honeydyke/pkg/bundle"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// gate carries out the effects of the admission core: it lets callers wait for
+// their answers and lets time pass in the core. A lock, not an actor, owns the
+// core, because every attempt of the request path passes here (see
+// docs/decisions/0002-lock-around-admission.md).
+type gate struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	core    *admission.Core
+	waiting map[uint64]chan admission.Effect
+	timer   *time.Timer
+	lastID  uint64
+}
+
+func newGate(cfg admission.Config, now func() time.Time) *gate {
+	return &gate{now: now, core: admission.New(cfg), waiting: make(map[uint64]chan admission.Effect)}
+}
+
+// step applies an event and carries out its effects. The lock is held.
+func (g *gate) step(ev admission.Event) {
+	now := g.now()
+	for _, effect := range g.core.Step(now, ev) {
+		switch e := effect.(type) {
+		case admission.Admit:
+			g.answer(e.ID, e)
+		case admission.Grant:
+			g.answer(e.ID, e)
+		case admission.Refuse:
+			g.answer(e.ID, e)
+		}
+	}
+	g.schedule(now)
+}
+
+func (g *gate) answer(id uint64, effect admission.Effect) {
+	if ch, ok := g.waiting[id]; ok {
+		delete(g.waiting, id)
+		ch <- effect
+	}
+}
+
+// schedule sets the timer for the next time that held work must be looked at.
+func (g *gate) schedule(now time.Time) {
+	next := g.core.NextTick(now)
+	if g.timer != nil {
+		g.timer.Stop()
+		g.timer = nil
+	}
+	if next.IsZero() {
+		return
+	}
+	g.timer = time.AfterFunc(max(next.Sub(now), time.Millisecond), func() { g.apply(admission.Tick{}) })
+}
+
+// apply applies an event that nobody waits for.
+func (g *gate) apply(ev admission.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.step(ev)
+}
+
+// ask applies the event that makes returns and gives the channel of its answer.
+func (g *gate) ask(makeEvent func(id uint64) admission.Event) (uint64, <-chan admission.Effect) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastID++
+	id := g.lastID
+	ch := make(chan admission.Effect, 1)
+	g.waiting[id] = ch
+	g.step(makeEvent(id))
+	return id, ch
+}
+
+// open lets a request in; the returned function closes it.
+func (g *gate) open(org *bundle.Organisation, s request.State, size int) (func(), error) {
+	id, answer := g.ask(func(id uint64) admission.Event {
+		return admission.Open{
+			ID: id, Organisation: org.Name, Pipeline: s.Pipeline(), Deadline: s.Deadline(),
+			Size: size, Tokens: ceilingOf(s.Pipeline()),
+		}
+	})
+	if refusal, refused := (<-answer).(admission.Refuse); refused {
+		return nil, refusal.Err
+	}
+	return func() { g.apply(admission.Close{ID: id}) }, nil
+}
+
+// ceilingOf returns the most tokens that one run of the pipeline generates.
+func ceilingOf(p *bundle.PipelinePlan) int {
+	n := 0
+	for _, s := range p.Stages {
+		n += s.MaxTokens
+	}
+	return n
+}
+
+// acquire waits for a target. The caller must end the grant.
+func (g *gate) acquire(ctx context.Context, s admission.Submit) (admission.Grant, error) {
+	id, answer := g.ask(func(id uint64) admission.Event {
+		s.ID = id
+		return s
+	})
+	select {
+	case effect := <-answer:
+		return granted(effect)
+	case <-ctx.Done():
+		g.mu.Lock()
+		delete(g.waiting, id)
+		g.step(admission.Withdraw{ID: id})
+		g.mu.Unlock()
+		return admission.Grant{}, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the request ended while it was held")
+	}
+}
+
+func granted(effect admission.Effect) (admission.Grant, error) {
+	switch e := effect.(type) {
+	case admission.Grant:
+		return e, nil
+	case admission.Refuse:
+		return admission.Grant{}, e.Err
+	default:
+		return admission.Grant{}, verdict.New(verdict.NotRun, verdict.ReasonInternal, "unexpected answer of admission")
+	}
+}
+
+// end gives a grant back with the result of its attempt.
+func (g *gate) end(grant admission.Grant, err *verdict.Error, took time.Duration) {
+	g.apply(admission.Ended{ID: grant.ID, Err: err, Took: took})
+}
+
+// gateState is a copy of what the core holds.
+type gateState struct {
+	inFlight      int
+	held          int
+	targets       []message.TargetState
+	organisations []message.OrganisationState
+}
+
+func (g *gate) state() gateState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return gateState{
+		inFlight:      g.core.InFlight(),
+		held:          g.core.Held(),
+		targets:       g.core.Targets(g.now()),
+		organisations: g.core.Organisations(),
+	}
+}
+
+func (g *gate) inFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.InFlight()
+}
