--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -72,3 +72,9 @@
 	s.next = s.next[1:]
 	return f
 }
+
+func (s *script) clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = nil
+}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -29,6 +29,7 @@
 
 // serveStage is the endpoint of pools and plain services.
 func (t *Target) serveStage(w http.ResponseWriter, r *http.Request) {
+	t.calls.Add(1)
 	fault := t.script.take()
 	if t.beforeRun(w, r, fault) {
 		return
@@ -143,6 +144,7 @@
 
 // serveChat is the endpoint of engines.
 func (t *Target) serveChat(w http.ResponseWriter, r *http.Request) {
+	t.calls.Add(1)
 	fault := t.script.take()
 	if t.beforeRun(w, r, fault) {
 		return
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/message"
@@ -47,6 +48,7 @@
 	reportLag  time.Duration
 	checksKeys bool
 
+	calls  atomic.Int64
 	script script
 	book   runBook
 	queue  slotQueue
@@ -133,6 +135,18 @@
 // Fail makes the next calls meet the fault.
 func (t *Target) Fail(f Fault, times int) { t.script.add(f, times) }
 
+// ClearFaults takes back the faults that no call has met.
+func (t *Target) ClearFaults() { t.script.clear() }
+
+// Busy says whether a call is at work.
+func (t *Target) Busy() bool {
+	running, _ := t.queue.counts()
+	return running > 0
+}
+
+// Calls returns how many calls came, refused ones included.
+func (t *Target) Calls() int64 { return t.calls.Load() }
+
 // Leave makes the target refuse new work and say so in its reports.
 func (t *Target) Leave() {
 	t.mu.Lock()
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -76,6 +76,13 @@
 	return &n
 }
 
+// WithKey returns a copy that calls as another organisation.
+func (c *Client) WithKey(key string) *Client {
+	n := *c
+	n.key = key
+	return &n
+}
+
 // Run sends a request and returns the whole answer. Pieces of a stream go to
 // onText, which may be nil. The error is a *verdict.Error.
 func (c *Client) Run(ctx context.Context, req Request, onText func(string)) (*Answer, error) {
--- a/pkg/cmd/factory/factory.go
+++ b/pkg/cmd/factory/factory.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return zerolog.Nop(), errors.Wrap(err, "log level")
 	}
-	var w io.Writer = f.Err
+	w := f.Err
 	if text {
 		w = zerolog.ConsoleWriter{Out: f.Err, NoColor: true, TimeFormat: time.TimeOnly}
 	}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/honeydyke/honeydyke/pkg/cmd/demo"
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
 	"github.com/honeydyke/honeydyke/pkg/cmd/version"
 )
@@ -43,6 +44,9 @@
 	cmd.SetOut(f.Out)
 	cmd.SetErr(f.Err)
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return factory.UsageError{Err: err} })
-	cmd.AddCommand(version.NewCmdVersion(f, nil))
+	cmd.AddCommand(
+		demo.NewCmdDemo(f, nil),
+		version.NewCmdVersion(f, nil),
+	)
 	return cmd
 }
--- a/pkg/node/gate.go
+++ b/pkg/node/gate.go
@@ -160,9 +160,3 @@
 		organisations: g.core.Organisations(),
 	}
 }
-
-func (g *gate) inFlight() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.core.InFlight()
-}
