--- /dev/null
+++ b/pkg/cmd/bundle/diff/diff.go
@@ -0,0 +1,73 @@
+// Package diff holds the verb that compares bundles.
+package diff
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/honeydyke/honeydyke/pkg/bundle"
+	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
+)
+
+// Options are the parts and flags of the verb.
+type Options struct {
+	Factory *factory.Factory
+	Before  string
+	After   string
+	JSON    bool
+}
+
+// NewCmdDiff returns the verb.
+func NewCmdDiff(f *factory.Factory, runF func(*Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	cmd := &cobra.Command{
+		Use:     "diff <before> <after>",
+		Short:   "Compare two bundles",
+		Long:    "List what changes between two bundles, by key. Comments and order do not count.",
+		Example: "  honeydyke bundle diff old.hujson new.hujson",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			opts.Before = args[0]
+			opts.After = args[1]
+			if runF != nil {
+				return runF(opts)
+			}
+			return run(opts)
+		},
+	}
+	cmd.Flags().BoolVar(&opts.JSON, "json", false, "print JSON")
+	return cmd
+}
+
+func run(opts *Options) error {
+	before, err := load(opts.Factory, opts.Before)
+	if err != nil {
+		return err
+	}
+	after, err := load(opts.Factory, opts.After)
+	if err != nil {
+		return err
+	}
+	changes, err := bundle.Diff(before.Bundle(), after.Bundle())
+	if err != nil {
+		return err
+	}
+	if opts.JSON {
+		return opts.Factory.PrintJSON(changes)
+	}
+	for _, c := range changes {
+		if _, err := fmt.Fprintln(opts.Factory.Out, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func load(f *factory.Factory, file string) (*bundle.Plan, error) {
+	text, err := f.Read(file)
+	if err != nil {
+		return nil, err
+	}
+	return bundle.Parse(file, text)
+}
--- a/pkg/cmd/demo/demo.go
+++ b/pkg/cmd/demo/demo.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -53,7 +52,7 @@
 			return err
 		}
 	}
-	var progress io.Writer = opts.Factory.Err
+	progress := opts.Factory.Err
 	if !opts.JSON {
 		progress = opts.Factory.Out
 	}
--- /dev/null
+++ b/pkg/cmd/node/node.go
@@ -0,0 +1,87 @@
+// Package node holds the verb that runs the daemon.
+package node
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
+	"github.com/honeydyke/honeydyke/pkg/node"
+	"github.com/honeydyke/honeydyke/pkg/settings"
+)
+
+// Options are the parts and flags of the verb.
+type Options struct {
+	Factory  *factory.Factory
+	Settings string
+	Check    bool
+	// Signals returns a channel of the signals that ask for a stop.
+	Signals func() <-chan os.Signal
+}
+
+// NewCmdNode returns the verb.
+func NewCmdNode(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{Factory: f, Signals: stopSignals}
+	cmd := &cobra.Command{
+		Use:   "node --settings <file>",
+		Short: "Run a node",
+		Long: "Run a node until a signal asks it to stop. The first SIGTERM or SIGINT starts a\n" +
+			"planned stop, which cuts no work in flight; a second one cuts what is left and\n" +
+			"the log says what. The node writes nothing but its log on standard error.",
+		Example: "  honeydyke node --settings node.hujson\n  honeydyke node --settings node.hujson --check",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if opts.Settings == "" {
+				return factory.Usagef("--settings is required")
+			}
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return run(cmd.Context(), opts)
+		},
+	}
+	cmd.Flags().StringVar(&opts.Settings, "settings", "", "settings file, JSON with comments; - reads standard input")
+	cmd.Flags().BoolVar(&opts.Check, "check", false, "check the settings and exit")
+	return cmd
+}
+
+func stopSignals() <-chan os.Signal {
+	ch := make(chan os.Signal, 2)
+	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
+	return ch
+}
+
+func run(ctx context.Context, opts *Options) error {
+	text, err := opts.Factory.Read(opts.Settings)
+	if err != nil {
+		return err
+	}
+	cfg, err := settings.Parse(opts.Settings, text)
+	if err != nil || opts.Check {
+		return err
+	}
+	log, err := opts.Factory.Logger(cfg.LogLevelName(), cfg.TextLog())
+	if err != nil {
+		return err
+	}
+	n, err := node.New(cfg, node.WithLogger(log))
+	if err != nil {
+		return err
+	}
+	// The program's own context ends at the first signal; the node needs to
+	// tell the first from the second.
+	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		signals := opts.Signals()
+		<-signals
+		stop()
+		<-signals
+		n.Cut()
+	}()
+	return n.Run(ctx)
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -10,8 +10,15 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/honeydyke/honeydyke/pkg/cmd/bundle"
 	"github.com/honeydyke/honeydyke/pkg/cmd/demo"
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
+	"github.com/honeydyke/honeydyke/pkg/cmd/key"
+	"github.com/honeydyke/honeydyke/pkg/cmd/load"
+	"github.com/honeydyke/honeydyke/pkg/cmd/node"
+	"github.com/honeydyke/honeydyke/pkg/cmd/send"
+	"github.com/honeydyke/honeydyke/pkg/cmd/standin"
+	"github.com/honeydyke/honeydyke/pkg/cmd/state"
 	"github.com/honeydyke/honeydyke/pkg/cmd/version"
 )
 
@@ -25,7 +32,12 @@
 	defer stop()
 	cmd := NewCmdRoot(f)
 	cmd.SetArgs(args)
+	started := false
+	cmd.PersistentPreRun = func(*cobra.Command, []string) { started = true }
 	err := cmd.ExecuteContext(ctx)
+	if err != nil && !started {
+		err = factory.UsageError{Err: err}
+	}
 	if err != nil {
 		_, _ = fmt.Fprintln(f.Err, "honeydyke:", err)
 	}
@@ -45,7 +57,14 @@
 	cmd.SetErr(f.Err)
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return factory.UsageError{Err: err} })
 	cmd.AddCommand(
+		bundle.NewCmdBundle(f),
 		demo.NewCmdDemo(f, nil),
+		key.NewCmdKey(f),
+		load.NewCmdLoad(f, nil),
+		node.NewCmdNode(f, nil),
+		send.NewCmdSend(f, nil),
+		standin.NewCmdStandin(f),
+		state.NewCmdState(f, nil),
 		version.NewCmdVersion(f, nil),
 	)
 	return cmd
