--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -27,9 +27,14 @@
 
 // Main runs the program with arguments and returns its exit code.
 func Main(args []string) int {
-	f := factory.New(Version)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	return mainWith(ctx, factory.New(Version), args)
+}
+
+// mainWith runs a command line. An error from before a verb started is one of
+// the arguments.
+func mainWith(ctx context.Context, f *factory.Factory, args []string) int {
 	cmd := NewCmdRoot(f)
 	cmd.SetArgs(args)
 	started := false
