--- /dev/null
+++ b/pkg/cmd/experiment/experiment.go
@@ -0,0 +1,65 @@
+// Package experiment holds the verbs that measure honeydyke.
+package experiment
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/honeydyke/honeydyke/internal/experiment"
+	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
+)
+
+// printer is the result of an experiment.
+type printer interface{ Print(io.Writer) error }
+
+// Options are the parts and flags that all experiments share.
+type Options struct {
+	Factory *factory.Factory
+	JSON    bool
+}
+
+// NewCmdExperiment returns the command that groups the experiments.
+func NewCmdExperiment(f *factory.Factory) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "experiment <name>",
+		Short: "Measure honeydyke against stand-ins and baselines",
+		Long:  "Measure honeydyke on loopback, bounded in count and time. The figures of\ndocs/MEASUREMENTS.md and docs/CAPACITY.md come from here.",
+	}
+	opts := &Options{Factory: f}
+	cmd.PersistentFlags().BoolVar(&opts.JSON, "json", false, "print JSON")
+	cmd.AddCommand(newCmdOverhead(opts))
+	return cmd
+}
+
+// measure runs an experiment and prints its result.
+func (o *Options) measure(result printer, err error) error {
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return o.Factory.PrintJSON(result)
+	}
+	return result.Print(o.Factory.Out)
+}
+
+func newCmdOverhead(opts *Options) *cobra.Command {
+	var o experiment.OverheadOptions
+	cmd := &cobra.Command{
+		Use:     "overhead",
+		Short:   "Time calls through one node beside direct ones",
+		Long:    "Send the same calls to one stand-in directly and through one node, in turn and at\nthe same concurrency, and print the ratio of the times.",
+		Example: "  honeydyke experiment overhead --concurrency 16 --calls 500",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			result, err := experiment.MeasureOverhead(context.WithoutCancel(cmd.Context()), o)
+			return opts.measure(result, err)
+		},
+	}
+	cmd.Flags().IntVar(&o.Concurrency, "concurrency", 8, "callers")
+	cmd.Flags().IntVar(&o.Calls, "calls", 500, "calls of each kind per caller")
+	cmd.Flags().DurationVar(&o.Work, "work", time.Millisecond, "time that the stand-in works")
+	return cmd
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -12,6 +12,7 @@
 
 	"github.com/honeydyke/honeydyke/pkg/cmd/bundle"
 	"github.com/honeydyke/honeydyke/pkg/cmd/demo"
+	"github.com/honeydyke/honeydyke/pkg/cmd/experiment"
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
 	"github.com/honeydyke/honeydyke/pkg/cmd/key"
 	"github.com/honeydyke/honeydyke/pkg/cmd/load"
@@ -64,6 +65,7 @@
 	cmd.AddCommand(
 		bundle.NewCmdBundle(f),
 		demo.NewCmdDemo(f, nil),
+		experiment.NewCmdExperiment(f),
 		key.NewCmdKey(f),
 		load.NewCmdLoad(f, nil),
 		node.NewCmdNode(f, nil),
