--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -97,7 +97,7 @@
 			t.mark(e.Incarnation)
 		}
 	case Nodes:
-		c.shedder.nodes = e.Count
+		c.shedder.nodes = max(1, e.Count)
 	case Install:
 		return c.install(now, e)
 	case Tick:
@@ -188,7 +188,7 @@
 		i := p.Order[k]
 		tails[i] = c.times.estimate(p, i, workSize(p, i, size)) + c.after(p, i, tails)
 		if pl := c.pools[p.Stages[i].Pool]; pl != nil {
-			tails[i] += pl.wait(now, organisation, c.weight(organisation), deadline.Add(-tails[i]))
+			tails[i] += pl.wait(now, c.shedder.nodes, organisation, c.weight(organisation), deadline.Add(-tails[i]))
 		}
 	}
 	return tails
@@ -267,10 +267,10 @@
 	c.items[e.ID] = it
 	if p.held == 0 {
 		if t := p.choose(now, it, &c.cfg, c.rng); t != nil {
-			return []Effect{c.grant(p, it, t)}
+			return []Effect{c.grant(now, p, it, t)}
 		}
 	}
-	p.hold(it, c.weight(e.Organisation))
+	p.hold(now, it, c.weight(e.Organisation))
 	return c.dispatch(now, p)
 }
 
@@ -299,7 +299,7 @@
 	if c.cfg.NeverRefuse {
 		return nil
 	}
-	wait := p.wait(now, it.Organisation, c.weight(it.Organisation), it.latest)
+	wait := p.wait(now, c.shedder.nodes, it.Organisation, c.weight(it.Organisation), it.latest)
 	if start := now.Add(wait); start.After(it.latest) {
 		return c.overload(start.Sub(it.latest))
 	}
@@ -326,8 +326,9 @@
 	return err.WithRetryAfter(d + time.Duration(c.rng.Float64()*retrySpread*float64(d)))
 }
 
-func (c *Core) grant(p *pool, it *item, t *target) Grant {
+func (c *Core) grant(now time.Time, p *pool, it *item, t *target) Grant {
 	it.target = t
+	t.granted = now
 	t.inFlight++
 	return Grant{ID: it.ID, Target: t.spec, Pool: p.spec}
 }
@@ -339,7 +340,7 @@
 	}
 	delete(c.items, e.ID)
 	if it.target == nil {
-		c.pools[it.Pipeline.Stages[it.Stage].Pool].remove(it)
+		c.pools[it.Pipeline.Stages[it.Stage].Pool].remove(now, it)
 		return nil
 	}
 	it.target.inFlight--
@@ -370,6 +371,7 @@
 		return nil
 	}
 	t.report(now, e)
+	t.pool.noteLoad(now)
 	return c.dispatch(now, t.pool)
 }
 
@@ -393,8 +395,8 @@
 			break
 		}
 		p.charge(q, max(it.expected, time.Millisecond))
-		p.remove(it)
-		effects = append(effects, c.grant(p, it, t))
+		p.remove(now, it)
+		effects = append(effects, c.grant(now, p, it, t))
 	}
 	return effects
 }
@@ -405,7 +407,7 @@
 		q := p.queues[name]
 		for len(q.items) > 0 && !now.Before(q.items[0].latest) {
 			it := q.items[0]
-			p.remove(it)
+			p.remove(now, it)
 			delete(c.items, it.ID)
 			effects = append(effects, Refuse{ID: it.ID, Err: c.overload(p.heldWork / time.Duration(max(1, p.slots(now))))})
 		}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,6 +17,10 @@
 	retryShare = 0.2
 	// retryBank is the most retries saved up.
 	retryBank = 10
+	// fairAllowance is how much more work an organisation with a weight of 1 may
+	// have had than the least served one and still go first, in items of the mean
+	// size held.
+	fairAllowance = 4
 	// maxEjectedShare is the largest share of a pool that may be ejected.
 	maxEjectedShare = 0.5
 )
@@ -28,6 +33,8 @@
 	held    int
 	// heldWork is the expected time of all held work.
 	heldWork time.Duration
+	// busyAt is when work was last held, or all slots reported taken.
+	busyAt time.Time
 	// virtual is the largest virtual time of any queue that was served.
 	virtual float64
 	retries float64
@@ -140,7 +147,8 @@
 }
 
 // hold puts the item into its organisation's queue.
-func (p *pool) hold(it *item, weight float64) {
+func (p *pool) hold(now time.Time, it *item, weight float64) {
+	p.busyAt = now
 	q := p.queues[it.Organisation]
 	if q == nil {
 		q = &queue{organisation: it.Organisation}
@@ -156,7 +164,8 @@
 }
 
 // remove takes a held item out of its queue.
-func (p *pool) remove(it *item) {
+func (p *pool) remove(now time.Time, it *item) {
+	p.busyAt = now
 	q := p.queues[it.Organisation]
 	heap.Remove(&q.items, it.index)
 	p.held--
@@ -166,18 +175,37 @@
 	}
 }
 
-// next returns the queue whose organisation has had the least for its weight.
+// next returns the queue to serve: among the organisations that have not had
+// much more than the least served one for their weight, the one whose first item
+// has the least slack. Short waits go by slack alone; over longer ones no
+// organisation gets ahead of its weight.
 func (p *pool) next() *queue {
-	var least *queue
+	least := math.Inf(1)
 	for _, q := range p.queues {
-		if len(q.items) == 0 {
+		if len(q.items) > 0 {
+			least = min(least, q.virtual)
+		}
+	}
+	allowed := least + fairAllowance*(p.heldWork/time.Duration(max(1, p.held))).Seconds()
+	var first *queue
+	for _, q := range p.queues {
+		if len(q.items) == 0 || q.virtual > allowed {
 			continue
 		}
-		if least == nil || q.virtual < least.virtual || (q.virtual == least.virtual && q.organisation < least.organisation) {
-			least = q
+		if first == nil || q.before(first) {
+			first = q
 		}
 	}
-	return least
+	return first
+}
+
+// before orders queues by the latest start of their first items.
+func (q *queue) before(other *queue) bool {
+	a, b := q.items[0].latest, other.items[0].latest
+	if a.Equal(b) {
+		return q.organisation < other.organisation
+	}
+	return a.Before(b)
 }
 
 // charge counts work that an organisation has got.
@@ -188,9 +216,10 @@
 
 // wait predicts how long new work of an organisation would be held: the work
 // ahead of it in its own queue at the organisation's share of the slots, and
-// never longer than all held work takes.
-func (p *pool) wait(now time.Time, organisation string, weight float64, latest time.Time) time.Duration {
-	slots := p.slots(now)
+// never longer than all held work takes. The other nodes take their
+// parts of the slots.
+func (p *pool) wait(now time.Time, nodes int, organisation string, weight float64, latest time.Time) time.Duration {
+	slots := float64(p.slots(now)) / float64(nodes)
 	if slots == 0 || p.held == 0 {
 		return 0
 	}
@@ -209,8 +238,8 @@
 			}
 		}
 	}
-	all := p.heldWork / time.Duration(slots)
-	own := time.Duration(float64(ahead) * weights / weight / float64(slots))
+	all := time.Duration(float64(p.heldWork) / slots)
+	own := time.Duration(float64(ahead) * weights / weight / slots)
 	return min(all, own)
 }
 
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -12,8 +12,16 @@
 const (
 	// rateWindow is the time over which arrival rates are averaged.
 	rateWindow = 2 * time.Second
+	// minimumAge keeps the first arrivals of a class from looking like a flood.
+	minimumAge = 200 * time.Millisecond
 	// replanInterval is how often the shares of the classes are worked out.
 	replanInterval = 100 * time.Millisecond
+	// shedFor is how long requests are shed after work was last held. Without it
+	// every pause of the queue would let the whole load in again.
+	shedFor = time.Second
+	// headroom is the part of a congested pool's slots that is planned for, so
+	// that what is let in does not wait long.
+	headroom = 0.95
 	// forgetRate is the rate, in requests a second, below which a class is forgotten.
 	forgetRate = 0.01
 )
@@ -44,9 +52,11 @@
 	spec *bundle.PipelinePlan
 	// bytes is the size of its latest request.
 	bytes int
-	// rate is the decayed rate of arrival, in requests a second, at time seen.
-	rate float64
+	// sum is the decayed count of arrivals at time seen.
+	sum  float64
 	seen time.Time
+	// born is when the class was first seen.
+	born time.Time
 	// share is the part of its requests that are let in while its pools are
 	// congested; credit saves up fractions of a request.
 	share  float64
@@ -62,19 +72,23 @@
 	key := classKey{e.Organisation, e.Pipeline.Name, sizeClass(e.Size)}
 	c := s.classes[key]
 	if c == nil {
-		c = &class{key: key, share: 1, seen: now}
+		c = &class{key: key, share: 1, seen: now, born: now}
 		s.classes[key] = c
 	}
 	c.spec = e.Pipeline
 	c.bytes = e.Size
-	c.rate = c.rateAt(now) + 1/rateWindow.Seconds()
+	c.sum = 1 + c.sum*math.Exp(-now.Sub(c.seen).Seconds()/rateWindow.Seconds())
 	c.seen = now
 	return c
 }
 
-// rateAt returns the rate decayed to time now.
+// rateAt returns the rate at time now. A sum that has decayed for less than its
+// window has seen only part of it; the rate makes up for that.
 func (c *class) rateAt(now time.Time) float64 {
-	return c.rate * math.Exp(-now.Sub(c.seen).Seconds()/rateWindow.Seconds())
+	window := rateWindow.Seconds()
+	decayed := c.sum * math.Exp(-now.Sub(c.seen).Seconds()/window)
+	age := max(now.Sub(c.born), minimumAge).Seconds()
+	return decayed / (window * (1 - math.Exp(-age/window)))
 }
 
 // admits spends the class's credit for one request.
@@ -91,7 +105,7 @@
 // and its class has had its share.
 func (c *Core) shed(now time.Time, e Open) bool {
 	k := c.shedder.arrive(now, e)
-	if c.cfg.NeverRefuse || !c.congested(e.Pipeline) {
+	if c.cfg.NeverRefuse || !c.congested(now, e.Pipeline) {
 		return false
 	}
 	if now.Sub(c.shedder.planned) >= replanInterval {
@@ -100,16 +114,34 @@
 	return !k.admits()
 }
 
-// congested says whether work is held for any pool of the pipeline.
-func (c *Core) congested(p *bundle.PipelinePlan) bool {
+// congested says whether work was held lately for any pool of the pipeline.
+func (c *Core) congested(now time.Time, p *bundle.PipelinePlan) bool {
 	for _, s := range p.Stages {
-		if pl := c.pools[s.Pool]; pl != nil && pl.held > 0 {
+		if pl := c.pools[s.Pool]; pl != nil && pl.congested(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// congested says whether work was held for the pool lately, or its targets
+// reported to be full.
+func (p *pool) congested(now time.Time) bool {
+	return p.held > 0 || now.Sub(p.busyAt) < shedFor
+}
+
+// noteLoad takes in that a target has reported: work may wait at the targets
+// and not here, when other nodes send as much as this one.
+func (p *pool) noteLoad(now time.Time) {
+	load := 0.0
+	for _, t := range p.targets {
+		load += t.candidate(now, "").Load()
+	}
+	if load >= float64(p.slots(now)) {
+		p.busyAt = now
+	}
+}
+
 // demand is one class's demand on one pool.
 type demand struct {
 	class *class
@@ -139,11 +171,11 @@
 }
 
 func (c *Core) replanPool(now time.Time, p *pool) {
-	if p.held == 0 {
+	if !p.congested(now) {
 		return
 	}
 	demands := c.demandsOn(now, p)
-	room := float64(p.slots(now)) / float64(max(1, c.shedder.nodes))
+	room := headroom * float64(p.slots(now)) / float64(c.shedder.nodes)
 	c.grantShares(demands, room)
 	for _, d := range demands {
 		if d.rate > 0 {
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -24,6 +24,7 @@
 	pool *pool
 
 	inFlight    int
+	granted     time.Time
 	incarnation string
 	leaving     bool
 	// marks holds the incarnations that are known to be leaving.
@@ -125,6 +126,7 @@
 		InFlight:  t.inFlight,
 		Foreign:   t.foreign,
 		ReportAge: -1,
+		Idle:      now.Sub(t.granted),
 		Slowness:  1,
 	}
 	if t.reported {
--- a/internal/matrix/run.go
+++ b/internal/matrix/run.go
@@ -43,7 +43,7 @@
 		if err := t.addEntry(ctx); err != nil {
 			return err
 		}
-		defer t.entry.Kill()
+		defer r.lab.Remove(t.entry)
 	}
 	t.place()
 	t.request(ctx)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -19,6 +19,9 @@
 	reportHalfLife = 2 * time.Second
 	// reportExpiry is the age past which a report counts nothing.
 	reportExpiry = 10 * time.Second
+	// probeAfter is how long a node leaves a target alone that others seem to
+	// fill, before it tries it all the same.
+	probeAfter = time.Second
 	// affinityBound is how far above the average load the preferred target of
 	// a prefix may be before the prefix goes elsewhere.
 	affinityBound = 1.25
@@ -45,6 +48,8 @@
 	Foreign int
 	// ReportAge is the age of the report; negative when there is none.
 	ReportAge time.Duration
+	// Idle is the time since this node last gave the target a call.
+	Idle time.Duration
 	// Slowness is the target's mean time relative to its pool's; 1 is average.
 	Slowness float64
 }
@@ -62,11 +67,14 @@
 	return float64(c.Foreign) * math.Exp2(-c.ReportAge.Seconds()/reportHalfLife.Seconds())
 }
 
-// Free says whether the target has a free slot by that estimate. A foreign
-// load never closes a target that this node does not use itself: the report
-// may be old or wrong, and the target can refuse.
+// Free says whether the target has a free slot by that estimate. A foreign load
+// closes a target only for a while: the report may be wrong, and the target can
+// refuse.
 func (c Candidate) Free() bool {
-	return c.InFlight == 0 || c.Load() < float64(c.Slots)
+	if c.Load() < float64(c.Slots) {
+		return true
+	}
+	return c.InFlight == 0 && c.Idle > probeAfter
 }
 
 // score is lower for a better target.
--- a/pkg/cmd/factory/factory.go
+++ b/pkg/cmd/factory/factory.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"time"
 
@@ -72,7 +73,11 @@
 	if text {
 		w = zerolog.ConsoleWriter{Out: f.Err, NoColor: true, TimeFormat: time.TimeOnly}
 	}
-	return zerolog.New(w).Level(parsed).With().Timestamp().Logger(), nil
+	log := zerolog.New(w).Level(parsed).With().Timestamp().Logger()
+	// net/http writes what it cannot return as an error to the standard log.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.With().Str("level", "warn").Str("part", "net/http").Logger())
+	return log, nil
 }
 
 // PrintJSON writes v to standard output as indented JSON.
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,6 +30,7 @@
 
 // Main runs the program with arguments and returns its exit code.
 func Main(args []string) int {
+	log.SetOutput(io.Discard) // commands with a log of their own set it again
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return mainWith(ctx, factory.New(Version), args)
