--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -21,7 +21,7 @@
 	shedFor = time.Second
 	// headroom is the part of a congested pool's slots that is planned for, so
 	// that what is let in does not wait long.
-	headroom = 0.95
+	headroom = 1.1
 	// forgetRate is the rate, in requests a second, below which a class is forgotten.
 	forgetRate = 0.01
 )
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -55,6 +55,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
+
+	mu        sync.Mutex
+	processes []*Process
 }
 
 // Member is one node with the means to stop it.
@@ -382,6 +385,12 @@
 // Close ends everything.
 func (l *Lab) Close() {
 	l.cancel()
+	l.mu.Lock()
+	for _, p := range l.processes {
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+	}
+	l.mu.Unlock()
 	for _, m := range l.Nodes {
 		m.Kill()
 	}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -38,12 +38,13 @@
 	Admin   string `json:"admin"`
 }
 
-// StartProcess starts a node of the lab's deployment as a process. The command
+// StartProcess starts a node of the lab's deployment as a process; its number
+// decides its data centre. The command
 // must run honeydyke with the arguments that are added to it.
-func (l *Lab) StartProcess(ctx context.Context, peers []string, command []string, env ...string) (*Process, error) {
+func (l *Lab) StartProcess(ctx context.Context, number int, peers, command []string, env ...string) (*Process, error) {
 	cfg := l.settings()
 	cfg.Peers = peers
-	cfg.DataCentre = l.dataCentre(len(peers))
+	cfg.DataCentre = l.dataCentre(number)
 	raw, err := json.Marshal(cfg)
 	if err != nil {
 		return nil, err
@@ -60,6 +61,9 @@
 		return nil, err
 	}
 	started := make(chan startedLine, 1)
+	l.mu.Lock()
+	l.processes = append(l.processes, p)
+	l.mu.Unlock()
 	go p.follow(stderr, started)
 	select {
 	case line := <-started:
@@ -97,6 +101,9 @@
 	return client.New("http://"+p.Admin, "").ReadState(ctx)
 }
 
+// PID returns the number of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -192,7 +192,7 @@
 	if a.share.Once {
 		ticket, err := c.TakeTicket(ctx, a.share.Pipeline)
 		if err != nil {
-			rec.failed(a.share.Pipeline, verdict.From(err), time.Since(start))
+			rec.failed(a.share.Pipeline, input, verdict.From(err))
 			return
 		}
 		req.Ticket = ticket.Ticket
@@ -206,7 +206,7 @@
 	took := time.Since(start)
 	switch {
 	case err != nil:
-		rec.failed(a.share.Pipeline, verdict.From(err), took)
+		rec.failed(a.share.Pipeline, input, verdict.From(err))
 	case p.Check != nil && !p.Check(a.share, input, answer.Output):
 		rec.wrong(a.share.Pipeline)
 	default:
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -242,6 +242,10 @@
 	// Time since a source last confirmed the bundle, in milliseconds.
 	BundleAgeMs int `json:"bundleAgeMs,omitempty,omitzero"`
 
+	// Bytes of calls to and from peers, the platform and load reports since the
+	// start.
+	ControlBytes int `json:"controlBytes,omitempty,omitzero"`
+
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre"`
 
--- a/pkg/cmd/experiment/experiment.go
+++ b/pkg/cmd/experiment/experiment.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,7 +34,7 @@
 	}
 	opts := &Options{Factory: f}
 	cmd.PersistentFlags().BoolVar(&opts.JSON, "json", false, "print JSON")
-	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts), newCmdMatrix(opts), newCmdStreams(opts))
+	cmd.AddCommand(newCmdOverhead(opts), newCmdPolicy(opts), newCmdMatrix(opts), newCmdStreams(opts), newCmdFleet(opts))
 	return cmd
 }
 
@@ -148,3 +149,38 @@
 	cmd.Flags().IntVar(&o.EveryNth, "every", 4, "one reply in so many loses its engine")
 	return cmd
 }
+
+func newCmdFleet(opts *Options) *cobra.Command {
+	var o experiment.FleetOptions
+	cmd := &cobra.Command{
+		Use:   "fleet",
+		Short: "Run many node processes under load and faults",
+		Long: "Start node processes of this program on loopback, watch them idle, publish\n" +
+			"bundles, then send load while nodes are killed, paused, woken and stopped, targets\n" +
+			"leave and the configuration service is down; compare with what must hold.",
+		Example: "  honeydyke experiment fleet --nodes 30\n  honeydyke experiment fleet --nodes 10 --storm 0s --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			program, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			o.Command = []string{program}
+			result, err := experiment.RunFleet(cmd.Context(), o)
+			if err := opts.measure(result, err); err != nil {
+				return err
+			}
+			if n := len(result.Broken); n > 0 {
+				return errors.Errorf("%d promises are broken", n)
+			}
+			return nil
+		},
+	}
+	flags := cmd.Flags()
+	flags.IntVar(&o.Nodes, "nodes", 30, "node processes")
+	flags.DurationVar(&o.Calm, "calm", 10*time.Second, "how long the idle nodes are watched")
+	flags.DurationVar(&o.Storm, "storm", 16*time.Second, "how long load and faults last; 0 for none")
+	flags.Float64Var(&o.Rate, "rate", 100, "requests a second")
+	flags.Uint64Var(&o.Seed, "seed", 1, "seed of the arrivals")
+	return cmd
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -73,7 +73,9 @@
 	tickets  *tickets
 	metrics  *metrics
 	pulse    pulse
-	peers    *peerClient
+	// control counts the bytes of control traffic.
+	control atomic.Int64
+	peers   *peerClient
 
 	system     *actor.ActorSystem
 	bundles    *actor.PID
@@ -146,7 +148,7 @@
 		return err
 	}
 	n.listeners.secure(tlsConfigs)
-	n.peers = newPeerClient(n.cfg.Keys.Peer, tlsConfigs.toPeers)
+	n.peers = newPeerClient(n.cfg.Keys.Peer, tlsConfigs.toPeers, &n.control)
 	n.delivery = delivery.New(n.deliveryOptions(tlsConfigs)...)
 	n.gate = newGate(admission.Config{
 		DataCentre: n.cfg.DataCentre, Policy: n.policy, Seed: routing.Hash(n.incarnation), NeverRefuse: n.naive,
@@ -180,6 +182,7 @@
 		n.listeners.close()
 		return errors.Wrap(err, "listen for peers")
 	}
+	n.listeners.peers = &countedListener{Listener: n.listeners.peers, bytes: &n.control}
 	if n.listeners.admin, err = net.Listen("tcp", n.cfg.Listen.Admin); err != nil {
 		n.listeners.close()
 		return errors.Wrap(err, "listen for operators")
@@ -336,7 +339,7 @@
 	dump := message.StateDump{
 		Node: n.PeerAddress(), Incarnation: n.incarnation, DataCentre: n.cfg.DataCentre,
 		Phase: message.StateDumpPhase(n.Phase().String()), InFlight: g.inFlight, Held: g.held,
-		Targets: g.targets, Organisations: g.organisations,
+		ControlBytes: int(n.control.Load()), Targets: g.targets, Organisations: g.organisations,
 		Tickets: message.TicketState{Running: running, Spent: spent},
 	}
 	n.describeBundle(&dump)
--- a/pkg/node/sources.go
+++ b/pkg/node/sources.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -45,17 +46,18 @@
 	plain  *http.Client
 }
 
-func newPeerClient(key string, cfg *tls.Config) *peerClient {
+func newPeerClient(key string, cfg *tls.Config, control *atomic.Int64) *peerClient {
 	scheme := "http"
 	if cfg != nil {
 		scheme = "https"
 	}
+	dial := countedDial(control)
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &peerClient{
 		key:    key,
 		scheme: scheme,
-		peers:  &http.Client{Transport: &http.Transport{TLSClientConfig: cfg, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}, CheckRedirect: noRedirect},
-		plain:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}, CheckRedirect: noRedirect},
+		peers:  &http.Client{Transport: &http.Transport{DialContext: dial, TLSClientConfig: cfg, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}, CheckRedirect: noRedirect},
+		plain:  &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}, CheckRedirect: noRedirect},
 	}
 }
 
