--- a/pkg/cmd/root/root_test.go
+++ b/pkg/cmd/root/root_test.go
@@ -138,6 +138,50 @@
 	})
 }
 
+func TestVerbsAgainstANode(t *testing.T) {
+	convey.Convey("Given a node", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		l, err := lab.Start(ctx, examples.Kowhai(), lab.WithNodes(2))
+		convey.So(err, convey.ShouldBeNil)
+		defer l.Close()
+		one, two := l.Nodes[0], l.Nodes[1]
+		key := examples.Key("depots")
+		convey.Convey("send prints the whole answer, streamed or not, once or not", func() {
+			for _, flags := range [][]string{nil, {"--stream"}} {
+				args := append([]string{"send", "--node", one.URL(), "--key", key, "--pipeline", "availability", "a van"}, flags...)
+				out, errs, code := execute("", args...)
+				convey.So(errs, convey.ShouldBeEmpty)
+				convey.So(code, convey.ShouldEqual, factory.ExitOK)
+				convey.So(strings.TrimSpace(out), convey.ShouldEqual, lab.Expected(l.Plan, "depots", "availability", "a van"))
+			}
+			out, _, code := execute("locker 5", "send", "--node", two.URL(), "--key", key, "--pipeline", "release-locker", "--once", "--json", "-")
+			convey.So(code, convey.ShouldEqual, factory.ExitOK)
+			convey.So(out, convey.ShouldContainSubstring, `"stage": "release"`)
+		})
+		convey.Convey("send says that a request did not run", func() {
+			_, errs, code := execute("", "send", "--node", one.URL(), "--key", "wrong", "--pipeline", "availability", "x")
+			convey.So(code, convey.ShouldEqual, factory.ExitNotRun)
+			convey.So(errs, convey.ShouldContainSubstring, "unauthorised (not-run)")
+		})
+		convey.Convey("state shows the bundle, the targets and the peers", func() {
+			out, _, code := execute("", "state", "--admin", "http://"+one.AdminAddress())
+			convey.So(code, convey.ShouldEqual, factory.ExitOK)
+			for _, want := range []string{"bundle 1", "engines-1", two.PeerAddress(), "depots"} {
+				convey.So(out, convey.ShouldContainSubstring, want)
+			}
+		})
+		convey.Convey("load reports as text, JSON and SVG", func() {
+			args := []string{"load", "--node", one.URL(), "--key", key, "--pipeline", "availability", "--rate", "30", "--duration", "500ms"}
+			for format, want := range map[string]string{"text": "whole in time", "json": `"costByStage"`, "svg": "<svg"} {
+				out, _, code := execute("", append(args, "--format", format)...)
+				convey.So(code, convey.ShouldEqual, factory.ExitOK)
+				convey.So(out, convey.ShouldContainSubstring, want)
+			}
+		})
+	})
+}
+
 func TestProcessStopsWithoutCutting(t *testing.T) {
 	convey.Convey("Given a node process with streams in flight and load from several callers", t, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
