--- /dev/null
+++ b/internal/batching/event.go
@@ -0,0 +1,145 @@
+// Package batching decides which items of many requests share a call to a
+// target of a batch service, in which order and where. It does no input or
+// output and reads no clock: events go in, effects come out.
+//
+// One node forms all the calls of a service, so that few calls carry many
+// items. A target works on one call at a time; while it works, the items of its
+// next call gather.
+package batching
+
+import (
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/catalog"
+	"github.com/honeydyke/honeydyke/internal/directory"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// Token names one submitted item within one core.
+type Token uint64
+
+// CallID names one call within one core.
+type CallID uint64
+
+// Item is one piece of a stage's work.
+type Item struct {
+	Token   Token
+	Request string
+	Stage   int
+	Index   int
+	// Source is the key of what the item is made from; empty when it has inputs.
+	Source string
+	// Inputs are the handles of the results that the item is made from.
+	Inputs []string
+	// Bytes is roughly the size of the result.
+	Bytes int64
+	// Due is when the item should be ready for its request to be in time.
+	Due time.Time
+	// Deadline is when the item is of no use any more.
+	Deadline time.Time
+	// Priority is lower for items that go first.
+	Priority int
+	// DataCentre is where the result will be used; empty for anywhere.
+	DataCentre string
+}
+
+// Result is a finished item.
+type Result struct {
+	// Handle names the result at the target that made it.
+	Handle string
+	// Target is the identity of the target that made it.
+	Target string
+	// DataCentre is where that target is.
+	DataCentre string
+}
+
+// Outcome is what a target answered for one item.
+type Outcome struct {
+	Handle string
+	// Refusal says why there is no handle.
+	Refusal Refusal
+}
+
+// Refusal is a target's reason for not making an item.
+type Refusal int
+
+// Reasons of targets.
+const (
+	// Made means that there is a handle.
+	Made Refusal = iota
+	// Late means that the time left had run out.
+	Late
+	// InputGone means that an input does not exist any more.
+	InputGone
+	// NoRoom means that the target has no memory for the result.
+	NoRoom
+	// Failed means that the work failed.
+	Failed
+)
+
+// Event is what can happen to the core.
+type Event interface{ isEvent() }
+
+// Configure tells the service and its targets.
+type Configure struct {
+	Service *catalog.Service
+	Targets []directory.Target
+}
+
+// Submit hands in items; each gets one Resolve, unless it is withdrawn.
+type Submit struct{ Items []Item }
+
+// Withdraw takes items back; their results are freed.
+type Withdraw struct{ Tokens []Token }
+
+// Finished reports the end of a call.
+type Finished struct {
+	Call     CallID
+	Outcomes []Outcome
+	Err      *verdict.Error
+}
+
+// Release frees results that have been used or are not needed.
+type Release struct {
+	Target  string
+	Handles []string
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Configure) isEvent() {}
+func (Submit) isEvent()    {}
+func (Withdraw) isEvent()  {}
+func (Finished) isEvent()  {}
+func (Release) isEvent()   {}
+func (Tick) isEvent()      {}
+
+// Effect is what a shell must carry out.
+type Effect interface{ isEffect() }
+
+// Start sends a call to a target.
+type Start struct {
+	Call   CallID
+	Target directory.Target
+	Items  []Item
+	// Limit is the longest that the call may take.
+	Limit time.Duration
+}
+
+// Resolve ends an item: with a result, or with an error.
+type Resolve struct {
+	Token  Token
+	Result Result
+	Err    *verdict.Error
+}
+
+// Free tells a target to forget results.
+type Free struct {
+	Target  directory.Target
+	Handles []string
+}
+
+func (Start) isEffect()   {}
+func (Resolve) isEffect() {}
+func (Free) isEffect()    {}
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -79,20 +79,28 @@
 // WithStall sets the longest silence of a stream before it counts as stalled.
 func WithStall(d time.Duration) Option { return func(c *Client) { c.stall = d } }
 
+// WithDialTimeout bounds the time to connect to a target.
+func WithDialTimeout(d time.Duration) Option {
+	return func(c *Client) {
+		c.shared = newHTTPClient(nil, false, d)
+		c.once = newHTTPClient(nil, true, d)
+	}
+}
+
 // WithTLS calls targets over TLS.
 func WithTLS(cfg *tls.Config) Option {
 	return func(c *Client) {
 		c.scheme = "https"
-		c.shared = newHTTPClient(cfg, false)
-		c.once = newHTTPClient(cfg, true)
+		c.shared = newHTTPClient(cfg, false, dialTimeout)
+		c.once = newHTTPClient(cfg, true, dialTimeout)
 	}
 }
 
 // New returns a client.
 func New(opts ...Option) *Client {
 	c := &Client{
-		shared: newHTTPClient(nil, false),
-		once:   newHTTPClient(nil, true),
+		shared: newHTTPClient(nil, false, dialTimeout),
+		once:   newHTTPClient(nil, true, dialTimeout),
 		scheme: "http",
 		now:    time.Now,
 		stall:  defaultStall,
@@ -105,10 +113,10 @@
 
 // newHTTPClient returns a client that sends a request once: it follows no
 // redirect and speaks no HTTP/2, whose transport re-sends refused requests.
-func newHTTPClient(cfg *tls.Config, fresh bool) *http.Client {
+func newHTTPClient(cfg *tls.Config, fresh bool, dial time.Duration) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	dialer := &net.Dialer{Timeout: dial, KeepAlive: keepAlivePeriod}
 	transport := &http.Transport{
 		DialContext:         dialGuarded(dialer),
 		TLSClientConfig:     cfg,
@@ -158,6 +166,29 @@
 	return &answer, nil
 }
 
+// Permit is asked just before the first byte of a request is written.
+type Permit func() error
+
+// Exchange sends a request as it is, once, and returns the head of the answer.
+// The error is nil or says whether the request may have reached the target. spoil
+// keeps the connection from carrying another request; it is for answers that
+// cannot be trusted.
+func (c *Client) Exchange(req *http.Request, permit Permit) (resp *http.Response, spoil func(), failure *verdict.Error) {
+	var sent attempt
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.take(guardOf(info.Conn), permit) }}
+	ctx := httptrace.WithClientTrace(req.Context(), trace)
+	resp, err := c.shared.Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, nil, sent.failure(ctx, err)
+	}
+	conn := sent.conn.Load()
+	return resp, func() {
+		if conn != nil {
+			conn.seal()
+		}
+	}, nil
+}
+
 // exchange is one call whose answer's header has arrived.
 type exchange struct {
 	call Call
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -312,11 +312,11 @@
 	return &settings.Settings{
 		DataCentre: l.dataCentre(len(l.Nodes)),
 		Listen:     settings.Listen{Callers: loopback, Peers: loopback, Admin: loopback},
-		Trust: settings.Trust{
+		Trust: &settings.Trust{
 			Deployment: l.Plan.Name(), Required: 1,
 			Approvers: []settings.Approver{{Name: approver, PublicKey: hex.EncodeToString(public)}},
 		},
-		Keys: settings.Keys{
+		Keys: &settings.Keys{
 			Peer:   strings.Repeat("p", 32),
 			Ticket: hex.EncodeToString(l.key.Seed()),
 		},
--- /dev/null
+++ b/internal/membership/roster.go
@@ -0,0 +1,203 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/message"
+)
+
+const (
+	// rosterLive is how long after its last sign of life a member counts as live.
+	rosterLive = 2500 * time.Millisecond
+	// rosterForget is how long a silent member stays known.
+	rosterForget = 30 * time.Second
+	// suspectFor is how long a member that failed a call is passed over, unless
+	// it gives a new sign of life.
+	suspectFor = 1500 * time.Millisecond
+	// maxGossip bounds the members told in one exchange.
+	maxGossip = 40
+)
+
+// rosterEntry is what is known of one member.
+type rosterEntry struct {
+	message.GossipMember
+	// advanced is when the member's beat last rose, by this node's clock.
+	advanced     time.Time
+	suspectUntil time.Time
+}
+
+// Roster is the list of members that a gateway node keeps by gossip. Every
+// member's beat rises while it runs; a member whose beat has not risen for some
+// time is taken for dead. What is told of a member is ordered by incarnation and
+// beat, so any order, loss or repetition of exchange ends the same.
+//
+// A Roster is not safe for concurrent use.
+type Roster struct {
+	self  message.GossipMember
+	known map[string]rosterEntry
+	seeds []string
+}
+
+// NewRoster returns the roster of a member that knows only itself and the
+// addresses to begin with.
+func NewRoster(self string, incarnation int64, seeds []string) *Roster {
+	seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == self })
+	return &Roster{
+		self:  message.GossipMember{Address: self, Incarnation: int(incarnation)},
+		known: map[string]rosterEntry{},
+		seeds: seeds,
+	}
+}
+
+// SetSeeds replaces the addresses to begin with.
+func (r *Roster) SetSeeds(seeds []string) {
+	r.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == r.self.Address })
+}
+
+// Tell sets what this member tells of itself.
+func (r *Roster) Tell(serving, leaving bool, version, revision int64) {
+	r.self.Serving = serving
+	r.self.Leaving = leaving
+	r.self.Version = int(version)
+	r.self.Revision = int(revision)
+}
+
+// Beat raises this member's beat.
+func (r *Roster) Beat() { r.self.Beat++ }
+
+// Merge takes in what another member told.
+func (r *Roster) Merge(now time.Time, g message.Gossip) {
+	for _, m := range g.Members {
+		if m.Address == r.self.Address {
+			r.refute(m)
+			continue
+		}
+		old, known := r.known[m.Address]
+		if known && compareMembers(m, old.GossipMember) <= 0 {
+			continue
+		}
+		r.known[m.Address] = rosterEntry{GossipMember: m, advanced: now}
+	}
+}
+
+// refute outbids what is told of an earlier life at this address.
+func (r *Roster) refute(m message.GossipMember) {
+	if m.Incarnation > r.self.Incarnation {
+		r.self.Incarnation = m.Incarnation + 1
+	}
+}
+
+func compareMembers(a, b message.GossipMember) int {
+	if c := cmp.Compare(a.Incarnation, b.Incarnation); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Beat, b.Beat)
+}
+
+// Suspect passes a member over that failed a call.
+func (r *Roster) Suspect(now time.Time, address string) {
+	if e, known := r.known[address]; known {
+		e.suspectUntil = now.Add(suspectFor)
+		r.known[address] = e
+	}
+}
+
+// Forget drops members that have been silent for long.
+func (r *Roster) Forget(now time.Time) {
+	maps.DeleteFunc(r.known, func(_ string, e rosterEntry) bool { return now.Sub(e.advanced) > rosterForget })
+}
+
+// Gossip returns what to tell another member.
+func (r *Roster) Gossip(now time.Time) message.Gossip {
+	others := make([]message.GossipMember, 0, len(r.known))
+	for _, e := range r.known {
+		if r.live(now, e) || e.Leaving {
+			others = append(others, e.GossipMember)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), maxGossip)]
+	return message.Gossip{Members: append([]message.GossipMember{r.self}, others...)}
+}
+
+func (r *Roster) live(now time.Time, e rosterEntry) bool {
+	return now.Sub(e.advanced) <= rosterLive
+}
+
+// Partners returns up to n members to exchange with, at random, and one seed
+// that is not known as live, so that parts which lost each other meet again.
+func (r *Roster) Partners(now time.Time, n int) []string {
+	var live, other []string
+	for a, e := range r.known {
+		if r.live(now, e) {
+			live = append(live, a)
+		}
+	}
+	for _, s := range r.seeds {
+		if !slices.Contains(live, s) {
+			other = append(other, s)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	partners := live[:min(len(live), n)]
+	if len(other) > 0 {
+		partners = append(partners, other[rand.N(len(other))])
+	}
+	return partners
+}
+
+// Serving returns the members that take work, this one included when it does,
+// in the order of their addresses.
+func (r *Roster) Serving(now time.Time) []string {
+	var list []string
+	if r.self.Serving && !r.self.Leaving {
+		list = append(list, r.self.Address)
+	}
+	for a, e := range r.known {
+		if e.Serving && !e.Leaving && r.live(now, e) && !now.Before(e.suspectUntil) {
+			list = append(list, a)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Size returns how many members are known to live, this one included.
+func (r *Roster) Size(now time.Time) int {
+	n := 1
+	for _, e := range r.known {
+		if r.live(now, e) {
+			n++
+		}
+	}
+	return n
+}
+
+// Newest returns the live member that knows the newest configuration and
+// revision, when it knows more than this one; empty for none.
+func (r *Roster) Newest(now time.Time, version, revision int64) string {
+	newest := ""
+	bestVersion, bestRevision := int(version), int(revision)
+	for a, e := range r.known {
+		if !r.live(now, e) || e.Version < bestVersion {
+			continue
+		}
+		if e.Version > bestVersion || e.Revision > bestRevision {
+			newest, bestVersion, bestRevision = a, e.Version, e.Revision
+		}
+	}
+	return newest
+}
+
+// Members returns all that is known, for the state dump.
+func (r *Roster) Members() []message.GossipMember {
+	list := []message.GossipMember{r.self}
+	for _, a := range slices.Sorted(maps.Keys(r.known)) {
+		list = append(list, r.known[a].GossipMember)
+	}
+	return list
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -32,6 +32,110 @@
 	Readers []Reader `json:"readers,omitempty,omitzero"`
 }
 
+// Gossip is what two gateway nodes tell each other of the members, in both
+// directions.
+type Gossip struct {
+	// The sender first, then others at random.
+	Members []GossipMember `json:"members"`
+}
+
+// GossipMember is what is told of one member.
+type GossipMember struct {
+	// Peer address.
+	Address string `json:"address"`
+
+	// Rises while the member runs.
+	Beat int `json:"beat"`
+
+	// Rises with each start of the member.
+	Incarnation int `json:"incarnation"`
+
+	// Leaving corresponds to the JSON schema field "leaving".
+	Leaving bool `json:"leaving,omitempty,omitzero"`
+
+	// Revision up to which it heard the source.
+	Revision int `json:"revision,omitempty,omitzero"`
+
+	// Whether the member knows a configuration.
+	Serving bool `json:"serving,omitempty,omitzero"`
+
+	// Version of its configuration.
+	Version int `json:"version,omitempty,omitzero"`
+}
+
+// ItemGroup asks the node that forms a service's calls for the items of one stage
+// of one request.
+type ItemGroup struct {
+	// Rough size of one result.
+	Bytes int `json:"bytes"`
+
+	// Count corresponds to the JSON schema field "count".
+	Count int `json:"count"`
+
+	// Where the results will be used.
+	DataCentre string `json:"dataCentre,omitempty,omitzero"`
+
+	// Time until the results are of no use.
+	DeadlineMs int `json:"deadlineMs"`
+
+	// Time until the results are due; negative when late.
+	DueMs int `json:"dueMs"`
+
+	// Handles that the items are made from.
+	Inputs []string `json:"inputs,omitempty,omitzero"`
+
+	// Priority corresponds to the JSON schema field "priority".
+	Priority int `json:"priority"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Key of what the items are made from.
+	Source string `json:"source,omitempty,omitzero"`
+
+	// Stage corresponds to the JSON schema field "stage".
+	Stage int `json:"stage"`
+}
+
+// ItemRelease frees results.
+type ItemRelease struct {
+	// Results corresponds to the JSON schema field "results".
+	Results []ItemResult `json:"results"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
+// ItemResult names one result.
+type ItemResult struct {
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre,omitempty,omitzero"`
+
+	// Handle corresponds to the JSON schema field "handle".
+	Handle string `json:"handle"`
+
+	// Identity of the target that made it.
+	Target string `json:"target"`
+}
+
+// ItemResults answers an ItemGroup.
+type ItemResults struct {
+	// Why there are no results.
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// In the order of the items; empty with a refusal.
+	Results []ItemResult `json:"results"`
+
+	// RetryAfterMs corresponds to the JSON schema field "retryAfterMs".
+	RetryAfterMs int `json:"retryAfterMs,omitempty,omitzero"`
+
+	// Text corresponds to the JSON schema field "text".
+	Text string `json:"text,omitempty,omitzero"`
+}
+
 // LeavingMark says that one incarnation of a target is leaving; it is never taken
 // back.
 type LeavingMark struct {
@@ -65,6 +169,18 @@
 	// Exchange corresponds to the JSON schema field "exchange".
 	Exchange *Exchange `json:"exchange,omitempty,omitzero"`
 
+	// Gossip corresponds to the JSON schema field "gossip".
+	Gossip *Gossip `json:"gossip,omitempty,omitzero"`
+
+	// ItemGroup corresponds to the JSON schema field "itemGroup".
+	ItemGroup *ItemGroup `json:"itemGroup,omitempty,omitzero"`
+
+	// ItemRelease corresponds to the JSON schema field "itemRelease".
+	ItemRelease *ItemRelease `json:"itemRelease,omitempty,omitzero"`
+
+	// ItemResults corresponds to the JSON schema field "itemResults".
+	ItemResults *ItemResults `json:"itemResults,omitempty,omitzero"`
+
 	// LoadReport corresponds to the JSON schema field "loadReport".
 	LoadReport *LoadReport `json:"loadReport,omitempty,omitzero"`
 
@@ -94,6 +210,9 @@
 
 	// TicketRequest corresponds to the JSON schema field "ticketRequest".
 	TicketRequest *TicketRequest `json:"ticketRequest,omitempty,omitzero"`
+
+	// ViewSnapshot corresponds to the JSON schema field "viewSnapshot".
+	ViewSnapshot *ViewSnapshot `json:"viewSnapshot,omitempty,omitzero"`
 }
 
 // OrganisationState is what an organisation uses at a node.
@@ -379,3 +498,37 @@
 	// Spent corresponds to the JSON schema field "spent".
 	Spent int `json:"spent"`
 }
+
+// ViewSnapshot is what one node knows of the deployment, for a node that the
+// source turns away.
+type ViewSnapshot struct {
+	// The source's own text of the configuration, in base64.
+	Document string `json:"document"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision int `json:"revision"`
+
+	// Targets corresponds to the JSON schema field "targets".
+	Targets []ViewTarget `json:"targets"`
+}
+
+// ViewTarget is one target of a ViewSnapshot.
+type ViewTarget struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre,omitempty,omitzero"`
+
+	// Draining corresponds to the JSON schema field "draining".
+	Draining bool `json:"draining,omitempty,omitzero"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots,omitempty,omitzero"`
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,355 @@
+// Package relay carries one request from its caller to the targets that serve
+// it: the work of its stages first, then the request itself, passed through
+// unchanged. It decides where the request goes, when it may be repeated and what
+// the caller is told.
+//
+// The package speaks no protocol. Callers and targets are ports; an adapter
+// translates each.
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/honeydyke/honeydyke/internal/batching"
+	"github.com/honeydyke/honeydyke/internal/catalog"
+	"github.com/honeydyke/honeydyke/internal/directory"
+	"github.com/honeydyke/honeydyke/internal/placement"
+	"github.com/honeydyke/honeydyke/internal/retrybudget"
+	"github.com/honeydyke/honeydyke/internal/view"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// Part is a part of a prompt; parts are shared between requests.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is one attempt of a client.
+type Request struct {
+	ID   string
+	Host string
+	Path string
+	// Key is the key that the client gave; empty for none.
+	Key string
+	// Arrived is when the request came in.
+	Arrived time.Time
+	// Patience is how long the client waits; 0 for unknown.
+	Patience time.Duration
+	// Parts are the shared parts of the prompt, in order.
+	Parts []Part
+	// Items is how many items each stage has.
+	Items []int
+	// Source is the key of what the first items are made from.
+	Source string
+	// LastEvent is the event after which the client goes on; empty for the start.
+	LastEvent string
+	// Payload is the adapter's own form of what is passed through.
+	Payload any
+}
+
+// Call is a request on its way to one target.
+type Call struct {
+	Target directory.Target
+	ID     string
+	// Payload is the request's.
+	Payload any
+	// Until is when the target may stop working.
+	Until time.Time
+	// Organisation is the holder of the caller's key; empty for none.
+	Organisation string
+	// Priority is the rank at an engine, from 0 (first) to 9; -1 for none.
+	Priority int
+	// Inputs are the handles of the last stages' results.
+	Inputs []string
+	// LastEvent is the event after which the target goes on; empty for the start.
+	LastEvent string
+	// Permit is asked just before the first byte is written.
+	Permit func() error
+}
+
+// Reply is a target's answer to a call whose head has come.
+type Reply struct {
+	// Status is the target's own status.
+	Status int
+	// Succeeded says whether the status is a success.
+	Succeeded bool
+	// Head is the adapter's own form of what is passed back.
+	Head any
+	// Body gives the answer; an end without error proves that it is whole.
+	Body io.ReadCloser
+	// Load is what the target told of itself; nil for nothing.
+	Load *placement.Load
+}
+
+// Upstream sends calls to targets.
+type Upstream interface {
+	Send(ctx context.Context, c Call) (*Reply, *verdict.Error)
+}
+
+// Responder answers a caller. Begin is called once, before any Write.
+type Responder interface {
+	// Begin passes on a target's head; length is -1 for a stream.
+	Begin(r *Reply, length int) error
+	// Write passes on bytes at once.
+	Write(p []byte) error
+}
+
+// Group is the items of one stage of one request.
+type Group struct {
+	Request string
+	Stage   int
+	Count   int
+	// Source or Inputs are what the items are made from.
+	Source     string
+	Inputs     []string
+	Bytes      int64
+	Due        time.Time
+	Deadline   time.Time
+	Priority   int
+	DataCentre string
+}
+
+// Batcher has items made.
+type Batcher interface {
+	// Make returns the results in the order of the items' numbers.
+	Make(ctx context.Context, service string, g Group) ([]batching.Result, *verdict.Error)
+	// Release frees results.
+	Release(service string, results []batching.Result)
+}
+
+// Observer is told of what happens to requests.
+type Observer interface {
+	Ended(o *Outcome)
+}
+
+// Outcome is the story of one request.
+type Outcome struct {
+	Request      *Request
+	Route        *catalog.Route
+	Service      string
+	Organisation string
+	// Version and Revision are those of the view that governed the request.
+	Version  int64
+	Revision int64
+	Attempts []Attempt
+	// StagesTook is the time until all stages were done.
+	StagesTook time.Duration
+	// First is the time to the first byte passed back; 0 for none.
+	First  time.Duration
+	Took   time.Duration
+	Status int
+	Events int
+	// Reread counts calls for which results had to be made again.
+	Remade int
+	Err    *verdict.Error
+}
+
+// Attempt is one call to a target.
+type Attempt struct {
+	Target string
+	Took   time.Duration
+	Status int
+	Err    *verdict.Error
+}
+
+// Config holds what a Server is made of.
+type Config struct {
+	DataCentre string
+	View       func() *view.View
+	Upstream   Upstream
+	Batcher    Batcher
+	Observer   Observer
+	Now        func() time.Time
+	// Budget bounds repeats over all nodes.
+	Budget retrybudget.Policy
+	// Members returns how many nodes share the targets' connections.
+	Members func() int
+}
+
+// Server relays requests. Create it with New.
+type Server struct {
+	cfg Config
+
+	mu      sync.Mutex
+	table   *placement.Table
+	budgets map[string]*retrybudget.Budget
+}
+
+// New returns a server.
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, table: placement.New(), budgets: map[string]*retrybudget.Budget{}}
+}
+
+const (
+	// answerMargin is kept free before the end of a request's time, so that its
+	// answer reaches the caller in time.
+	answerMargin = 25 * time.Millisecond
+	// defaultPatience is assumed of clients that do not tell theirs.
+	defaultPatience = 30 * time.Second
+	// engineLead is about the time from the last stage to an engine's first event.
+	engineLead = 150 * time.Millisecond
+	// priorityLevels is the number of ranks at engines.
+	priorityLevels = 10
+	// routePriorities is how many priorities of routes fit into one of an
+	// organisation.
+	routePriorities = 3
+)
+
+// job is one request under way.
+type job struct {
+	s       *Server
+	req     *Request
+	out     Responder
+	view    *view.View
+	route   *catalog.Route
+	service *catalog.Service
+	org     *catalog.Organisation
+	// until is when the request must have its answer.
+	until time.Time
+	// objective is when its answer should come.
+	objective time.Time
+	outcome   Outcome
+	tried     []string
+	// sends counts the calls that a target may have run.
+	sends  int
+	begun  bool
+	result *stageResults
+}
+
+// Serve relays a request. With an error the caller has got nothing, or, if the
+// answer had begun, not the whole answer.
+func (s *Server) Serve(ctx context.Context, req *Request, out Responder) *verdict.Error {
+	j := &job{s: s, req: req, out: out, view: s.cfg.View()}
+	err := j.run(ctx)
+	j.outcome.Request = req
+	j.outcome.Route = j.route
+	j.outcome.Took = s.cfg.Now().Sub(req.Arrived)
+	j.outcome.Err = err
+	s.cfg.Observer.Ended(&j.outcome)
+	return err
+}
+
+// Begun says whether the outcome's answer had begun.
+func (o *Outcome) Begun() bool { return o.First > 0 }
+
+func (j *job) run(ctx context.Context) *verdict.Error {
+	if err := j.resolve(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, j.until.Sub(j.s.cfg.Now()))
+	defer cancel()
+	j.result = newStageResults(j)
+	defer j.result.releaseAll()
+	if err := j.result.make(ctx); err != nil {
+		return j.explain(ctx, err)
+	}
+	j.outcome.StagesTook = j.s.cfg.Now().Sub(j.req.Arrived)
+	if err := j.deliver(ctx); err != nil {
+		return j.explain(ctx, err)
+	}
+	return nil
+}
+
+// explain completes an error with when to come back.
+func (j *job) explain(ctx context.Context, err *verdict.Error) *verdict.Error {
+	if j.sends > 0 && !j.route.MayRepeat() {
+		err = err.WithVerdict(verdict.MayHaveRun)
+	}
+	if err.Verdict() == verdict.NotRun && err.RetryAfter() == 0 {
+		err = err.WithRetryAfter(comeBack())
+	}
+	return err
+}
+
+// comeBack spreads the returns of refused clients.
+func comeBack() time.Duration {
+	return time.Second + rand.N(2*time.Second)
+}
+
+// resolve finds the route, the organisation and the service.
+func (j *job) resolve() *verdict.Error {
+	c := j.view.Catalog
+	if c == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonNotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+	}
+	j.outcome.Version, j.outcome.Revision = c.Version, j.view.Revision
+	j.route = c.Route(j.req.Host, j.req.Path)
+	if j.route == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonNotFound, "no route leads there")
+	}
+	if !j.route.Public && c.NeedsKeys() {
+		if j.org = c.Organisation(j.req.Key); j.org == nil {
+			return verdict.New(verdict.NotRun, verdict.ReasonUnauthorised, "the key is not known")
+		}
+		j.outcome.Organisation = j.org.Name
+	}
+	name := j.route.Service(xxhash.Sum64String(j.req.ID))
+	j.service = c.Service(name)
+	if j.service == nil {
+		j.service = &catalog.Service{Name: name}
+	}
+	j.outcome.Service = name
+	j.bound()
+	return nil
+}
+
+// bound sets how long the request may take.
+func (j *job) bound() {
+	patience := j.req.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if j.route.Timeout > 0 {
+		patience = min(patience, j.route.Timeout)
+	}
+	j.until = j.req.Arrived.Add(patience - min(answerMargin, patience/10))
+	j.objective = j.req.Arrived.Add(j.route.Objective)
+}
+
+// priority is the rank at an engine: the organisation's comes before the route's.
+func (j *job) priority() int {
+	p := min(j.route.Priority, routePriorities-1)
+	if j.org != nil {
+		p += j.org.Priority * routePriorities
+	}
+	return min(max(p, 0), priorityLevels-1)
+}
+
+// organisation returns the name passed to targets.
+func (j *job) organisation() string {
+	if j.org == nil {
+		return ""
+	}
+	return j.org.Name
+}
+
+// spend asks for a repeat, or counts a first call.
+func (s *Server) spend(service string, first bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.budgets[service]
+	if b == nil {
+		b = retrybudget.New(s.cfg.Budget)
+		s.budgets[service] = b
+	}
+	now := s.cfg.Now()
+	if first {
+		b.First(now)
+		return true
+	}
+	return b.Spend(now)
+}
+
+// Keep forgets what was learnt of targets that are gone.
+func (s *Server) Keep(d *directory.Directory) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Keep(d)
+}
--- /dev/null
+++ b/internal/relay/stages.go
@@ -0,0 +1,263 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/batching"
+	"github.com/honeydyke/honeydyke/internal/catalog"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// batchShare is the part of a full call that a later stage is expected to have.
+const batchShare = 0.6
+
+// maxRemakes bounds how often one request's results are made again.
+const maxRemakes = 2
+
+// stageResults makes and holds the results of one request's stages, and frees
+// each as soon as the stages that need it are done.
+type stageResults struct {
+	job *job
+
+	mu      sync.Mutex
+	results [][]batching.Result
+	// users counts the later stages that still need the results.
+	users []int
+	done  []bool
+	// lost says that the inputs were freed or are gone at their makers.
+	lost bool
+}
+
+func newStageResults(j *job) *stageResults {
+	n := len(j.route.Stages)
+	r := &stageResults{job: j, results: make([][]batching.Result, n), users: make([]int, n), done: make([]bool, n)}
+	for _, s := range j.route.Stages {
+		for _, a := range s.After {
+			r.users[a]++
+		}
+	}
+	for _, last := range j.route.LastStages() {
+		r.users[last]++
+	}
+	return r
+}
+
+// count returns how many items a stage of the request has.
+func (r *stageResults) count(stage int) int {
+	if stage >= len(r.job.req.Items) {
+		return 0
+	}
+	return max(r.job.req.Items[stage], 0)
+}
+
+// make has all stages that are not done made, each as soon as the stages before
+// it are done.
+func (r *stageResults) make(ctx context.Context) *verdict.Error {
+	stages := r.job.route.Stages
+	if len(stages) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ready := make([]chan struct{}, len(stages))
+	errs := make([]*verdict.Error, len(stages))
+	for i := range stages {
+		ready[i] = make(chan struct{})
+	}
+	var all sync.WaitGroup
+	for i := range stages {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			defer close(ready[i])
+			for _, a := range stages[i].After {
+				<-ready[a]
+				if errs[a] != nil {
+					errs[i] = errs[a]
+					return
+				}
+			}
+			if errs[i] = r.makeStage(ctx, i); errs[i] != nil {
+				cancel()
+			}
+		}()
+	}
+	all.Wait()
+	return firstError(errs)
+}
+
+// firstError returns the error that is not a consequence of another's.
+func firstError(errs []*verdict.Error) *verdict.Error {
+	var first *verdict.Error
+	for _, err := range errs {
+		if err == nil {
+			continue
+		}
+		if first == nil || first.Reason() == verdict.ReasonCancelled {
+			first = err
+		}
+	}
+	return first
+}
+
+func (r *stageResults) makeStage(ctx context.Context, i int) *verdict.Error {
+	r.mu.Lock()
+	done := r.done[i]
+	r.mu.Unlock()
+	if done {
+		return nil
+	}
+	if r.count(i) > 0 {
+		results, err := r.job.s.cfg.Batcher.Make(ctx, r.job.route.Stages[i].Service, r.group(i))
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		r.results[i] = results
+		r.mu.Unlock()
+	}
+	r.mu.Lock()
+	r.done[i] = true
+	r.mu.Unlock()
+	for _, a := range r.job.route.Stages[i].After {
+		r.used(a)
+	}
+	return nil
+}
+
+func (r *stageResults) group(i int) Group {
+	j := r.job
+	stage := j.route.Stages[i]
+	g := Group{
+		Request: j.req.ID, Stage: i, Count: r.count(i), Bytes: stage.ResultBytes,
+		Due: j.objective.Add(-engineLead - r.after(i)), Deadline: j.until, Priority: j.priority(),
+	}
+	if len(stage.After) == 0 {
+		g.Source = j.req.Source
+		return g
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range stage.After {
+		for _, result := range r.results[a] {
+			g.Inputs = append(g.Inputs, result.Handle)
+		}
+	}
+	return g
+}
+
+// after estimates how long the stages that follow a stage take.
+func (r *stageResults) after(i int) time.Duration {
+	var longest time.Duration
+	for k := i + 1; k < len(r.job.route.Stages); k++ {
+		for _, a := range r.job.route.Stages[k].After {
+			if a == i && r.count(k) > 0 {
+				longest = max(longest, r.estimate(k)+r.after(k))
+			}
+		}
+	}
+	return longest
+}
+
+func (r *stageResults) estimate(i int) time.Duration {
+	s := r.job.view.Catalog.Service(r.job.route.Stages[i].Service)
+	if s == nil || s.Batch == nil {
+		return 0
+	}
+	return callTime(s.Batch)
+}
+
+// callTime is about how long a call takes that is not quite full.
+func callTime(b *catalog.Batch) time.Duration {
+	return b.CallLatency + time.Duration(batchShare*float64(b.Size)*float64(b.PerItem))
+}
+
+// used says that one of the users of a stage's results is done with them.
+func (r *stageResults) used(i int) {
+	r.mu.Lock()
+	r.users[i]--
+	var free []batching.Result
+	if r.users[i] <= 0 {
+		free = r.results[i]
+		r.results[i] = nil
+	}
+	r.mu.Unlock()
+	r.release(i, free)
+}
+
+func (r *stageResults) release(i int, results []batching.Result) {
+	if len(results) > 0 {
+		r.job.s.cfg.Batcher.Release(r.job.route.Stages[i].Service, results)
+	}
+}
+
+// inputs returns the handles that the request itself needs.
+func (r *stageResults) inputs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var handles []string
+	for _, last := range r.job.route.LastStages() {
+		for _, result := range r.results[last] {
+			handles = append(handles, result.Handle)
+		}
+	}
+	return handles
+}
+
+// bytes returns how many bytes of the request's inputs lie in each data centre.
+func (r *stageResults) bytes() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sizes := make(map[string]int64)
+	for _, last := range r.job.route.LastStages() {
+		for _, result := range r.results[last] {
+			sizes[result.DataCentre] += r.job.route.Stages[last].ResultBytes
+		}
+	}
+	return sizes
+}
+
+// consumed frees the inputs once the request's target has read them.
+func (r *stageResults) consumed() {
+	if r.lost {
+		return
+	}
+	r.lost = true
+	for _, last := range r.job.route.LastStages() {
+		r.used(last)
+	}
+}
+
+// ensure has the inputs made again where they were freed or are gone.
+func (r *stageResults) ensure(ctx context.Context) *verdict.Error {
+	if !r.lost || len(r.job.route.Stages) == 0 {
+		return nil
+	}
+	return r.remake(ctx)
+}
+
+// remake has everything made again, because a result is gone.
+func (r *stageResults) remake(ctx context.Context) *verdict.Error {
+	j := r.job
+	j.outcome.Remade++
+	if j.outcome.Remade > maxRemakes {
+		return verdict.New(verdict.NotRun, verdict.ReasonInputGone, "results were lost too often")
+	}
+	r.releaseAll()
+	fresh := newStageResults(j)
+	j.result = fresh
+	return fresh.make(ctx)
+}
+
+// releaseAll frees what is still held.
+func (r *stageResults) releaseAll() {
+	for i := range r.results {
+		r.mu.Lock()
+		free := r.results[i]
+		r.results[i] = nil
+		r.mu.Unlock()
+		r.release(i, free)
+	}
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,133 @@
+// Package view holds what a node knows of the deployment: the catalog in force
+// and the directory of targets, with the revision of each. It decides what a
+// change means; it does no input or output and reads no clock.
+//
+// Within a node's life the catalog's version and the revision never go back.
+package view
+
+import (
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/catalog"
+	"github.com/honeydyke/honeydyke/internal/directory"
+)
+
+// LapseGrace is how long a target that vanished while the source was in trouble
+// is still used. Targets name themselves again within two heartbeats.
+const LapseGrace = 3 * time.Second
+
+// Change is one item of news from the source.
+type Change interface{ isChange() }
+
+// CatalogChange is a new configuration.
+type CatalogChange struct {
+	Catalog *catalog.Catalog
+	// Document is the source's own text, to pass on to peers.
+	Document []byte
+}
+
+// TargetChange is a target that came or changed.
+type TargetChange struct{ Target directory.Target }
+
+// TargetGone is a target that vanished.
+type TargetGone struct{ ID string }
+
+// Unreadable is an entry that was refused whole.
+type Unreadable struct{ Key, Why string }
+
+func (CatalogChange) isChange() {}
+func (TargetChange) isChange()  {}
+func (TargetGone) isChange()    {}
+func (Unreadable) isChange()    {}
+
+// Changes are the news up to a revision of the source.
+type Changes struct {
+	Revision int64
+	List     []Change
+}
+
+// View is what is known. It is immutable.
+type View struct {
+	Revision  int64
+	Catalog   *catalog.Catalog
+	Document  []byte
+	Directory *directory.Directory
+}
+
+// New returns the view of a node that knows nothing.
+func New() *View { return &View{Directory: directory.New()} }
+
+// Version returns the version of the catalog in force; 0 for none.
+func (v *View) Version() int64 {
+	if v.Catalog == nil {
+		return 0
+	}
+	return v.Catalog.Version
+}
+
+// WithChanges takes in news. troubled says whether the source was in trouble
+// lately, so that a target that vanished may only have lapsed.
+func (v *View) WithChanges(now time.Time, ch Changes, troubled bool) *View {
+	next := *v
+	for _, c := range ch.List {
+		switch c := c.(type) {
+		case CatalogChange:
+			next = *next.withCatalog(c)
+		case TargetChange:
+			next.Directory = next.Directory.With(c.Target)
+		case TargetGone:
+			next.Directory = next.withoutTarget(now, c.ID, troubled)
+		case Unreadable:
+		}
+	}
+	next.Revision = max(next.Revision, ch.Revision)
+	return &next
+}
+
+// WithSnapshot replaces the directory by a whole list of the source.
+func (v *View) WithSnapshot(now time.Time, ch Changes, troubled bool) *View {
+	if ch.Revision < v.Revision {
+		return v
+	}
+	listed := make(map[string]bool, len(ch.List))
+	for _, c := range ch.List {
+		if t, ok := c.(TargetChange); ok {
+			listed[t.Target.ID] = true
+		}
+	}
+	next := v.WithChanges(now, ch, troubled)
+	for id := range next.Directory.All() {
+		if !listed[id] {
+			next.Directory = next.withoutTarget(now, id, troubled)
+		}
+	}
+	return next
+}
+
+// WithTime lets lapsed targets go.
+func (v *View) WithTime(now time.Time) *View {
+	d := v.Directory.WithTime(now)
+	if d == v.Directory {
+		return v
+	}
+	next := *v
+	next.Directory = d
+	return &next
+}
+
+func (v *View) withCatalog(c CatalogChange) *View {
+	if v.Catalog != nil && c.Catalog.Version <= v.Catalog.Version {
+		return v
+	}
+	next := *v
+	next.Catalog = c.Catalog
+	next.Document = c.Document
+	return &next
+}
+
+func (v *View) withoutTarget(now time.Time, id string, troubled bool) *directory.Directory {
+	if troubled {
+		return v.Directory.WithLapsed(id, now.Add(LapseGrace))
+	}
+	return v.Directory.Without(id)
+}
--- /dev/null
+++ b/pkg/cmd/node/gateway.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"io"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/honeydyke/honeydyke/pkg/gateway"
+	"github.com/honeydyke/honeydyke/pkg/settings"
+	"github.com/honeydyke/honeydyke/platform"
+)
+
+const (
+	// memoryShare is the part of the machine's memory that the collector keeps
+	// the process below.
+	memoryShare = 0.6
+	// logLines is how many lines wait for a slow standard output; more are
+	// dropped and counted.
+	logLines = 2000
+)
+
+// runGateway runs a node that relays requests by a published configuration.
+func runGateway(ctx context.Context, opts *Options, cfg *settings.Settings) error {
+	log, err := gatewayLog(opts.Factory.Out, cfg)
+	if err != nil {
+		return err
+	}
+	if mb := cfg.Gateway.MemoryMb; mb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
+	}
+	g, err := gateway.New(cfg, platform.NewPorts(cfg.Gateway.Store), gateway.WithLogger(log))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() {
+		<-opts.Signals()
+		stop()
+	}()
+	go reloads(ctx, opts, g, log)
+	return g.Run(ctx)
+}
+
+// gatewayLog returns a log that never waits for its reader.
+func gatewayLog(out io.Writer, cfg *settings.Settings) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(cfg.LogLevelName())
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	var w io.Writer = diode.NewWriter(out, logLines, 0, func(missed int) {
+		_, _ = io.WriteString(os.Stderr, "log: lines dropped\n")
+	})
+	if cfg.TextLog() {
+		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.TimeOnly}
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Logger(), nil
+}
+
+// reloads reads the settings again at each signal that asks for it. Settings
+// that do not read are refused whole.
+func reloads(ctx context.Context, opts *Options, g *gateway.Gateway, log zerolog.Logger) {
+	signals := opts.Reloads()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		text, err := opts.Factory.Read(opts.Settings)
+		if err != nil {
+			log.Error().Err(err).Msg("settings: not read, the old ones stay")
+			continue
+		}
+		cfg, err := settings.Parse(opts.Settings, text)
+		if err != nil {
+			log.Error().Err(err).Msg("settings: refused, the old ones stay")
+			continue
+		}
+		g.Reload(cfg)
+	}
+}
--- a/pkg/cmd/node/node.go
+++ b/pkg/cmd/node/node.go
@@ -21,17 +21,22 @@
 	Check    bool
 	// Signals returns a channel of the signals that ask for a stop.
 	Signals func() <-chan os.Signal
+	// Reloads returns a channel of the signals that ask to read the settings again.
+	Reloads func() <-chan os.Signal
 }
 
 // NewCmdNode returns the verb.
 func NewCmdNode(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
-	opts := &Options{Factory: f, Signals: stopSignals}
+	opts := &Options{Factory: f, Signals: stopSignals, Reloads: reloadSignals}
 	cmd := &cobra.Command{
 		Use:   "node --settings <file>",
 		Short: "Run a node",
 		Long: "Run a node until a signal asks it to stop. The first SIGTERM or SIGINT starts a\n" +
 			"planned stop, which cuts no work in flight; a second one cuts what is left and\n" +
-			"the log says what. The node writes nothing but its log on standard error.",
+			"the log says what. The node writes nothing but its log on standard error.\n\n" +
+			"With the settings' gateway, the node relays requests by the configuration that a\n" +
+			"trusted store publishes. It then logs to standard output, and SIGHUP reads the\n" +
+			"settings again.",
 		Example: "  honeydyke node --settings node.hujson\n  honeydyke node --settings node.hujson --check",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -55,6 +60,12 @@
 	return ch
 }
 
+func reloadSignals() <-chan os.Signal {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	return ch
+}
+
 func run(ctx context.Context, opts *Options) error {
 	text, err := opts.Factory.Read(opts.Settings)
 	if err != nil {
@@ -64,6 +75,9 @@
 	if err != nil || opts.Check {
 		return err
 	}
+	if cfg.Gateway != nil {
+		return runGateway(ctx, opts, cfg)
+	}
 	log, err := opts.Factory.Logger(cfg.LogLevelName(), cfg.TextLog())
 	if err != nil {
 		return err
--- /dev/null
+++ b/pkg/gateway/batches.go
@@ -0,0 +1,355 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"github.com/honeydyke/honeydyke/internal/batching"
+	"github.com/honeydyke/honeydyke/internal/directory"
+	"github.com/honeydyke/honeydyke/internal/placement"
+	"github.com/honeydyke/honeydyke/internal/relay"
+	"github.com/honeydyke/honeydyke/internal/view"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+const (
+	// tickInterval is how often a core with work learns of the time.
+	tickInterval = 40 * time.Millisecond
+	// freeDelay gathers results to free in one call.
+	freeDelay = 25 * time.Millisecond
+	// freeTimeout bounds a call that frees results.
+	freeTimeout = time.Second
+	// maxOwners bounds the nodes that one group is handed to.
+	maxOwners = 3
+)
+
+// batches hands groups of items to the node that forms the calls of their
+// service, which may be this one.
+type batches struct {
+	g *Gateway
+
+	mu       sync.Mutex
+	services map[string]*actor.PID
+	// open counts groups that this node forms calls for.
+	open atomic.Int64
+}
+
+func newBatches(g *Gateway) *batches {
+	return &batches{g: g, services: map[string]*actor.PID{}}
+}
+
+func (b *batches) idle() bool { return b.open.Load() == 0 }
+
+// former returns the actor that forms the calls of a service at this node.
+func (b *batches) former(service string) *actor.PID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pid := b.services[service]
+	if pid == nil {
+		pid = b.g.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newFormer(b.g, service) }))
+		b.services[service] = pid
+		b.g.system.Root.Send(pid, configureOf(b.g.view.Load(), service))
+	}
+	return pid
+}
+
+func configureOf(v *view.View, service string) batching.Configure {
+	ev := batching.Configure{Targets: v.Directory.Service(service)}
+	if v.Catalog != nil {
+		ev.Service = v.Catalog.Service(service)
+	}
+	return ev
+}
+
+// configure tells the actors of a new view.
+func (b *batches) configure(v *view.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, pid := range b.services {
+		b.g.system.Root.Send(pid, configureOf(v, service))
+	}
+}
+
+// owner returns the node that forms the calls of a service.
+func (b *batches) owner(service string) string {
+	g := b.g
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	return placement.Owner(service, g.roster.Serving(g.now()))
+}
+
+// Make implements relay.Batcher.
+func (b *batches) Make(ctx context.Context, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
+	for range maxOwners {
+		owner := b.owner(service)
+		if owner == "" || owner == b.g.PeerAddress() {
+			break
+		}
+		results, err := b.g.askItems(ctx, owner, service, group)
+		if err == nil || err.Reason() != verdict.ReasonConnection || ctx.Err() != nil {
+			return results, err
+		}
+		b.g.log.Warn().Str("request", group.Request).Str("service", service).Str("member", owner).Err(err).Msg("items: member lost, asking another")
+		b.g.suspect(owner)
+	}
+	return b.makeHere(ctx, service, group)
+}
+
+// makeHere has the items made by calls that this node forms.
+func (b *batches) makeHere(ctx context.Context, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
+	b.open.Add(1)
+	defer b.open.Add(-1)
+	pid := b.former(service)
+	order := &order{group: group, done: make(chan struct{})}
+	b.g.system.Root.Send(pid, order)
+	select {
+	case <-order.done:
+		return order.results, order.err
+	case <-ctx.Done():
+		b.g.system.Root.Send(pid, cancelOrder{order})
+		reason := verdict.ReasonCancelled
+		if ctx.Err() == context.DeadlineExceeded {
+			reason = verdict.ReasonDeadline
+		}
+		return nil, verdict.New(verdict.NotRun, reason, "the results of stage %d were not awaited", group.Stage)
+	}
+}
+
+// Release implements relay.Batcher.
+func (b *batches) Release(service string, results []batching.Result) {
+	owner := b.owner(service)
+	if owner != "" && owner != b.g.PeerAddress() {
+		go b.g.askRelease(owner, service, results)
+		return
+	}
+	b.releaseHere(service, results)
+}
+
+func (b *batches) releaseHere(service string, results []batching.Result) {
+	byTarget := map[string][]string{}
+	for _, r := range results {
+		byTarget[r.Target] = append(byTarget[r.Target], r.Handle)
+	}
+	pid := b.former(service)
+	for target, handles := range byTarget {
+		b.g.system.Root.Send(pid, batching.Release{Target: target, Handles: handles})
+	}
+}
+
+// order is a group that waits for its results. The actor owns it until done is
+// closed.
+type order struct {
+	group   relay.Group
+	results []batching.Result
+	err     *verdict.Error
+	tokens  []batching.Token
+	pending int
+	closed  bool
+	done    chan struct{}
+}
+
+// cancelOrder says that nobody waits for an order any more.
+type cancelOrder struct{ order *order }
+
+// freeNow asks an actor to send what it gathered.
+type freeNow struct{}
+
+// place is where an item's result goes.
+type place struct {
+	order *order
+	index int
+}
+
+// former forms the calls of one service: the shell around a batching core.
+type former struct {
+	g       *Gateway
+	service string
+	core    *batching.Core
+	last    batching.Token
+	places  map[batching.Token]place
+	ticking bool
+	// frees gathers results to free, by target.
+	frees   map[string]*pendingFree
+	freeing bool
+	self    *actor.PID
+}
+
+type pendingFree struct {
+	target  directory.Target
+	handles []string
+}
+
+func newFormer(g *Gateway, service string) *former {
+	return &former{
+		g: g, service: service, core: batching.New(g.budget()),
+		places: map[batching.Token]place{}, frees: map[string]*pendingFree{},
+	}
+}
+
+// Receive implements actor.Actor.
+func (f *former) Receive(ctx actor.Context) {
+	f.self = ctx.Self()
+	switch msg := ctx.Message().(type) {
+	case *order:
+		f.open(msg)
+	case cancelOrder:
+		f.cancel(msg.order)
+	case freeNow:
+		f.freeing = false
+		f.flush()
+	case batching.Tick:
+		f.ticking = false
+		f.handle(msg)
+	case batching.Event:
+		f.handle(msg)
+	}
+}
+
+func (f *former) open(o *order) {
+	items := make([]batching.Item, o.group.Count)
+	o.pending = len(items)
+	o.results = make([]batching.Result, len(items))
+	for i := range items {
+		f.last++
+		f.places[f.last] = place{order: o, index: i}
+		o.tokens = append(o.tokens, f.last)
+		items[i] = batching.Item{
+			Token: f.last, Request: o.group.Request, Stage: o.group.Stage, Index: i,
+			Source: o.group.Source, Inputs: o.group.Inputs, Bytes: o.group.Bytes,
+			Due: o.group.Due, Deadline: o.group.Deadline, Priority: o.group.Priority, DataCentre: o.group.DataCentre,
+		}
+	}
+	f.handle(batching.Submit{Items: items})
+}
+
+// cancel takes an order's items back and frees what is made of it.
+func (f *former) cancel(o *order) {
+	if !o.closed {
+		f.closeOrder(o, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "withdrawn"))
+		return
+	}
+	if o.err == nil {
+		f.g.batches.releaseHere(f.service, o.results)
+	}
+}
+
+// closeOrder ends an order; with an error its other items are withdrawn.
+func (f *former) closeOrder(o *order, err *verdict.Error) {
+	o.closed = true
+	o.err = err
+	for _, token := range o.tokens {
+		delete(f.places, token)
+	}
+	if err != nil {
+		var made []batching.Result
+		for _, r := range o.results {
+			if r.Handle != "" {
+				made = append(made, r)
+			}
+		}
+		o.results = nil
+		f.g.batches.releaseHere(f.service, made)
+		f.g.system.Root.Send(f.self, batching.Withdraw{Tokens: o.tokens})
+	}
+	close(o.done)
+}
+
+func (f *former) handle(ev batching.Event) {
+	now := f.g.now()
+	for _, effect := range f.core.Handle(now, ev) {
+		switch e := effect.(type) {
+		case batching.Start:
+			f.start(now, e)
+		case batching.Resolve:
+			f.resolve(e)
+		case batching.Free:
+			f.gather(e)
+		}
+	}
+	if !f.ticking && !f.core.Idle() {
+		f.ticking = true
+		self := f.self
+		time.AfterFunc(tickInterval, func() { f.g.system.Root.Send(self, batching.Tick{}) })
+	}
+}
+
+func (f *former) resolve(e batching.Resolve) {
+	p, known := f.places[e.Token]
+	if !known {
+		return
+	}
+	delete(f.places, e.Token)
+	if e.Err != nil {
+		f.closeOrder(p.order, e.Err)
+		return
+	}
+	p.order.results[p.index] = e.Result
+	if p.order.pending--; p.order.pending == 0 {
+		f.closeOrder(p.order, nil)
+	}
+}
+
+// start sends a call, after what is to be freed at the same target.
+func (f *former) start(now time.Time, e batching.Start) {
+	free := f.frees[e.Target.ID]
+	delete(f.frees, e.Target.ID)
+	f.g.metrics.batch(f.service, len(e.Items))
+	self := f.self
+	go func() {
+		if free != nil {
+			f.g.free(free)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), e.Limit)
+		defer cancel()
+		outcomes, err := f.g.ports.Targets.Make(ctx, ItemCall{
+			Target: e.Target, Items: e.Items, Now: now,
+			Permit: func() error { return f.g.permit(e.Target.ID) },
+		})
+		if err != nil {
+			f.g.log.Warn().Str("service", f.service).Str("target", e.Target.ID).Int("items", len(e.Items)).
+				Dur("took", f.g.now().Sub(now)).Err(err).Msg("items: call failed")
+		}
+		f.g.system.Root.Send(self, batching.Finished{Call: e.Call, Outcomes: outcomes, Err: err})
+	}()
+}
+
+func (f *former) gather(e batching.Free) {
+	p := f.frees[e.Target.ID]
+	if p == nil {
+		p = &pendingFree{target: e.Target}
+		f.frees[e.Target.ID] = p
+	}
+	p.handles = append(p.handles, e.Handles...)
+	if !f.freeing {
+		f.freeing = true
+		self := f.self
+		time.AfterFunc(freeDelay, func() { f.g.system.Root.Send(self, freeNow{}) })
+	}
+}
+
+func (f *former) flush() {
+	for id, p := range f.frees {
+		delete(f.frees, id)
+		go f.g.free(p)
+	}
+}
+
+func (g *Gateway) free(p *pendingFree) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := g.ports.Targets.Release(ctx, p.target, p.handles); err != nil {
+		g.log.Debug().Str("target", p.target.ID).Int("results", len(p.handles)).Err(err).Msg("items: not freed")
+	}
+}
+
+// permit is asked just before the first byte of a call is written.
+func (g *Gateway) permit(id string) error {
+	if g.view.Load().Directory.Usable(id, g.now()) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target leaves")
+}
--- /dev/null
+++ b/pkg/gateway/follow.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/honeydyke/honeydyke/internal/view"
+)
+
+const (
+	// watchWait is how long a watch waits for news. A connection that has
+	// silently died is noticed within it and the slack.
+	watchWait  = 2 * time.Second
+	watchSlack = 700 * time.Millisecond
+	// snapshotTimeout bounds reading everything.
+	snapshotTimeout = 3 * time.Second
+	// minRetry and maxRetry bound the pause after the source failed.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 500 * time.Millisecond
+	// troubleLasts is how long after the source's last failure a target that
+	// vanished may only have lapsed.
+	troubleLasts = 3500 * time.Millisecond
+)
+
+// sourceHealth remembers how well the source can be heard.
+type sourceHealth struct {
+	mu       sync.Mutex
+	heard    time.Time
+	troubled time.Time
+	down     bool
+}
+
+// follow reads the source until ctx ends: all of it at first and after its
+// history is lost, else what changes.
+func (g *Gateway) follow(ctx context.Context) {
+	whole := true
+	for ctx.Err() == nil {
+		err := g.read(ctx, whole)
+		switch {
+		case err == nil:
+			whole = false
+			g.sourceHeard()
+			continue
+		case errors.Is(err, ErrHistoryGone):
+			g.log.Info().Int64("revision", g.view.Load().Revision).Msg("source: history gone, reading all")
+			whole = true
+			continue
+		}
+		g.sourceFailed(err)
+		pause(ctx, minRetry+rand.N(maxRetry-minRetry))
+	}
+}
+
+func (g *Gateway) read(ctx context.Context, whole bool) error {
+	if whole {
+		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		defer cancel()
+		g.metrics.sourceCalls.Inc(1)
+		ch, err := g.ports.Source.Snapshot(ctx)
+		if err != nil {
+			return err
+		}
+		g.apply(ch, func(now time.Time, v *view.View, troubled bool) *view.View { return v.WithSnapshot(now, ch, troubled) })
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	g.metrics.sourceCalls.Inc(1)
+	ch, err := g.ports.Source.Watch(ctx, g.view.Load().Revision, watchWait)
+	if err != nil {
+		return err
+	}
+	g.apply(ch, func(now time.Time, v *view.View, troubled bool) *view.View { return v.WithChanges(now, ch, troubled) })
+	return nil
+}
+
+func (g *Gateway) sourceHeard() {
+	h := &g.source
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard = g.now()
+	if h.down {
+		h.down = false
+		g.log.Info().Int64("revision", g.view.Load().Revision).Msg("source: heard again")
+	}
+}
+
+func (g *Gateway) sourceFailed(err error) {
+	h := &g.source
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.troubled = g.now()
+	g.metrics.sourceFailures.Inc(1)
+	if !h.down {
+		h.down = true
+		g.log.Warn().Err(err).Dur("sinceHeard", g.now().Sub(h.heard)).Msg("source: lost")
+	}
+}
+
+// troubled says whether the source was in trouble lately.
+func (h *sourceHealth) isTroubled(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down || (!h.troubled.IsZero() && now.Sub(h.troubled) < troubleLasts)
+}
+
+// apply changes the view and tells those who work by it.
+func (g *Gateway) apply(ch view.Changes, change func(time.Time, *view.View, bool) *view.View) {
+	g.viewMu.Lock()
+	defer g.viewMu.Unlock()
+	old := g.view.Load()
+	now := g.now()
+	next := change(now, old.WithTime(now), g.source.isTroubled(now))
+	g.view.Store(next)
+	g.logChanges(old, next, ch)
+	if next.Directory == old.Directory && next.Catalog == old.Catalog {
+		return
+	}
+	g.batches.configure(next)
+	g.relay.Keep(next.Directory)
+	g.tellRoster()
+}
+
+func (g *Gateway) logChanges(old, next *view.View, ch view.Changes) {
+	if next.Version() != old.Version() {
+		g.log.Info().Int64("version", next.Version()).Int64("was", old.Version()).Int64("revision", next.Revision).
+			Int("routes", next.Catalog.RouteCount()).Msg("view: configuration in force")
+	}
+	for _, c := range ch.List {
+		switch c := c.(type) {
+		case view.TargetChange:
+			g.log.Info().Str("target", c.Target.ID).Str("service", c.Target.Service).Str("address", c.Target.Address).
+				Str("state", c.Target.State.String()).Int64("revision", ch.Revision).Msg("view: target")
+		case view.TargetGone:
+			g.log.Info().Str("target", c.ID).Int64("revision", ch.Revision).Msg("view: target gone")
+		case view.Unreadable:
+			g.log.Error().Str("key", c.Key).Str("why", c.Why).Msg("view: entry refused")
+		case view.CatalogChange:
+		}
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/gateway/metrics.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/honeydyke/honeydyke/internal/relay"
+	"github.com/honeydyke/honeydyke/internal/wire"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// metricsInterval is how often counts reach the exposition.
+const metricsInterval = 5 * time.Second
+
+// latencyBuckets are the bounds of latency histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
+
+// batchBuckets are the bounds of the histogram of items in a call.
+var batchBuckets = tally.ValueBuckets{1, 2, 4, 6, 8, 12, 16, 24, 32, 48, 64}
+
+// metrics counts what the gateway does.
+type metrics struct {
+	scope          tally.Scope
+	handler        http.Handler
+	sourceCalls    tally.Counter
+	sourceFailures tally.Counter
+}
+
+func newMetrics() *metrics {
+	registry := prom.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "honeydyke", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
+	}, metricsInterval)
+	return &metrics{
+		scope: scope, handler: reporter.HTTPHandler(),
+		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
+	}
+}
+
+// label makes a value fit for a label.
+func label(s string) string { return strings.ReplaceAll(s, "-", "_") }
+
+func (m *metrics) ended(o *relay.Outcome) {
+	tags := map[string]string{"service": label(o.Service), "end": "answered", "reason": "none"}
+	if o.Err != nil {
+		tags["end"] = label(o.Err.Verdict().String())
+		tags["reason"] = label(string(o.Err.Reason()))
+	}
+	s := m.scope.Tagged(tags)
+	s.Counter("requests").Inc(1)
+	if o.First > 0 {
+		s.Histogram("first_byte_seconds", latencyBuckets).RecordDuration(o.First)
+	}
+	s.Histogram("request_seconds", latencyBuckets).RecordDuration(o.Took)
+	if n := len(o.Attempts); n > 1 {
+		s.Counter("attempts_again").Inc(int64(n - 1))
+	}
+}
+
+func (m *metrics) batch(service string, items int) {
+	m.scope.Tagged(map[string]string{"service": label(service)}).Histogram("call_items", batchBuckets).RecordValue(float64(items))
+}
+
+// Ended implements relay.Observer.
+func (g *Gateway) Ended(o *relay.Outcome) {
+	g.metrics.ended(o)
+	g.logRequest(o)
+}
+
+// logRequest writes one line with what decided the request's end.
+func (g *Gateway) logRequest(o *relay.Outcome) {
+	ev := g.log.Info()
+	if o.Err != nil && o.Err.Reason() != verdict.ReasonCancelled {
+		ev = g.log.Warn()
+	}
+	ev.Str("request", o.Request.ID).Int64("version", o.Version).Int64("revision", o.Revision)
+	if o.Route != nil {
+		ev.Str("route", o.Route.Name).Str("service", o.Service)
+	}
+	if o.Organisation != "" {
+		ev.Str("organisation", o.Organisation)
+	}
+	if o.StagesTook > 0 {
+		ev.Dur("stages", o.StagesTook)
+	}
+	ev.Dur("first", o.First).Dur("took", o.Took).Int("status", o.Status).Int("events", o.Events)
+	if o.Remade > 0 {
+		ev.Int("remade", o.Remade)
+	}
+	ev.Str("attempts", attemptsText(o.Attempts))
+	if o.Err != nil {
+		ev.Str("verdict", o.Err.Verdict().String()).Str("reason", string(o.Err.Reason())).
+			Dur("retryAfter", o.Err.RetryAfter()).Str("error", o.Err.Error())
+	}
+	ev.Msg("request: ended")
+}
+
+// attemptsText lists target, status or reason, and milliseconds of each attempt.
+func attemptsText(attempts []relay.Attempt) string {
+	var b strings.Builder
+	for i, a := range attempts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(a.Target)
+		b.WriteByte(':')
+		if a.Err != nil {
+			b.WriteString(string(a.Err.Reason()))
+			b.WriteByte('/')
+		}
+		b.WriteString(strconv.Itoa(a.Status))
+		b.WriteByte(':')
+		b.WriteString(strconv.FormatInt(a.Took.Milliseconds(), 10))
+	}
+	return b.String()
+}
+
+func (g *Gateway) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+wire.PathMetrics, g.metrics.handler)
+	mux.HandleFunc("GET "+wire.PathReady, g.serveReady)
+	return mux
+}
--- /dev/null
+++ b/pkg/gateway/peers.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/honeydyke/honeydyke/internal/batching"
+	"github.com/honeydyke/honeydyke/internal/directory"
+	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/relay"
+	"github.com/honeydyke/honeydyke/internal/view"
+	"github.com/honeydyke/honeydyke/internal/wire"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+const (
+	// gossipInterval is how often a node talks to other members.
+	gossipInterval = 500 * time.Millisecond
+	// gossipPartners is how many it talks to.
+	gossipPartners = 2
+	gossipTimeout  = 400 * time.Millisecond
+	peerDial       = 300 * time.Millisecond
+	peerIdle       = 30 * time.Second
+	// releaseTimeout bounds handing on results to free.
+	releaseTimeout = time.Second
+	// itemsGrace is how long after the results are due a silent member is
+	// waited for.
+	itemsGrace = 1500 * time.Millisecond
+	// minItemsWait is the least time that a member gets.
+	minItemsWait = 2 * time.Second
+	// sourceSilent is how long the source must be silent before peers are asked.
+	sourceSilent = time.Second
+)
+
+func newPeerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: peerDial}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: peerIdle, DisableCompression: true,
+	}}
+}
+
+func (g *Gateway) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathGossip, g.serveGossip)
+	mux.HandleFunc("POST "+wire.PathItems, g.serveItems)
+	mux.HandleFunc("POST "+wire.PathRelease, g.serveRelease)
+	mux.HandleFunc("GET "+wire.PathView, g.serveView)
+	return mux
+}
+
+// call sends JSON to a member and reads its JSON answer.
+func (g *Gateway) call(ctx context.Context, method, address, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := g.peers.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("member %s answered with status %d", address, resp.StatusCode)
+	}
+	if out == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, wire.MaxAnswerBytes)).Decode(out)
+}
+
+func readMessage(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, wire.MaxAnswerBytes)).Decode(into)
+	if err != nil {
+		http.Error(w, "the message does not read", http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func writeMessage(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// tellRoster sets what this node tells of itself.
+func (g *Gateway) tellRoster() {
+	v := g.view.Load()
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	g.roster.Tell(v.Catalog != nil, g.leaving.Load(), v.Version(), v.Revision)
+}
+
+func (g *Gateway) suspect(address string) {
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	g.roster.Suspect(g.now(), address)
+}
+
+// gossip talks to other members until ctx ends.
+func (g *Gateway) gossip(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.tellRoster()
+		g.rosterMu.Lock()
+		g.roster.Beat()
+		g.roster.Forget(g.now())
+		partners := g.roster.Partners(g.now(), gossipPartners)
+		g.rosterMu.Unlock()
+		for _, p := range partners {
+			go g.exchange(ctx, p)
+		}
+		g.askView(ctx)
+		pause(ctx, gossipInterval)
+	}
+}
+
+func (g *Gateway) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	g.rosterMu.Lock()
+	out := g.roster.Gossip(g.now())
+	g.rosterMu.Unlock()
+	var in message.Gossip
+	if err := g.call(ctx, http.MethodPost, address, wire.PathGossip, out, &in); err != nil {
+		return
+	}
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	g.roster.Merge(g.now(), in)
+}
+
+func (g *Gateway) serveGossip(w http.ResponseWriter, r *http.Request) {
+	var in message.Gossip
+	if !readMessage(w, r, &in) {
+		return
+	}
+	g.rosterMu.Lock()
+	g.roster.Merge(g.now(), in)
+	out := g.roster.Gossip(g.now())
+	g.rosterMu.Unlock()
+	writeMessage(w, out)
+}
+
+// askView takes over what a member knows while the source cannot be heard.
+func (g *Gateway) askView(ctx context.Context) {
+	h := &g.source
+	h.mu.Lock()
+	silent := h.heard.IsZero() || (h.down && g.now().Sub(h.heard) > sourceSilent)
+	h.mu.Unlock()
+	if !silent {
+		return
+	}
+	v := g.view.Load()
+	g.rosterMu.Lock()
+	newest := g.roster.Newest(g.now(), v.Version(), v.Revision)
+	g.rosterMu.Unlock()
+	if newest == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	var snapshot message.ViewSnapshot
+	if err := g.call(ctx, http.MethodGet, newest, wire.PathView, nil, &snapshot); err != nil {
+		return
+	}
+	g.takeView(newest, snapshot)
+}
+
+func (g *Gateway) takeView(from string, s message.ViewSnapshot) {
+	ch := view.Changes{Revision: int64(s.Revision)}
+	document, err := base64.StdEncoding.DecodeString(s.Document)
+	if err != nil {
+		return
+	}
+	catalog, err := g.ports.Source.Decode(document)
+	if err != nil {
+		g.log.Error().Str("member", from).Err(err).Msg("view: a member's configuration was refused")
+		return
+	}
+	ch.List = append(ch.List, catalog)
+	for _, t := range s.Targets {
+		target := directory.Target{ID: t.Id, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: t.Slots}
+		if t.Draining {
+			target.State = directory.Draining
+		}
+		ch.List = append(ch.List, view.TargetChange{Target: target})
+	}
+	g.log.Info().Str("member", from).Int64("version", catalog.Catalog.Version).Int("revision", s.Revision).Msg("view: taken from a member")
+	g.apply(view.Changes{}, func(now time.Time, v *view.View, _ bool) *view.View { return v.WithSnapshot(now, ch, false) })
+}
+
+func (g *Gateway) serveView(w http.ResponseWriter, _ *http.Request) {
+	v := g.view.Load()
+	if v.Catalog == nil {
+		http.Error(w, "no configuration is known", http.StatusServiceUnavailable)
+		return
+	}
+	s := message.ViewSnapshot{Revision: int(v.Revision), Document: base64.StdEncoding.EncodeToString(v.Document), Targets: []message.ViewTarget{}}
+	for _, t := range v.Directory.All() {
+		s.Targets = append(s.Targets, message.ViewTarget{
+			Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: t.Slots,
+			Draining: t.State == directory.Draining,
+		})
+	}
+	writeMessage(w, s)
+}
+
+// askItems has a member make the items of a group.
+func (g *Gateway) askItems(ctx context.Context, member, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
+	now := g.now()
+	limit := max(group.Due.Sub(now)+itemsGrace, minItemsWait)
+	ctx, cancel := context.WithTimeout(ctx, min(limit, group.Deadline.Sub(now)))
+	defer cancel()
+	in := message.ItemGroup{
+		Service: service, Request: group.Request, Stage: group.Stage, Count: group.Count,
+		Source: group.Source, Inputs: group.Inputs, Bytes: int(group.Bytes),
+		DueMs: int(group.Due.Sub(now).Milliseconds()), DeadlineMs: int(group.Deadline.Sub(now).Milliseconds()),
+		Priority: group.Priority, DataCentre: group.DataCentre,
+	}
+	var out message.ItemResults
+	if err := g.call(ctx, http.MethodPost, member, wire.PathItems, in, &out); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonConnection, "member %s gave no results", member).WithCause(err)
+	}
+	if out.Reason != "" {
+		return nil, verdict.New(verdict.NotRun, verdict.Reason(out.Reason), "%s", out.Text).
+			WithRetryAfter(time.Duration(out.RetryAfterMs) * time.Millisecond)
+	}
+	if len(out.Results) != group.Count {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "member %s gave %d results for %d items", member, len(out.Results), group.Count)
+	}
+	return resultsOf(out.Results), nil
+}
+
+func (g *Gateway) serveItems(w http.ResponseWriter, r *http.Request) {
+	var in message.ItemGroup
+	if !readMessage(w, r, &in) {
+		return
+	}
+	now := g.now()
+	results, err := g.batches.makeHere(r.Context(), in.Service, relay.Group{
+		Request: in.Request, Stage: in.Stage, Count: in.Count, Source: in.Source, Inputs: in.Inputs, Bytes: int64(in.Bytes),
+		Due: now.Add(time.Duration(in.DueMs) * time.Millisecond), Deadline: now.Add(time.Duration(in.DeadlineMs) * time.Millisecond),
+		Priority: in.Priority, DataCentre: in.DataCentre,
+	})
+	out := message.ItemResults{Results: itemsOf(results)}
+	if err != nil {
+		out.Reason, out.Text, out.RetryAfterMs = string(err.Reason()), err.Text(), int(err.RetryAfter().Milliseconds())
+	}
+	writeMessage(w, out)
+}
+
+func resultsOf(items []message.ItemResult) []batching.Result {
+	results := make([]batching.Result, len(items))
+	for i, r := range items {
+		results[i] = batching.Result{Handle: r.Handle, Target: r.Target, DataCentre: r.DataCentre}
+	}
+	return results
+}
+
+func itemsOf(results []batching.Result) []message.ItemResult {
+	items := make([]message.ItemResult, len(results))
+	for i, r := range results {
+		items[i] = message.ItemResult{Handle: r.Handle, Target: r.Target, DataCentre: r.DataCentre}
+	}
+	return items
+}
+
+func (g *Gateway) askRelease(member, service string, results []batching.Result) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	in := message.ItemRelease{Service: service, Results: itemsOf(results)}
+	if err := g.call(ctx, http.MethodPost, member, wire.PathRelease, in, nil); err != nil {
+		g.batches.releaseHere(service, results)
+	}
+}
+
+func (g *Gateway) serveRelease(w http.ResponseWriter, r *http.Request) {
+	var in message.ItemRelease
+	if readMessage(w, r, &in) {
+		g.batches.releaseHere(in.Service, resultsOf(in.Results))
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -49,12 +49,34 @@
 			ps = append(ps, doc.Problem(a.key, "%q is not an IP number and a port from 0 to 65535", a.address))
 		}
 	}
-	if s.Trust.Required > len(s.Trust.Approvers) {
+	ps = append(ps, s.checkMode(doc)...)
+	if s.Trust != nil && s.Trust.Required > len(s.Trust.Approvers) {
 		ps = append(ps, doc.Problem("/trust/required", "%d signatures are required of %d approvers", s.Trust.Required, len(s.Trust.Approvers)))
 	}
 	if s.TLS != nil && (s.TLS.Certificate == "") != (s.TLS.Key == "") {
 		ps = append(ps, doc.Problem("/tls", "certificate and key go together"))
 	}
+	return ps
+}
+
+// checkMode checks what a node needs that follows signed bundles, or one that
+// relays requests as a gateway.
+func (s *Settings) checkMode(doc *jsondoc.Document) jsondoc.Problems {
+	var ps jsondoc.Problems
+	if s.Gateway != nil {
+		for _, a := range []struct{ key, address string }{{"/gateway/store", s.Gateway.Store}, {"/gateway/ready", s.Gateway.Ready}} {
+			if _, err := netip.ParseAddrPort(a.address); err != nil {
+				ps = append(ps, doc.Problem(a.key, "%q is not an IP number and a port from 0 to 65535", a.address))
+			}
+		}
+		return ps
+	}
+	if s.Trust == nil {
+		ps = append(ps, doc.Problem("", "trust is required unless the node is a gateway"))
+	}
+	if s.Keys == nil {
+		ps = append(ps, doc.Problem("", "keys is required unless the node is a gateway"))
+	}
 	if s.ConfigurationService == "" && len(s.Peers) == 0 {
 		ps = append(ps, doc.Problem("", "configurationService or peers must be given, or no bundle can be found"))
 	}
--- a/pkg/settings/settings_gen.go
+++ b/pkg/settings/settings_gen.go
@@ -11,6 +11,31 @@
 	PublicKey string `json:"publicKey"`
 }
 
+// Gateway makes the node relay requests by a configuration that a trusted store
+// publishes, in place of signed bundles.
+type Gateway struct {
+	// File descriptors of the process; 0 for unknown.
+	Descriptors int `json:"descriptors,omitempty,omitzero"`
+
+	// Time within which a leaving target gets no new work, in milliseconds.
+	DrainMs int `json:"drainMs,omitempty,omitzero"`
+
+	// Time from the signal to stop until the process is killed, in milliseconds.
+	GraceMs int `json:"graceMs,omitempty,omitzero"`
+
+	// Memory of the machine for the process, in MB; 0 for unknown.
+	MemoryMb int `json:"memoryMb,omitempty,omitzero"`
+
+	// Address on which the balancer asks whether the node is ready.
+	Ready string `json:"ready"`
+
+	// Retries corresponds to the JSON schema field "retries".
+	Retries *Retries `json:"retries,omitempty,omitzero"`
+
+	// Address of the store.
+	Store string `json:"store"`
+}
+
 // Keys holds the secrets that all nodes share.
 type Keys struct {
 	// Bearer key of calls between nodes.
@@ -53,6 +78,21 @@
 const LogLevelInfo LogLevel = "info"
 const LogLevelWarn LogLevel = "warn"
 
+// Retries bounds what all nodes together send again, in each window.
+type Retries struct {
+	// Repeats beyond the ratio, over all nodes.
+	Extra float64 `json:"extra"`
+
+	// Most nodes that share the extra; 0 for a default.
+	MaxNodes int `json:"maxNodes,omitempty,omitzero"`
+
+	// Repeats for each request.
+	Ratio float64 `json:"ratio"`
+
+	// Length of the window, in milliseconds.
+	WindowMs int `json:"windowMs"`
+}
+
 // Settings is what one node is started with.
 type Settings struct {
 	// URL of the read-only configuration service.
@@ -61,11 +101,14 @@
 	// Data centre in which the node runs.
 	DataCentre string `json:"dataCentre"`
 
+	// Gateway corresponds to the JSON schema field "gateway".
+	Gateway *Gateway `json:"gateway,omitempty,omitzero"`
+
 	// URL of the platform's list of instances.
 	InstanceList string `json:"instanceList,omitempty,omitzero"`
 
 	// Keys corresponds to the JSON schema field "keys".
-	Keys Keys `json:"keys"`
+	Keys *Keys `json:"keys,omitempty,omitzero"`
 
 	// Listen corresponds to the JSON schema field "listen".
 	Listen Listen `json:"listen"`
@@ -83,7 +126,7 @@
 	TLS *TLS `json:"tls,omitempty,omitzero"`
 
 	// Trust corresponds to the JSON schema field "trust".
-	Trust Trust `json:"trust"`
+	Trust *Trust `json:"trust,omitempty,omitzero"`
 }
 
 // Stop shapes a planned stop.
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -97,6 +97,7 @@
 	ReasonInternal       Reason = "internal"
 	ReasonConfiguration  Reason = "configuration"
 	ReasonRetryExhausted Reason = "retries-exhausted"
+	ReasonInputGone      Reason = "input-gone"
 )
 
 // Error is a failure with its verdict. It is immutable; the With methods
@@ -160,6 +161,13 @@
 	return &n
 }
 
+// WithReason returns a copy with another reason.
+func (e *Error) WithReason(reason Reason) *Error {
+	n := *e
+	n.reason = reason
+	return &n
+}
+
 // WithStage returns a copy that names the stage.
 func (e *Error) WithStage(stage string) *Error {
 	n := *e
