Refuse by the stages' waiting times, keep items near their inputs and engines by session, mend DRAIN, LOST and MIXED

Requests are refused at once when their stages cannot be done in time by the waiting times told; one that comes back is let in. No test yet; they come before the next change of policy.

--- a/internal/batching/core.go
+++ b/internal/batching/core.go
@@ -20,6 +20,8 @@
 	limitFactor = 3
 	// priorityStep is how much later an item of the next priority counts as due.
 	priorityStep = 200 * time.Millisecond
+	// maxNearWait is how long an item waits for a target where its inputs are.
+	maxNearWait = 300 * time.Millisecond
 	// maxAttempts bounds the calls that one item is part of.
 	maxAttempts = 4
 )
@@ -293,15 +295,15 @@
 
 // dispatch starts calls as long as there are items and targets for them.
 func (c *Core) dispatch(now time.Time) {
-	if c.batch == nil {
+	if c.batch == nil || len(c.queue) == 0 {
 		return
 	}
-	for len(c.queue) > 0 {
-		c.sort(now)
-		t := c.pick(now, c.queue[0])
-		if t == nil || !c.start(now, t) {
+	c.sort(now)
+	for _, t := range c.idle(now) {
+		if len(c.queue) == 0 {
 			return
 		}
+		c.start(now, t)
 	}
 }
 
@@ -330,28 +332,18 @@
 	return -1
 }
 
-// pick returns the idle target at which the item ends first, or nil when
-// waiting for another is better.
-func (c *Core) pick(now time.Time, w *work) *target {
-	var best *target
-	var bestCost time.Duration
+// idle returns the targets that can take a call now, the fastest first. One that
+// is so slow that waiting for another is better is left out.
+func (c *Core) idle(now time.Time) []*target {
+	var list []*target
 	for _, id := range c.order {
 		t := c.targets[id]
-		if !t.idle(now) || t.room(c.batch) < w.Bytes {
-			continue
-		}
-		cost := t.expected(now, c.batch, 1)
-		if w.DataCentre != "" && t.DataCentre != w.DataCentre {
-			cost += cost / 8
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = t, cost
+		if t.idle(now) && !c.worthWaiting(now, t.expected(now, c.batch, 1)) {
+			list = append(list, t)
 		}
 	}
-	if best == nil || c.worthWaiting(now, bestCost) {
-		return nil
-	}
-	return best
+	slices.SortStableFunc(list, func(a, b *target) int { return cmp.Compare(a.paceAt(now), b.paceAt(now)) })
+	return list
 }
 
 // worthWaiting says whether a busy target would be done with its call and the
@@ -370,13 +362,39 @@
 	return false
 }
 
-// start sends the most urgent items that fit to a target.
-func (c *Core) start(now time.Time, t *target) bool {
+// suits says whether an item should go to a target: it is where the item's
+// inputs are or its result is used, or nobody there can take the item in time.
+func (c *Core) suits(now time.Time, w *work, t *target) bool {
+	if w.DataCentre == "" || w.DataCentre == t.DataCentre {
+		return true
+	}
+	for _, id := range c.order {
+		near := c.targets[id]
+		if near.DataCentre != w.DataCentre || !near.usable || now.Before(near.pausedUntil) {
+			continue
+		}
+		wait := time.Duration(0)
+		if near.call != 0 {
+			wait = near.free.Sub(now)
+			if wait < 0 || c.calls[near.call].stuck {
+				continue
+			}
+		}
+		end := now.Add(wait + near.expected(now, c.batch, c.batch.Size))
+		if wait <= maxNearWait && end.Before(w.Due) {
+			return false
+		}
+	}
+	return true
+}
+
+// start sends the most urgent items that suit a target and fit, if any.
+func (c *Core) start(now time.Time, t *target) {
 	room := t.room(c.batch)
 	var items []Item
 	var rest []*work
 	for _, w := range c.queue {
-		if len(items) < c.batch.Size && w.Bytes <= room {
+		if len(items) < c.batch.Size && w.Bytes <= room && c.suits(now, w, t) {
 			room -= w.Bytes
 			w.waiting = false
 			w.running++
@@ -387,7 +405,7 @@
 		rest = append(rest, w)
 	}
 	if len(items) == 0 {
-		return false
+		return
 	}
 	c.queue = rest
 	c.last++
@@ -405,7 +423,6 @@
 	c.stats.Calls++
 	c.stats.Items += int64(n)
 	c.emit(Start{Call: c.last, Target: t.Target, Items: items, Limit: limitFactor * patience})
-	return true
 }
 
 // Usable says whether an item may be sent to a target now; a shell asks once
@@ -415,19 +432,37 @@
 	return t != nil && t.usable
 }
 
-// Wait estimates how long a new item waits before its call starts.
+// Wait estimates how long a new item waits before its call starts. Items that
+// are late already give way to it and do not count.
 func (c *Core) Wait(now time.Time) time.Duration {
-	usable := 0
+	if c.batch == nil {
+		return 0
+	}
+	// perSecond is how many items all targets make with full calls.
+	perSecond, soonest := 0.0, time.Duration(-1)
 	for _, t := range c.targets {
-		if t.usable && !now.Before(t.pausedUntil) {
-			usable++
+		if !t.usable || now.Before(t.pausedUntil) {
+			continue
+		}
+		perSecond += float64(c.batch.Size) / t.expected(now, c.batch, c.batch.Size).Seconds()
+		left := time.Duration(0)
+		if t.call != 0 {
+			left = max(t.free.Sub(now), 0)
+		}
+		if soonest < 0 || left < soonest {
+			soonest = left
 		}
 	}
-	if c.batch == nil || usable == 0 {
+	if perSecond == 0 {
 		return 0
 	}
-	full := planned(c.batch, c.batch.Size)
-	return time.Duration(float64(full) * float64(len(c.queue)) / float64(usable*c.batch.Size))
+	ahead, latest := 0, now.Add(planned(c.batch, 1))
+	for _, w := range c.queue {
+		if !latest.After(w.Due) {
+			ahead++
+		}
+	}
+	return soonest + time.Duration(float64(ahead)/perSecond*float64(time.Second))
 }
 
 // Idle says whether nothing waits and nothing runs.
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// Hear notes a direct sign of life of a member.
+func (r *Roster) Hear(now time.Time, address string) {
+	if e, known := r.known[address]; known {
+		e.advanced = now
+		r.known[address] = e
+	}
+}
+
+// Heard returns when a member last gave a sign of life; zero for never.
+func (r *Roster) Heard(address string) time.Time { return r.known[address].advanced }
+
 // Forget drops members that have been silent for long.
 func (r *Roster) Forget(now time.Time) {
 	maps.DeleteFunc(r.known, func(_ string, e rosterEntry) bool { return now.Sub(e.advanced) > rosterForget })
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -134,6 +134,9 @@
 
 	// Text corresponds to the JSON schema field "text".
 	Text string `json:"text,omitempty,omitzero"`
+
+	// How long a new item would wait before its call starts.
+	WaitMs int `json:"waitMs,omitempty,omitzero"`
 }
 
 // LeavingMark says that one incarnation of a target is leaving; it is never taken
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -191,6 +191,8 @@
 	Exclude []string
 	// Key is the hash of the prompt's shared part; 0 for none.
 	Key uint64
+	// SharedTokens is how long the prompt's shared parts are.
+	SharedTokens int
 	// MaxInflight bounds this node's requests at one target; 0 for no bound.
 	MaxInflight int
 	// Pull is how many bytes of results lie in each data centre.
@@ -216,9 +218,11 @@
 	loadCost = 1500.0
 	// overloadCost is added for each request beyond three quarters of the slots.
 	overloadCost = 100.0
-	// prefixCost is the cost of an engine that does not keep the prompt's parts,
-	// for each place that it is behind in the order of engines for the part.
-	prefixCost = 60.0
+	// prefixCost is the cost of a thousand shared tokens that are read again, for
+	// each place that an engine is behind in the order of engines for the part.
+	prefixCost = 250.0
+	// minPrefixCost keeps short prompts together too.
+	minPrefixCost = 30.0
 	// maxPlaces bounds the places that count.
 	maxPlaces = 3
 	// pullCost is the cost of a megabyte of results that crosses data centres.
@@ -233,6 +237,7 @@
 	for _, bytes := range q.Pull {
 		total += bytes
 	}
+	again := max(prefixCost*float64(q.SharedTokens)/1000, minPrefixCost)
 	return t.choose(now, targets, q, func(s *stats, c directory.Target) float64 {
 		out, slots := s.outstanding(now), s.slots(c)
 		cost := loadCost * out / slots
@@ -240,7 +245,7 @@
 		cost += 2 * loadCost * s.failing
 		cost += pullCost * float64(total-q.Pull[c.DataCentre]) / 1e6
 		if q.Key != 0 {
-			cost += prefixCost * float64(min(places[c.ID], maxPlaces))
+			cost += again * float64(min(places[c.ID], maxPlaces))
 		}
 		return cost
 	})
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -96,18 +96,22 @@
 	if j.service.Engine == nil {
 		return s.table.Least(now, targets, q)
 	}
-	q.Key = sessionKey(j.req.Parts)
+	q.Key, q.SharedTokens = shared(j.req.Parts)
 	q.Pull = j.result.bytes()
 	return s.table.Prefix(now, targets, q)
 }
 
-// sessionKey hashes the deepest part of the prompt that other requests share:
-// the one before the last, which is the request's own.
-func sessionKey(parts []Part) uint64 {
+// shared returns the hash of the deepest part of the prompt that other requests
+// share, which is the one before the last, and the length of all shared parts.
+func shared(parts []Part) (key uint64, tokens int) {
 	if len(parts) < 2 {
-		return 0
+		return 0, 0
 	}
-	return xxhash.Sum64String(parts[len(parts)-2].ID)
+	parts = parts[:len(parts)-1]
+	for _, p := range parts {
+		tokens += p.Tokens
+	}
+	return xxhash.Sum64String(parts[len(parts)-1].ID), tokens
 }
 
 // attempt sends the request to one target and passes its answer back.
@@ -240,7 +244,7 @@
 	if !reply.Succeeded && j.worthAnother(reply) {
 		return verdict.New(verdict.Ran, verdict.ReasonTargetError, "the target answered with status %d", reply.Status)
 	}
-	if !j.begun {
+	if !j.begun.Load() {
 		return j.passWhole(reply, body)
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonTargetError, "the stream could not be continued: status %d", reply.Status)
@@ -258,7 +262,7 @@
 }
 
 func (j *job) begin(reply *Reply) {
-	j.begun = true
+	j.begun.Store(true)
 	j.outcome.Status = reply.Status
 	j.outcome.First = j.s.cfg.Now().Sub(j.req.Arrived)
 	j.result.consumed()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,8 +10,8 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -122,6 +122,8 @@
 	Make(ctx context.Context, service string, g Group) ([]batching.Result, *verdict.Error)
 	// Release frees results.
 	Release(service string, results []batching.Result)
+	// Wait estimates how long a new item waits before its call starts.
+	Wait(service string) time.Duration
 }
 
 // Observer is told of what happens to requests.
@@ -177,14 +179,23 @@
 type Server struct {
 	cfg Config
 
+	// stopped is closed when requests without an answer are to be given up.
+	stopped  chan struct{}
+	stopOnce sync.Once
+
 	mu      sync.Mutex
 	table   *placement.Table
 	budgets map[string]*retrybudget.Budget
+	// patience is the longest that clients of a route wait.
+	patience map[string]time.Duration
 }
 
 // New returns a server.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, table: placement.New(), budgets: map[string]*retrybudget.Budget{}}
+	return &Server{
+		cfg: cfg, stopped: make(chan struct{}), table: placement.New(),
+		budgets: map[string]*retrybudget.Budget{}, patience: map[string]time.Duration{},
+	}
 }
 
 const (
@@ -219,10 +230,13 @@
 	tried     []string
 	// sends counts the calls that a target may have run.
 	sends  int
-	begun  bool
+	begun  atomic.Bool
 	result *stageResults
 }
 
+// Stop gives up the requests whose answer has not begun.
+func (s *Server) Stop() { s.stopOnce.Do(func() { close(s.stopped) }) }
+
 // Serve relays a request. With an error the caller has got nothing, or, if the
 // answer had begun, not the whole answer.
 func (s *Server) Serve(ctx context.Context, req *Request, out Responder) *verdict.Error {
@@ -245,8 +259,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.until.Sub(j.s.cfg.Now()))
 	defer cancel()
+	if err := j.admit(); err != nil {
+		return err
+	}
+	release := j.giveUpOnStop(cancel)
+	defer release()
 	j.result = newStageResults(j)
-	defer j.result.releaseAll()
+	defer func() { j.result.releaseAll() }()
 	if err := j.result.make(ctx); err != nil {
 		return j.explain(ctx, err)
 	}
@@ -257,22 +276,32 @@
 	return nil
 }
 
+// giveUpOnStop ends the request when the node stops before its answer has begun.
+func (j *job) giveUpOnStop(cancel context.CancelFunc) (release func()) {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-j.s.stopped:
+			if !j.begun.Load() {
+				cancel()
+			}
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
 // explain completes an error with when to come back.
 func (j *job) explain(ctx context.Context, err *verdict.Error) *verdict.Error {
 	if j.sends > 0 && !j.route.MayRepeat() {
 		err = err.WithVerdict(verdict.MayHaveRun)
 	}
 	if err.Verdict() == verdict.NotRun && err.RetryAfter() == 0 {
-		err = err.WithRetryAfter(comeBack())
+		err = err.WithRetryAfter(j.comeBack())
 	}
 	return err
 }
 
-// comeBack spreads the returns of refused clients.
-func comeBack() time.Duration {
-	return time.Second + rand.N(2*time.Second)
-}
-
 // resolve finds the route, the organisation and the service.
 func (j *job) resolve() *verdict.Error {
 	c := j.view.Catalog
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,13 +111,9 @@
 		return nil
 	}
 	if r.count(i) > 0 {
-		results, err := r.job.s.cfg.Batcher.Make(ctx, r.job.route.Stages[i].Service, r.group(i))
-		if err != nil {
+		if err := r.obtain(ctx, i); err != nil {
 			return err
 		}
-		r.mu.Lock()
-		r.results[i] = results
-		r.mu.Unlock()
 	}
 	r.mu.Lock()
 	r.done[i] = true
@@ -127,6 +124,85 @@
 	return nil
 }
 
+// obtain has a stage's items made. When an input is gone, the stages that made
+// the inputs are made again first.
+func (r *stageResults) obtain(ctx context.Context, i int) *verdict.Error {
+	for {
+		if err := r.obtainInputs(ctx, i); err != nil {
+			return err
+		}
+		results, err := r.job.s.cfg.Batcher.Make(ctx, r.job.route.Stages[i].Service, r.group(i))
+		if err == nil {
+			r.set(i, results)
+			return nil
+		}
+		if err.Reason() != verdict.ReasonInputGone {
+			return err
+		}
+		if err := r.countRemake(); err != nil {
+			return err
+		}
+		for _, a := range r.job.route.Stages[i].After {
+			r.set(a, nil)
+		}
+	}
+}
+
+// obtainInputs has the results made again that a stage needs and that are not
+// held.
+func (r *stageResults) obtainInputs(ctx context.Context, i int) *verdict.Error {
+	for _, a := range r.job.route.Stages[i].After {
+		if r.count(a) == 0 || r.held(a) {
+			continue
+		}
+		if err := r.obtain(ctx, a); err != nil {
+			return err
+		}
+		// The inputs of a result that is made again have no other use.
+		for _, b := range r.job.route.Stages[a].After {
+			r.freeUnused(b)
+		}
+	}
+	return nil
+}
+
+// countRemake counts that results are made again, and ends it when that happens
+// too often.
+func (r *stageResults) countRemake() *verdict.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.job.outcome.Remade++
+	if r.job.outcome.Remade > maxRemakes {
+		return verdict.New(verdict.NotRun, verdict.ReasonInputGone, "results were lost too often")
+	}
+	return nil
+}
+
+func (r *stageResults) held(i int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.results[i] != nil
+}
+
+// set replaces the results of a stage and frees the old ones.
+func (r *stageResults) set(i int, results []batching.Result) {
+	r.mu.Lock()
+	old := r.results[i]
+	r.results[i] = results
+	r.mu.Unlock()
+	r.release(i, old)
+}
+
+// freeUnused frees the results of a stage that no later stage still needs.
+func (r *stageResults) freeUnused(i int) {
+	r.mu.Lock()
+	unused := r.users[i] <= 0
+	r.mu.Unlock()
+	if unused {
+		r.set(i, nil)
+	}
+}
+
 func (r *stageResults) group(i int) Group {
 	j := r.job
 	stage := j.route.Stages[i]
@@ -136,18 +212,52 @@
 	}
 	if len(stage.After) == 0 {
 		g.Source = j.req.Source
+		g.DataCentre = r.nearConsumer(i)
 		return g
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	sizes := make(map[string]int64)
 	for _, a := range stage.After {
 		for _, result := range r.results[a] {
 			g.Inputs = append(g.Inputs, result.Handle)
+			sizes[result.DataCentre] += j.route.Stages[a].ResultBytes * int64(g.Count)
 		}
 	}
+	g.DataCentre = nearest(sizes)
 	return g
 }
 
+// nearMatters is how many bytes make it worth waiting for a target close to
+// them.
+const nearMatters = 100_000
+
+// nearest returns the data centre that holds the most bytes; empty when they do
+// not matter.
+func nearest(sizes map[string]int64) string {
+	best, most := "", int64(nearMatters)
+	for dc, bytes := range sizes {
+		if bytes >= most {
+			best, most = dc, bytes
+		}
+	}
+	return best
+}
+
+// nearConsumer returns the data centre of the engine that will probably read a
+// stage's results; empty when they are small or read by a later stage.
+func (r *stageResults) nearConsumer(i int) string {
+	j := r.job
+	if !slices.Contains(j.route.LastStages(), i) || j.service.Engine == nil {
+		return ""
+	}
+	if j.route.Stages[i].ResultBytes*int64(r.count(i)) < nearMatters {
+		return ""
+	}
+	target, _ := j.choose()
+	return target.DataCentre
+}
+
 // after estimates how long the stages that follow a stage take.
 func (r *stageResults) after(i int) time.Duration {
 	var longest time.Duration
@@ -178,13 +288,8 @@
 func (r *stageResults) used(i int) {
 	r.mu.Lock()
 	r.users[i]--
-	var free []batching.Result
-	if r.users[i] <= 0 {
-		free = r.results[i]
-		r.results[i] = nil
-	}
 	r.mu.Unlock()
-	r.release(i, free)
+	r.freeUnused(i)
 }
 
 func (r *stageResults) release(i int, results []batching.Result) {
@@ -241,9 +346,8 @@
 // remake has everything made again, because a result is gone.
 func (r *stageResults) remake(ctx context.Context) *verdict.Error {
 	j := r.job
-	j.outcome.Remade++
-	if j.outcome.Remade > maxRemakes {
-		return verdict.New(verdict.NotRun, verdict.ReasonInputGone, "results were lost too often")
+	if err := r.countRemake(); err != nil {
+		return err
 	}
 	r.releaseAll()
 	fresh := newStageResults(j)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -96,7 +96,7 @@
 }
 
 func (j *job) passEvent(reply *Reply, ev event) *verdict.Error {
-	if !j.begun {
+	if !j.begun.Load() {
 		j.begin(reply)
 		if err := j.out.Begin(reply, -1); err != nil {
 			return callerGone(err)
@@ -114,7 +114,7 @@
 
 // endStream ends a whole stream; one without events has only its head.
 func (j *job) endStream(reply *Reply) *verdict.Error {
-	if j.begun {
+	if j.begun.Load() {
 		return nil
 	}
 	j.begin(reply)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -12,9 +12,11 @@
 	"github.com/honeydyke/honeydyke/internal/directory"
 )
 
-// LapseGrace is how long a target that vanished while the source was in trouble
-// is still used. Targets name themselves again within two heartbeats.
-const LapseGrace = 3 * time.Second
+// LapseGrace is how long after the source's last trouble a target that vanished
+// is still used. Targets name themselves again within two heartbeats; a node that
+// can read the source again is trusted to know who leaves soon afterwards, so
+// the time counts from the trouble and not from the news.
+const LapseGrace = 2600 * time.Millisecond
 
 // Change is one item of news from the source.
 type Change interface{ isChange() }
@@ -65,9 +67,9 @@
 	return v.Catalog.Version
 }
 
-// WithChanges takes in news. troubled says whether the source was in trouble
-// lately, so that a target that vanished may only have lapsed.
-func (v *View) WithChanges(now time.Time, ch Changes, troubled bool) *View {
+// WithChanges takes in news. troubled is when the source was last in trouble;
+// zero for never. A target that vanished soon afterwards may only have lapsed.
+func (v *View) WithChanges(now time.Time, ch Changes, troubled time.Time) *View {
 	next := *v
 	for _, c := range ch.List {
 		switch c := c.(type) {
@@ -85,7 +87,7 @@
 }
 
 // WithSnapshot replaces the directory by a whole list of the source.
-func (v *View) WithSnapshot(now time.Time, ch Changes, troubled bool) *View {
+func (v *View) WithSnapshot(now time.Time, ch Changes, troubled time.Time) *View {
 	if ch.Revision < v.Revision {
 		return v
 	}
@@ -125,9 +127,9 @@
 	return &next
 }
 
-func (v *View) withoutTarget(now time.Time, id string, troubled bool) *directory.Directory {
-	if troubled {
-		return v.Directory.WithLapsed(id, now.Add(LapseGrace))
+func (v *View) withoutTarget(now time.Time, id string, troubled time.Time) *directory.Directory {
+	if until := troubled.Add(LapseGrace); !troubled.IsZero() && now.Before(until) {
+		return v.Directory.WithLapsed(id, until)
 	}
 	return v.Directory.Without(id)
 }
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -34,12 +34,14 @@
 
 	mu       sync.Mutex
 	services map[string]*actor.PID
+	// waits is what was last heard of the waiting time of services.
+	waits map[string]waitNews
 	// open counts groups that this node forms calls for.
 	open atomic.Int64
 }
 
 func newBatches(g *Gateway) *batches {
-	return &batches{g: g, services: map[string]*actor.PID{}}
+	return &batches{g: g, services: map[string]*actor.PID{}, waits: map[string]waitNews{}}
 }
 
 func (b *batches) idle() bool { return b.open.Load() == 0 }
@@ -89,7 +91,7 @@
 		if owner == "" || owner == b.g.PeerAddress() {
 			break
 		}
-		results, err := b.g.askItems(ctx, owner, service, group)
+		results, err := b.g.askItemsWatching(ctx, owner, service, group)
 		if err == nil || err.Reason() != verdict.ReasonConnection || ctx.Err() != nil {
 			return results, err
 		}
@@ -99,6 +101,33 @@
 	return b.makeHere(ctx, service, group)
 }
 
+// waitNews is a waiting time and when it was told.
+type waitNews struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// waitForgotten is how long a waiting time that was told counts.
+const waitForgotten = time.Second
+
+func (b *batches) told(service string, wait time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waits[service] = waitNews{wait: wait, at: b.g.now()}
+}
+
+// Wait implements relay.Batcher. News counts less the older it is.
+func (b *batches) Wait(service string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news := b.waits[service]
+	age := b.g.now().Sub(news.at)
+	if age >= waitForgotten {
+		return 0
+	}
+	return time.Duration(float64(news.wait) * (1 - float64(age)/float64(waitForgotten)))
+}
+
 // makeHere has the items made by calls that this node forms.
 func (b *batches) makeHere(ctx context.Context, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
 	b.open.Add(1)
@@ -270,6 +299,7 @@
 			f.gather(e)
 		}
 	}
+	f.g.batches.told(f.service, f.core.Wait(now))
 	if !f.ticking && !f.core.Idle() {
 		f.ticking = true
 		self := f.self
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -21,9 +21,10 @@
 	// minRetry and maxRetry bound the pause after the source failed.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
-	// troubleLasts is how long after the source's last failure a target that
-	// vanished may only have lapsed.
-	troubleLasts = 3500 * time.Millisecond
+	// probeWait and probeSlack bound a watch while the source is down, so that
+	// the end of its trouble is noticed soon.
+	probeWait  = 100 * time.Millisecond
+	probeSlack = 600 * time.Millisecond
 )
 
 // sourceHealth remembers how well the source can be heard.
@@ -39,6 +40,7 @@
 func (g *Gateway) follow(ctx context.Context) {
 	whole := true
 	for ctx.Err() == nil {
+		begun := g.now()
 		err := g.read(ctx, whole)
 		switch {
 		case err == nil:
@@ -50,7 +52,7 @@
 			whole = true
 			continue
 		}
-		g.sourceFailed(err)
+		g.sourceFailed(begun, err)
 		pause(ctx, minRetry+rand.N(maxRetry-minRetry))
 	}
 }
@@ -64,17 +66,25 @@
 		if err != nil {
 			return err
 		}
-		g.apply(ch, func(now time.Time, v *view.View, troubled bool) *view.View { return v.WithSnapshot(now, ch, troubled) })
+		g.apply(ch, func(now time.Time, v *view.View, troubled time.Time) *view.View {
+			return v.WithSnapshot(now, ch, troubled)
+		})
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait, slack := watchWait, watchSlack
+	if g.source.isDown() {
+		wait, slack = probeWait, probeSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	g.metrics.sourceCalls.Inc(1)
-	ch, err := g.ports.Source.Watch(ctx, g.view.Load().Revision, watchWait)
+	ch, err := g.ports.Source.Watch(ctx, g.view.Load().Revision, wait)
 	if err != nil {
 		return err
 	}
-	g.apply(ch, func(now time.Time, v *view.View, troubled bool) *view.View { return v.WithChanges(now, ch, troubled) })
+	g.apply(ch, func(now time.Time, v *view.View, troubled time.Time) *view.View {
+		return v.WithChanges(now, ch, troubled)
+	})
 	return nil
 }
 
@@ -89,11 +99,13 @@
 	}
 }
 
-func (g *Gateway) sourceFailed(err error) {
+// sourceFailed remembers a failure. The trouble counts from the beginning of the
+// call that failed: it may have ended while the call waited.
+func (g *Gateway) sourceFailed(begun time.Time, err error) {
 	h := &g.source
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.troubled = g.now()
+	h.troubled = begun
 	g.metrics.sourceFailures.Inc(1)
 	if !h.down {
 		h.down = true
@@ -101,20 +113,26 @@
 	}
 }
 
-// troubled says whether the source was in trouble lately.
-func (h *sourceHealth) isTroubled(now time.Time) bool {
+func (h *sourceHealth) isDown() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down
+}
+
+// lastTrouble returns when the source was last in trouble; zero for never.
+func (h *sourceHealth) lastTrouble() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.down || (!h.troubled.IsZero() && now.Sub(h.troubled) < troubleLasts)
+	return h.troubled
 }
 
 // apply changes the view and tells those who work by it.
-func (g *Gateway) apply(ch view.Changes, change func(time.Time, *view.View, bool) *view.View) {
+func (g *Gateway) apply(ch view.Changes, change func(time.Time, *view.View, time.Time) *view.View) {
 	g.viewMu.Lock()
 	defer g.viewMu.Unlock()
 	old := g.view.Load()
 	now := g.now()
-	next := change(now, old.WithTime(now), g.source.isTroubled(now))
+	next := change(now, old.WithTime(now), g.source.lastTrouble())
 	g.view.Store(next)
 	g.logChanges(old, next, ch)
 	if next.Directory == old.Directory && next.Catalog == old.Catalog {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -283,33 +283,40 @@
 const (
 	// balancerNotices is how long the balancer takes to send nobody new.
 	balancerNotices = 3 * time.Second
+	// giveUpMargin is how long before the end of the time to stop requests that
+	// have no answer yet are refused.
+	giveUpMargin = time.Second
 	// stopMargin is kept free of the time to stop.
 	stopMargin = 500 * time.Millisecond
 	drainPoll  = 25 * time.Millisecond
 )
 
 // stop finishes the work in flight, within the time that the settings give.
+// Idle connections are closed at once; new ones are taken until the balancer
+// has had time to notice.
 func (g *Gateway) stop() {
+	begun := g.now()
 	g.leaving.Store(true)
 	g.tellRoster()
+	g.servers[0].SetKeepAlivesEnabled(false)
 	grace := defaultGrace
 	if ms := g.cfg.Gateway.GraceMs; ms > 0 {
 		grace = time.Duration(ms) * time.Millisecond
 	}
 	g.log.Info().Dur("grace", grace).Int64("inflight", g.inflight.Load()).Msg("stop: leaving")
-	begun := g.now()
-	for {
-		time.Sleep(drainPoll)
-		took := g.now().Sub(begun)
-		if took > grace-stopMargin {
-			break
-		}
-		if took > balancerNotices && g.inflight.Load() == 0 && g.batches.idle() {
-			break
-		}
-	}
-	g.log.Info().Int64("cut", g.inflight.Load()).Msg("stop: ended")
-	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	g.until(begun.Add(min(balancerNotices, grace/2)), func() bool { return false })
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-stopMargin))
 	defer cancel()
+	giveUp := time.AfterFunc(begun.Add(grace-giveUpMargin).Sub(g.now()), g.relay.Stop)
+	defer giveUp.Stop()
 	_ = g.servers[0].Shutdown(ctx)
+	g.until(begun.Add(grace-stopMargin), func() bool { return g.inflight.Load() == 0 && g.batches.idle() })
+	g.log.Info().Int64("cut", g.inflight.Load()).Dur("took", g.now().Sub(begun)).Msg("stop: ended")
+}
+
+// until waits until a time, or until something holds.
+func (g *Gateway) until(end time.Time, holds func() bool) {
+	for g.now().Before(end) && !holds() {
+		time.Sleep(drainPoll)
+	}
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -31,11 +31,11 @@
 	peerIdle       = 30 * time.Second
 	// releaseTimeout bounds handing on results to free.
 	releaseTimeout = time.Second
-	// itemsGrace is how long after the results are due a silent member is
-	// waited for.
-	itemsGrace = 1500 * time.Millisecond
-	// minItemsWait is the least time that a member gets.
-	minItemsWait = 2 * time.Second
+	// aliveFor is how long a member that gave a sign of life is trusted to make
+	// items without another.
+	aliveFor = 700 * time.Millisecond
+	// aliveTimeout bounds asking a member for a sign of life.
+	aliveTimeout = 350 * time.Millisecond
 	// sourceSilent is how long the source must be silent before peers are asked.
 	sourceSilent = time.Second
 )
@@ -125,7 +125,8 @@
 	}
 }
 
-func (g *Gateway) exchange(ctx context.Context, address string) {
+// exchange tells a member what is known of all members and hears what it knows.
+func (g *Gateway) exchange(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
 	g.rosterMu.Lock()
@@ -133,11 +134,13 @@
 	g.rosterMu.Unlock()
 	var in message.Gossip
 	if err := g.call(ctx, http.MethodPost, address, wire.PathGossip, out, &in); err != nil {
-		return
+		return false
 	}
 	g.rosterMu.Lock()
 	defer g.rosterMu.Unlock()
 	g.roster.Merge(g.now(), in)
+	g.roster.Hear(g.now(), address)
+	return true
 }
 
 func (g *Gateway) serveGossip(w http.ResponseWriter, r *http.Request) {
@@ -197,7 +200,7 @@
 		ch.List = append(ch.List, view.TargetChange{Target: target})
 	}
 	g.log.Info().Str("member", from).Int64("version", catalog.Catalog.Version).Int("revision", s.Revision).Msg("view: taken from a member")
-	g.apply(view.Changes{}, func(now time.Time, v *view.View, _ bool) *view.View { return v.WithSnapshot(now, ch, false) })
+	g.apply(view.Changes{}, func(now time.Time, v *view.View, _ time.Time) *view.View { return v.WithSnapshot(now, ch, time.Time{}) })
 }
 
 func (g *Gateway) serveView(w http.ResponseWriter, _ *http.Request) {
@@ -216,11 +219,51 @@
 	writeMessage(w, s)
 }
 
+// askItemsWatching has a member make the items of a group, and gives up on the
+// member when it shows no sign of life meanwhile.
+func (g *Gateway) askItemsWatching(ctx context.Context, member, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		results []batching.Result
+		err     *verdict.Error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		results, err := g.askItems(ctx, member, service, group)
+		answered <- answer{results, err}
+	}()
+	watch := time.NewTicker(aliveFor)
+	defer watch.Stop()
+	for {
+		select {
+		case a := <-answered:
+			return a.results, a.err
+		case <-watch.C:
+			if !g.alive(ctx, member) {
+				return nil, verdict.New(verdict.NotRun, verdict.ReasonConnection, "member %s shows no sign of life", member)
+			}
+		}
+	}
+}
+
+// alive says whether a member gave a sign of life lately or answers now.
+func (g *Gateway) alive(ctx context.Context, member string) bool {
+	g.rosterMu.Lock()
+	heard := g.roster.Heard(member)
+	g.rosterMu.Unlock()
+	if g.now().Sub(heard) < aliveFor {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	return g.exchange(ctx, member)
+}
+
 // askItems has a member make the items of a group.
 func (g *Gateway) askItems(ctx context.Context, member, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
 	now := g.now()
-	limit := max(group.Due.Sub(now)+itemsGrace, minItemsWait)
-	ctx, cancel := context.WithTimeout(ctx, min(limit, group.Deadline.Sub(now)))
+	ctx, cancel := context.WithTimeout(ctx, group.Deadline.Sub(now))
 	defer cancel()
 	in := message.ItemGroup{
 		Service: service, Request: group.Request, Stage: group.Stage, Count: group.Count,
@@ -232,6 +275,7 @@
 	if err := g.call(ctx, http.MethodPost, member, wire.PathItems, in, &out); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonConnection, "member %s gave no results", member).WithCause(err)
 	}
+	g.batches.told(service, time.Duration(out.WaitMs)*time.Millisecond)
 	if out.Reason != "" {
 		return nil, verdict.New(verdict.NotRun, verdict.Reason(out.Reason), "%s", out.Text).
 			WithRetryAfter(time.Duration(out.RetryAfterMs) * time.Millisecond)
@@ -253,7 +297,7 @@
 		Due: now.Add(time.Duration(in.DueMs) * time.Millisecond), Deadline: now.Add(time.Duration(in.DeadlineMs) * time.Millisecond),
 		Priority: in.Priority, DataCentre: in.DataCentre,
 	})
-	out := message.ItemResults{Results: itemsOf(results)}
+	out := message.ItemResults{Results: itemsOf(results), WaitMs: int(g.batches.Wait(in.Service).Milliseconds())}
 	if err != nil {
 		out.Reason, out.Text, out.RetryAfterMs = string(err.Reason()), err.Text(), int(err.RetryAfter().Milliseconds())
 	}
