Refuse new requests from 2.5 s after the signal to stop

Ruled out: a kept connection (those are closed at the signal). Change: from 2.5 s on a new request gets 503 with a time to come back, at once.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -91,6 +91,8 @@
 	viewMu  sync.Mutex
 	source  sourceHealth
 	leaving atomic.Bool
+	// leavingSince is when the node began to leave; nil before.
+	leavingSince atomic.Pointer[time.Time]
 	// inflight counts callers' requests without a final answer.
 	inflight atomic.Int64
 
@@ -225,6 +227,9 @@
 
 // Serve implements Relay.
 func (g *Gateway) Serve(ctx context.Context, req *relay.Request, out relay.Responder) *verdict.Error {
+	if g.refusing() {
+		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the node is leaving").WithRetryAfter(comeBackElsewhere)
+	}
 	return g.relay.Serve(ctx, req, out)
 }
 
@@ -236,6 +241,13 @@
 	return defaultBodyLimit
 }
 
+// refusing says whether new requests are refused because the balancer has had
+// time to send them elsewhere. What came before may be finished in time.
+func (g *Gateway) refusing() bool {
+	since := g.leavingSince.Load()
+	return since != nil && g.now().Sub(*since) >= takeAfterSignal
+}
+
 // Leaving implements Relay.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
@@ -283,6 +295,11 @@
 const (
 	// balancerNotices is how long the balancer takes to send nobody new.
 	balancerNotices = 3 * time.Second
+	// takeAfterSignal is how long after the signal new requests are still taken.
+	takeAfterSignal = 2500 * time.Millisecond
+	// comeBackElsewhere is when a client that a leaving node refused may ask
+	// another.
+	comeBackElsewhere = 50 * time.Millisecond
 	// giveUpMargin is how long before the end of the time to stop requests that
 	// have no answer yet are refused.
 	giveUpMargin = time.Second
@@ -296,6 +313,7 @@
 // has had time to notice.
 func (g *Gateway) stop() {
 	begun := g.now()
+	g.leavingSince.Store(&begun)
 	g.leaving.Store(true)
 	g.tellRoster()
 	g.servers[0].SetKeepAlivesEnabled(false)
