Free inputs once the call that reads them has begun, and let returning requests give way

Requests that came back after a refusal took the places of those that could still be in time. Ruled out: processor time (13 of 250 core seconds), the number of calls. Change: the former says when all items of a group have been part of a call for 120 ms, and the inputs are freed then; a result freed too early is made again. Returning requests that would be late rank behind all others.

--- a/internal/batching/core.go
+++ b/internal/batching/core.go
@@ -311,13 +311,16 @@
 func (c *Core) sort(now time.Time) {
 	soonest := now.Add(planned(c.batch, 1))
 	slices.SortStableFunc(c.queue, func(a, b *work) int {
-		if late := compareBool(soonest.After(a.Due), soonest.After(b.Due)); late != 0 {
+		if late := compareBool(a.givesWay(soonest), b.givesWay(soonest)); late != 0 {
 			return late
 		}
 		return cmp.Compare(a.rank(), b.rank())
 	})
 }
 
+// givesWay says whether the item cannot be in time any more, or need not be.
+func (w *work) givesWay(soonest time.Time) bool { return w.Background || soonest.After(w.Due) }
+
 func (w *work) rank() int64 {
 	return w.Due.Add(time.Duration(w.Priority) * priorityStep).UnixNano()
 }
@@ -458,7 +461,7 @@
 	}
 	ahead, latest := 0, now.Add(planned(c.batch, 1))
 	for _, w := range c.queue {
-		if !latest.After(w.Due) {
+		if !w.givesWay(latest) {
 			ahead++
 		}
 	}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -66,6 +66,9 @@
 // ItemGroup asks the node that forms a service's calls for the items of one stage
 // of one request.
 type ItemGroup struct {
+	// Whether the items give way to all others.
+	Background bool `json:"background,omitempty,omitzero"`
+
 	// Rough size of one result.
 	Bytes int `json:"bytes"`
 
@@ -132,6 +135,10 @@
 	// RetryAfterMs corresponds to the JSON schema field "retryAfterMs".
 	RetryAfterMs int `json:"retryAfterMs,omitempty,omitzero"`
 
+	// Whether this is only the news that all items have read their inputs; the
+	// results follow.
+	Started bool `json:"started,omitempty,omitzero"`
+
 	// Text corresponds to the JSON schema field "text".
 	Text string `json:"text,omitempty,omitzero"`
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -22,9 +22,11 @@
 )
 
 // admit refuses a request at once when its stages cannot all be done in time as
-// things stand. One that was refused before is let in all the same.
+// things stand. One that was refused before is let in all the same, but gives way
+// to others.
 func (j *job) admit() *verdict.Error {
-	if len(j.route.Stages) == 0 || j.returning() {
+	returning := j.returning()
+	if len(j.route.Stages) == 0 {
 		return nil
 	}
 	now := j.s.cfg.Now()
@@ -39,6 +41,10 @@
 	if longest == 0 || !now.Add(longest+engineLead+margin).After(j.objective) {
 		return nil
 	}
+	if returning {
+		j.background = true
+		return nil
+	}
 	return verdict.New(verdict.NotRun, verdict.ReasonOverload, "the stages would take %v", longest).
 		WithRetryAfter(j.comeBack())
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,13 +113,15 @@
 	Due        time.Time
 	Deadline   time.Time
 	Priority   int
+	Background bool
 	DataCentre string
 }
 
 // Batcher has items made.
 type Batcher interface {
-	// Make returns the results in the order of the items' numbers.
-	Make(ctx context.Context, service string, g Group) ([]batching.Result, *verdict.Error)
+	// Make returns the results in the order of the items' numbers. It calls
+	// started, if at all, once the items should have read their inputs.
+	Make(ctx context.Context, service string, g Group, started func()) ([]batching.Result, *verdict.Error)
 	// Release frees results.
 	Release(service string, results []batching.Result)
 	// Wait estimates how long a new item waits before its call starts.
@@ -228,6 +230,9 @@
 	objective time.Time
 	outcome   Outcome
 	tried     []string
+	// background requests were refused before and would still be late; their
+	// items give way to those of others.
+	background bool
 	// sends counts the calls that a target may have run.
 	sends  int
 	begun  atomic.Bool
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -26,14 +26,16 @@
 	results [][]batching.Result
 	// users counts the later stages that still need the results.
 	users []int
-	done  []bool
+	// read says which stages have read their inputs.
+	read []bool
+	done []bool
 	// lost says that the inputs were freed or are gone at their makers.
 	lost bool
 }
 
 func newStageResults(j *job) *stageResults {
 	n := len(j.route.Stages)
-	r := &stageResults{job: j, results: make([][]batching.Result, n), users: make([]int, n), done: make([]bool, n)}
+	r := &stageResults{job: j, results: make([][]batching.Result, n), users: make([]int, n), read: make([]bool, n), done: make([]bool, n)}
 	for _, s := range j.route.Stages {
 		for _, a := range s.After {
 			r.users[a]++
@@ -118,10 +120,24 @@
 	r.mu.Lock()
 	r.done[i] = true
 	r.mu.Unlock()
+	r.inputsRead(i)
+	return nil
+}
+
+// inputsRead frees the inputs of a stage that has read them. A result that is
+// freed too early is made again.
+func (r *stageResults) inputsRead(i int) {
+	r.mu.Lock()
+	known := r.read[i]
+	r.read[i] = true
+	r.mu.Unlock()
 	for _, a := range r.job.route.Stages[i].After {
+		if known {
+			r.freeUnused(a)
+			continue
+		}
 		r.used(a)
 	}
-	return nil
 }
 
 // obtain has a stage's items made. When an input is gone, the stages that made
@@ -131,7 +147,7 @@
 		if err := r.obtainInputs(ctx, i); err != nil {
 			return err
 		}
-		results, err := r.job.s.cfg.Batcher.Make(ctx, r.job.route.Stages[i].Service, r.group(i))
+		results, err := r.job.s.cfg.Batcher.Make(ctx, r.job.route.Stages[i].Service, r.group(i), func() { r.inputsRead(i) })
 		if err == nil {
 			r.set(i, results)
 			return nil
@@ -208,7 +224,7 @@
 	stage := j.route.Stages[i]
 	g := Group{
 		Request: j.req.ID, Stage: i, Count: r.count(i), Bytes: stage.ResultBytes,
-		Due: j.objective.Add(-engineLead - r.after(i)), Deadline: j.until, Priority: j.priority(),
+		Due: j.objective.Add(-engineLead - r.after(i)), Deadline: j.until, Priority: j.priority(), Background: j.background,
 	}
 	if len(stage.After) == 0 {
 		g.Source = j.req.Source
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -23,6 +23,9 @@
 	freeDelay = 25 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
+	// readTime is how long after the start of a call its items have read their
+	// inputs. A target reads them before it works, which takes far longer.
+	readTime = 120 * time.Millisecond
 	// maxOwners bounds the nodes that one group is handed to.
 	maxOwners = 3
 )
@@ -85,20 +88,20 @@
 }
 
 // Make implements relay.Batcher.
-func (b *batches) Make(ctx context.Context, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
+func (b *batches) Make(ctx context.Context, service string, group relay.Group, started func()) ([]batching.Result, *verdict.Error) {
 	for range maxOwners {
 		owner := b.owner(service)
 		if owner == "" || owner == b.g.PeerAddress() {
 			break
 		}
-		results, err := b.g.askItemsWatching(ctx, owner, service, group)
+		results, err := b.g.askItemsWatching(ctx, owner, service, group, started)
 		if err == nil || err.Reason() != verdict.ReasonConnection || ctx.Err() != nil {
 			return results, err
 		}
 		b.g.log.Warn().Str("request", group.Request).Str("service", service).Str("member", owner).Err(err).Msg("items: member lost, asking another")
 		b.g.suspect(owner)
 	}
-	return b.makeHere(ctx, service, group)
+	return b.makeHere(ctx, service, group, started)
 }
 
 // waitNews is a waiting time and when it was told.
@@ -129,11 +132,11 @@
 }
 
 // makeHere has the items made by calls that this node forms.
-func (b *batches) makeHere(ctx context.Context, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
+func (b *batches) makeHere(ctx context.Context, service string, group relay.Group, started func()) ([]batching.Result, *verdict.Error) {
 	b.open.Add(1)
 	defer b.open.Add(-1)
 	pid := b.former(service)
-	order := &order{group: group, done: make(chan struct{})}
+	order := &order{group: group, started: started, done: make(chan struct{})}
 	b.g.system.Root.Send(pid, order)
 	select {
 	case <-order.done:
@@ -177,10 +180,17 @@
 	err     *verdict.Error
 	tokens  []batching.Token
 	pending int
-	closed  bool
-	done    chan struct{}
+	// started is told once all items should have read their inputs; unstarted
+	// counts the items that have not been part of a call.
+	started   func()
+	unstarted int
+	closed    bool
+	done      chan struct{}
 }
 
+// inputsRead says that an order's items should have read their inputs.
+type inputsRead struct{ order *order }
+
 // cancelOrder says that nobody waits for an order any more.
 type cancelOrder struct{ order *order }
 
@@ -191,6 +201,8 @@
 type place struct {
 	order *order
 	index int
+	// begun says whether the item has been part of a call.
+	begun bool
 }
 
 // former forms the calls of one service: the shell around a batching core.
@@ -227,6 +239,10 @@
 		f.open(msg)
 	case cancelOrder:
 		f.cancel(msg.order)
+	case inputsRead:
+		if !msg.order.closed {
+			go msg.order.started()
+		}
 	case freeNow:
 		f.freeing = false
 		f.flush()
@@ -240,7 +256,7 @@
 
 func (f *former) open(o *order) {
 	items := make([]batching.Item, o.group.Count)
-	o.pending = len(items)
+	o.pending, o.unstarted = len(items), len(items)
 	o.results = make([]batching.Result, len(items))
 	for i := range items {
 		f.last++
@@ -249,7 +265,8 @@
 		items[i] = batching.Item{
 			Token: f.last, Request: o.group.Request, Stage: o.group.Stage, Index: i,
 			Source: o.group.Source, Inputs: o.group.Inputs, Bytes: o.group.Bytes,
-			Due: o.group.Due, Deadline: o.group.Deadline, Priority: o.group.Priority, DataCentre: o.group.DataCentre,
+			Due: o.group.Due, Deadline: o.group.Deadline, Priority: o.group.Priority, Background: o.group.Background,
+			DataCentre: o.group.DataCentre,
 		}
 	}
 	f.handle(batching.Submit{Items: items})
@@ -323,11 +340,29 @@
 	}
 }
 
+// countBegun notes that items are part of a call, and has the makers of their
+// inputs told when all items of their order are.
+func (f *former) countBegun(items []batching.Item) {
+	for _, item := range items {
+		p, known := f.places[item.Token]
+		if !known || p.begun {
+			continue
+		}
+		p.begun = true
+		f.places[item.Token] = p
+		if p.order.unstarted--; p.order.unstarted == 0 && len(p.order.group.Inputs) > 0 && p.order.started != nil {
+			self, o := f.self, p.order
+			time.AfterFunc(readTime, func() { f.g.system.Root.Send(self, inputsRead{o}) })
+		}
+	}
+}
+
 // start sends a call, after what is to be freed at the same target.
 func (f *former) start(now time.Time, e batching.Start) {
 	free := f.frees[e.Target.ID]
 	delete(f.frees, e.Target.ID)
 	f.g.metrics.batch(f.service, len(e.Items))
+	f.countBegun(e.Items)
 	self := f.self
 	go func() {
 		if free != nil {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,7 +79,31 @@
 		_, err = io.Copy(io.Discard, resp.Body)
 		return err
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, wire.MaxAnswerBytes)).Decode(out)
+	decoder := json.NewDecoder(io.LimitReader(resp.Body, wire.MaxAnswerBytes))
+	if answer, ok := out.(*itemAnswer); ok {
+		return answer.read(decoder)
+	}
+	return decoder.Decode(out)
+}
+
+// itemAnswer is a member's answer to a group: perhaps the news that the inputs
+// are read, and then the results.
+type itemAnswer struct {
+	message.ItemResults
+	started func()
+}
+
+func (a *itemAnswer) read(decoder *json.Decoder) error {
+	for {
+		a.ItemResults = message.ItemResults{}
+		if err := decoder.Decode(&a.ItemResults); err != nil {
+			return err
+		}
+		if !a.Started {
+			return nil
+		}
+		a.started()
+	}
 }
 
 func readMessage(w http.ResponseWriter, r *http.Request, into any) bool {
@@ -221,7 +246,7 @@
 
 // askItemsWatching has a member make the items of a group, and gives up on the
 // member when it shows no sign of life meanwhile.
-func (g *Gateway) askItemsWatching(ctx context.Context, member, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
+func (g *Gateway) askItemsWatching(ctx context.Context, member, service string, group relay.Group, started func()) ([]batching.Result, *verdict.Error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
@@ -230,7 +255,7 @@
 	}
 	answered := make(chan answer, 1)
 	go func() {
-		results, err := g.askItems(ctx, member, service, group)
+		results, err := g.askItems(ctx, member, service, group, started)
 		answered <- answer{results, err}
 	}()
 	watch := time.NewTicker(aliveFor)
@@ -261,7 +286,7 @@
 }
 
 // askItems has a member make the items of a group.
-func (g *Gateway) askItems(ctx context.Context, member, service string, group relay.Group) ([]batching.Result, *verdict.Error) {
+func (g *Gateway) askItems(ctx context.Context, member, service string, group relay.Group, started func()) ([]batching.Result, *verdict.Error) {
 	now := g.now()
 	ctx, cancel := context.WithTimeout(ctx, group.Deadline.Sub(now))
 	defer cancel()
@@ -269,9 +294,9 @@
 		Service: service, Request: group.Request, Stage: group.Stage, Count: group.Count,
 		Source: group.Source, Inputs: group.Inputs, Bytes: int(group.Bytes),
 		DueMs: int(group.Due.Sub(now).Milliseconds()), DeadlineMs: int(group.Deadline.Sub(now).Milliseconds()),
-		Priority: group.Priority, DataCentre: group.DataCentre,
+		Priority: group.Priority, Background: group.Background, DataCentre: group.DataCentre,
 	}
-	var out message.ItemResults
+	out := itemAnswer{started: started}
 	if err := g.call(ctx, http.MethodPost, member, wire.PathItems, in, &out); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonConnection, "member %s gave no results", member).WithCause(err)
 	}
@@ -292,16 +317,42 @@
 		return
 	}
 	now := g.now()
+	answer := &itemWriter{w: w}
 	results, err := g.batches.makeHere(r.Context(), in.Service, relay.Group{
 		Request: in.Request, Stage: in.Stage, Count: in.Count, Source: in.Source, Inputs: in.Inputs, Bytes: int64(in.Bytes),
 		Due: now.Add(time.Duration(in.DueMs) * time.Millisecond), Deadline: now.Add(time.Duration(in.DeadlineMs) * time.Millisecond),
-		Priority: in.Priority, DataCentre: in.DataCentre,
-	})
+		Priority: in.Priority, Background: in.Background, DataCentre: in.DataCentre,
+	}, answer.started)
 	out := message.ItemResults{Results: itemsOf(results), WaitMs: int(g.batches.Wait(in.Service).Milliseconds())}
 	if err != nil {
 		out.Reason, out.Text, out.RetryAfterMs = string(err.Reason()), err.Text(), int(err.RetryAfter().Milliseconds())
 	}
-	writeMessage(w, out)
+	answer.finish(out)
+}
+
+// itemWriter writes the answer to a group; the news that the inputs are read may
+// come at any moment before the end.
+type itemWriter struct {
+	mu    sync.Mutex
+	w     http.ResponseWriter
+	ended bool
+}
+
+func (a *itemWriter) started() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return
+	}
+	writeMessage(a.w, message.ItemResults{Results: []message.ItemResult{}, Started: true})
+	_ = http.NewResponseController(a.w).Flush()
+}
+
+func (a *itemWriter) finish(out message.ItemResults) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	writeMessage(a.w, out)
 }
 
 func resultsOf(items []message.ItemResult) []batching.Result {
