--- /dev/null
+++ b/internal/batching/batching_test.go
@@ -0,0 +1,328 @@
+package batching_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/honeydyke/honeydyke/internal/batching"
+	"github.com/honeydyke/honeydyke/internal/catalog"
+	"github.com/honeydyke/honeydyke/internal/directory"
+	_ "github.com/honeydyke/honeydyke/internal/fixedseed"
+	"github.com/honeydyke/honeydyke/internal/retrybudget"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+var start = time.Unix(1000, 0)
+
+func service() *catalog.Service {
+	return &catalog.Service{Name: "s", Batch: &catalog.Batch{
+		Slots: 1, Queue: 2, Size: 4, CallLatency: 240 * time.Millisecond, PerItem: 20 * time.Millisecond,
+		RoomBytes: 1000, HandleTTL: 4 * time.Second,
+	}}
+}
+
+func targets(n int) []directory.Target {
+	var list []directory.Target
+	for i := range n {
+		list = append(list, directory.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: fmt.Sprintf("d%d", i)})
+	}
+	return list
+}
+
+func newCore(n int) *batching.Core {
+	c := batching.New(retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1})
+	c.Handle(start, batching.Configure{Service: service(), Targets: targets(n)})
+	return c
+}
+
+func items(first, n int, due time.Duration) []batching.Item {
+	var list []batching.Item
+	for i := range n {
+		list = append(list, batching.Item{
+			Token: batching.Token(first + i), Request: "r", Index: i, Bytes: 100,
+			Due: start.Add(due), Deadline: start.Add(10 * time.Second),
+		})
+	}
+	return list
+}
+
+func starts(effects []batching.Effect) []batching.Start {
+	var list []batching.Start
+	for _, e := range effects {
+		if s, ok := e.(batching.Start); ok {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func made(s batching.Start) batching.Finished {
+	f := batching.Finished{Call: s.Call}
+	for _, item := range s.Items {
+		f.Outcomes = append(f.Outcomes, batching.Outcome{Handle: fmt.Sprintf("h%d-%d", s.Call, item.Token)})
+	}
+	return f
+}
+
+func TestCalls(t *testing.T) {
+	convey.Convey("Items of many requests share a call while the target works", t, func() {
+		c := newCore(1)
+		first := starts(c.Handle(start, batching.Submit{Items: items(1, 1, 2*time.Second)}))
+		convey.So(first, convey.ShouldHaveLength, 1)
+		convey.So(starts(c.Handle(start, batching.Submit{Items: items(2, 2, 2*time.Second)})), convey.ShouldBeEmpty)
+		convey.So(starts(c.Handle(start, batching.Submit{Items: items(4, 3, time.Second)})), convey.ShouldBeEmpty)
+		second := starts(c.Handle(start.Add(300*time.Millisecond), made(first[0])))
+		convey.So(second, convey.ShouldHaveLength, 1)
+		convey.So(second[0].Items, convey.ShouldHaveLength, 4)
+		convey.Convey("and what is due first goes first", func() {
+			convey.So(second[0].Items[0].Token, convey.ShouldEqual, 4)
+		})
+	})
+	convey.Convey("A call never asks for more room than the target has", t, func() {
+		c := newCore(1)
+		big := items(1, 3, 2*time.Second)
+		for i := range big {
+			big[i].Bytes = 400
+		}
+		s := starts(c.Handle(start, batching.Submit{Items: big}))
+		convey.So(s[0].Items, convey.ShouldHaveLength, 2)
+		convey.Convey("and the rest waits until a result is freed", func() {
+			convey.So(starts(c.Handle(start.Add(300*time.Millisecond), made(s[0]))), convey.ShouldBeEmpty)
+			freed := c.Handle(start.Add(400*time.Millisecond), batching.Release{Target: "t0", Handles: []string{"h1-1"}})
+			convey.So(starts(freed), convey.ShouldHaveLength, 1)
+		})
+	})
+	convey.Convey("A target that leaves gets no call", t, func() {
+		c := newCore(1)
+		leaving := targets(1)
+		leaving[0].State = directory.Draining
+		c.Handle(start, batching.Configure{Service: service(), Targets: leaving})
+		convey.So(starts(c.Handle(start, batching.Submit{Items: items(1, 1, time.Second)})), convey.ShouldBeEmpty)
+	})
+	convey.Convey("Items wait for a target where their inputs are, but not beyond what is due", t, func() {
+		c := newCore(2)
+		busy := items(1, 1, 2*time.Second)
+		busy[0].DataCentre = "d0"
+		s := starts(c.Handle(start, batching.Submit{Items: busy}))
+		convey.So(s[0].Target.ID, convey.ShouldEqual, "t0")
+		near := items(2, 1, 2*time.Second)
+		near[0].DataCentre = "d0"
+		convey.So(starts(c.Handle(start, batching.Submit{Items: near})), convey.ShouldBeEmpty)
+		urgent := items(3, 1, 500*time.Millisecond)
+		urgent[0].DataCentre = "d0"
+		far := starts(c.Handle(start, batching.Submit{Items: urgent}))
+		convey.So(far, convey.ShouldHaveLength, 1)
+		convey.So(far[0].Target.ID, convey.ShouldEqual, "t1")
+	})
+	convey.Convey("Background items give way", t, func() {
+		c := newCore(1)
+		s := starts(c.Handle(start, batching.Submit{Items: items(1, 1, 2*time.Second)}))
+		back := items(2, 3, time.Second)
+		for i := range back {
+			back[i].Background = true
+		}
+		c.Handle(start, batching.Submit{Items: back})
+		c.Handle(start, batching.Submit{Items: items(5, 4, 2*time.Second)})
+		next := starts(c.Handle(start.Add(300*time.Millisecond), made(s[0])))
+		convey.So(next[0].Items[0].Token, convey.ShouldEqual, 5)
+		convey.So(next[0].Items[3].Token, convey.ShouldEqual, 8)
+	})
+}
+
+func TestTrouble(t *testing.T) {
+	convey.Convey("Items of a call that is stuck go elsewhere, and its late results are freed", t, func() {
+		c := newCore(2)
+		s := starts(c.Handle(start, batching.Submit{Items: items(1, 1, 5*time.Second)}))
+		again := starts(c.Handle(start.Add(2*time.Second), batching.Tick{}))
+		convey.So(again, convey.ShouldHaveLength, 1)
+		convey.So(again[0].Target.ID, convey.ShouldNotEqual, s[0].Target.ID)
+		c.Handle(start.Add(2300*time.Millisecond), made(again[0]))
+		late := c.Handle(start.Add(2400*time.Millisecond), made(s[0]))
+		convey.So(late, convey.ShouldHaveLength, 1)
+		convey.So(late[0], convey.ShouldHaveSameTypeAs, batching.Free{})
+	})
+	convey.Convey("An item whose input is gone is not tried again", t, func() {
+		c := newCore(1)
+		s := starts(c.Handle(start, batching.Submit{Items: items(1, 1, time.Second)}))
+		out := c.Handle(start.Add(time.Second), batching.Finished{Call: s[0].Call, Outcomes: []batching.Outcome{{Refusal: batching.InputGone}}})
+		convey.So(out, convey.ShouldHaveLength, 1)
+		convey.So(out[0].(batching.Resolve).Err.Reason(), convey.ShouldEqual, verdict.ReasonInputGone)
+	})
+	convey.Convey("An answer for other items than were asked counts as a failure", t, func() {
+		c := newCore(1)
+		s := starts(c.Handle(start, batching.Submit{Items: items(1, 2, 2*time.Second)}))
+		out := c.Handle(start.Add(300*time.Millisecond), batching.Finished{Call: s[0].Call, Outcomes: []batching.Outcome{{Handle: "h"}}})
+		for _, e := range out {
+			_, resolved := e.(batching.Resolve)
+			convey.So(resolved, convey.ShouldBeFalse)
+		}
+	})
+}
+
+// oracle follows a core from outside and knows what must hold.
+type oracle struct {
+	t       *rapid.T
+	core    *batching.Core
+	now     time.Time
+	open    map[batching.Token]bool
+	running map[batching.CallID]batching.Start
+	busy    map[string]batching.CallID
+	leaving map[string]bool
+	made    map[string]bool
+	kept    map[string]string
+	next    int
+	handles int
+}
+
+func (o *oracle) handle(ev batching.Event) {
+	for _, e := range o.core.Handle(o.now, ev) {
+		switch e := e.(type) {
+		case batching.Start:
+			o.start(e)
+		case batching.Resolve:
+			if !o.open[e.Token] {
+				o.t.Fatalf("item %d was resolved twice or after it was withdrawn", e.Token)
+			}
+			delete(o.open, e.Token)
+			if e.Err == nil {
+				o.kept[e.Result.Handle] = e.Result.Target
+				delete(o.made, e.Result.Handle)
+			}
+		case batching.Free:
+			for _, h := range e.Handles {
+				if !o.made[h] && o.kept[h] == "" {
+					o.t.Fatalf("result %s was freed twice or never made", h)
+				}
+				delete(o.made, h)
+				delete(o.kept, h)
+			}
+		}
+	}
+	if len(o.made) > 0 {
+		o.t.Fatalf("results %v are neither used nor freed", o.made)
+	}
+}
+
+func (o *oracle) start(e batching.Start) {
+	if o.busy[e.Target.ID] != 0 {
+		o.t.Fatalf("target %s got a second call", e.Target.ID)
+	}
+	if o.leaving[e.Target.ID] {
+		o.t.Fatalf("target %s leaves and got a call", e.Target.ID)
+	}
+	if len(e.Items) == 0 || len(e.Items) > 4 {
+		o.t.Fatalf("a call has %d items", len(e.Items))
+	}
+	for _, item := range e.Items {
+		if !o.open[item.Token] {
+			o.t.Fatalf("item %d was asked for after its end", item.Token)
+		}
+	}
+	o.busy[e.Target.ID] = e.Call
+	o.running[e.Call] = e
+}
+
+// anyCall returns the oldest call at work.
+func (o *oracle) anyCall() (batching.Start, bool) {
+	var oldest batching.Start
+	for id, s := range o.running {
+		if oldest.Call == 0 || id < oldest.Call {
+			oldest = s
+		}
+	}
+	return oldest, oldest.Call != 0
+}
+
+func (o *oracle) finish(s batching.Start) {
+	delete(o.running, s.Call)
+	delete(o.busy, s.Target.ID)
+	f := batching.Finished{Call: s.Call}
+	if rapid.IntRange(0, 5).Draw(o.t, "fails") == 0 {
+		f.Err = verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "lost")
+		o.handle(f)
+		return
+	}
+	for range s.Items {
+		refusal := batching.Refusal(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2, 3, 4}).Draw(o.t, "refusal"))
+		out := batching.Outcome{Refusal: refusal}
+		if refusal == batching.Made {
+			o.handles++
+			out.Handle = fmt.Sprintf("h%d", o.handles)
+			o.made[out.Handle] = true
+		}
+		f.Outcomes = append(f.Outcomes, out)
+	}
+	o.handle(f)
+}
+
+func TestCoreAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{
+			t: t, core: batching.New(retrybudget.Policy{Ratio: 0.2, Window: 10 * time.Second, Extra: 5, MaxNodes: 1}), now: start,
+			open: map[batching.Token]bool{}, running: map[batching.CallID]batching.Start{}, busy: map[string]batching.CallID{},
+			leaving: map[string]bool{}, made: map[string]bool{}, kept: map[string]string{},
+		}
+		o.handle(batching.Configure{Service: service(), Targets: targets(3)})
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				n := rapid.IntRange(1, 6).Draw(t, "items")
+				list := items(o.next+1, n, time.Duration(rapid.IntRange(0, 4000).Draw(t, "due"))*time.Millisecond)
+				for i := range list {
+					list[i].Due = o.now.Add(list[i].Due.Sub(start))
+					list[i].Deadline = o.now.Add(time.Duration(rapid.IntRange(100, 5000).Draw(t, "deadline")) * time.Millisecond)
+					list[i].DataCentre = rapid.SampledFrom([]string{"", "d0", "d1", "gone"}).Draw(t, "near")
+					o.open[list[i].Token] = true
+				}
+				o.next += n
+				o.handle(batching.Submit{Items: list})
+			},
+			"withdraw": func(t *rapid.T) {
+				token := batching.Token(rapid.IntRange(1, o.next+1).Draw(t, "token"))
+				delete(o.open, token)
+				o.handle(batching.Withdraw{Tokens: []batching.Token{token}})
+			},
+			"finish": func(t *rapid.T) {
+				if s, ok := o.anyCall(); ok {
+					o.finish(s)
+				}
+			},
+			"release": func(*rapid.T) {
+				for h, target := range o.kept {
+					o.handle(batching.Release{Target: target, Handles: []string{h}})
+					// A target that the core has forgotten frees its results itself.
+					delete(o.kept, h)
+					return
+				}
+			},
+			"time": func(t *rapid.T) {
+				o.now = o.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+				o.handle(batching.Tick{})
+			},
+			"targets": func(t *rapid.T) {
+				list := targets(3)
+				for i := range list {
+					o.leaving[list[i].ID] = rapid.Bool().Draw(t, "leaves")
+					if o.leaving[list[i].ID] {
+						list[i].State = directory.Draining
+					}
+				}
+				o.handle(batching.Configure{Service: service(), Targets: list})
+			},
+		})
+		// In the end every item has an answer.
+		for range 200 {
+			o.now = o.now.Add(100 * time.Millisecond)
+			if s, ok := o.anyCall(); ok {
+				o.finish(s)
+			}
+			o.handle(batching.Tick{})
+		}
+		if len(o.open) > 0 {
+			t.Fatalf("items %v never got an answer", o.open)
+		}
+	})
+}
--- /dev/null
+++ b/internal/membership/roster_test.go
@@ -0,0 +1,90 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/honeydyke/honeydyke/internal/membership"
+	"github.com/honeydyke/honeydyke/internal/message"
+)
+
+var rosterStart = time.Unix(1000, 0)
+
+func member(address string, incarnation, beat int) message.GossipMember {
+	return message.GossipMember{Address: address, Incarnation: incarnation, Beat: beat, Serving: true}
+}
+
+func gossip(members ...message.GossipMember) message.Gossip { return message.Gossip{Members: members} }
+
+func TestRoster(t *testing.T) {
+	convey.Convey("Given a roster that knows a member", t, func() {
+		r := membership.NewRoster("self", 1, []string{"self", "seed"})
+		r.Tell(true, false, 3, 10)
+		r.Merge(rosterStart, gossip(member("a", 5, 1)))
+		convey.Convey("both take work", func() {
+			convey.So(r.Serving(rosterStart), convey.ShouldResemble, []string{"a", "self"})
+		})
+		convey.Convey("a silent member is taken for dead", func() {
+			convey.So(r.Serving(rosterStart.Add(3*time.Second)), convey.ShouldResemble, []string{"self"})
+		})
+		convey.Convey("old news does not bring it back", func() {
+			r.Merge(rosterStart.Add(3*time.Second), gossip(member("a", 4, 99), member("a", 5, 1)))
+			convey.So(r.Serving(rosterStart.Add(3*time.Second)), convey.ShouldResemble, []string{"self"})
+		})
+		convey.Convey("a member that failed a call is passed over for a while", func() {
+			r.Suspect(rosterStart, "a")
+			convey.So(r.Serving(rosterStart), convey.ShouldResemble, []string{"self"})
+			convey.So(r.Serving(rosterStart.Add(2*time.Second)), convey.ShouldResemble, []string{"a", "self"})
+		})
+		convey.Convey("a member that leaves gets no work", func() {
+			m := member("a", 5, 2)
+			m.Leaving = true
+			r.Merge(rosterStart, gossip(m))
+			convey.So(r.Serving(rosterStart), convey.ShouldResemble, []string{"self"})
+		})
+		convey.Convey("a seed that is not known is still asked", func() {
+			convey.So(r.Partners(rosterStart, 2), convey.ShouldContain, "seed")
+		})
+		convey.Convey("what is told of an earlier life is outbid", func() {
+			r.Merge(rosterStart, gossip(member("self", 9, 4)))
+			convey.So(r.Gossip(rosterStart).Members[0].Incarnation, convey.ShouldBeGreaterThan, 9)
+		})
+		convey.Convey("the member that knows most is found", func() {
+			m := member("a", 5, 2)
+			m.Version, m.Revision = 3, 11
+			r.Merge(rosterStart, gossip(m))
+			convey.So(r.Newest(rosterStart, 3, 10), convey.ShouldEqual, "a")
+			convey.So(r.Newest(rosterStart, 3, 11), convey.ShouldBeEmpty)
+			convey.So(r.Newest(rosterStart, 4, 0), convey.ShouldBeEmpty)
+		})
+	})
+}
+
+// TestRosterOrder shows that any order, loss of duplicates or repetition of
+// exchanges ends the same.
+func TestRosterOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var news []message.GossipMember
+		for range rapid.IntRange(1, 20).Draw(t, "news") {
+			m := member(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "address"),
+				rapid.IntRange(1, 3).Draw(t, "incarnation"), rapid.IntRange(1, 5).Draw(t, "beat"))
+			m.Version = m.Incarnation*10 + m.Beat
+			news = append(news, m)
+		}
+		one := membership.NewRoster("self", 1, nil)
+		for _, m := range news {
+			one.Merge(rosterStart, gossip(m))
+		}
+		two := membership.NewRoster("self", 1, nil)
+		for _, m := range rapid.Permutation(append(news, news...)).Draw(t, "order") {
+			two.Merge(rosterStart, gossip(m))
+		}
+		if diff := cmp.Diff(one.Members(), two.Members()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
