--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -41,6 +41,12 @@
 	return c.begun
 }
 
+// spoil seals the connection and closes it, so that the transport forgets it.
+func (c *guardedConn) spoil() {
+	c.seal()
+	_ = c.Conn.Close()
+}
+
 // Write implements net.Conn. The window that remains lies between the end of
 // the check and the system call below.
 func (c *guardedConn) Write(b []byte) (int, error) {
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -184,7 +184,7 @@
 	conn := sent.conn.Load()
 	return resp, func() {
 		if conn != nil {
-			conn.seal()
+			conn.spoil()
 		}
 	}, nil
 }
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -17,6 +17,8 @@
 const (
 	// maxRefusals bounds the targets that may refuse one request.
 	maxRefusals = 2
+	// maxUnsent bounds the kept connections that are found ended.
+	maxUnsent = 2
 	// plainPatience is how long a repeatable request waits at one target before
 	// another is tried, as a share of the objective.
 	plainPatience = 2.5
@@ -33,7 +35,7 @@
 // deliver sends the request to targets until one answers, the time is over or
 // no other may be tried.
 func (j *job) deliver(ctx context.Context) *verdict.Error {
-	refusals := 0
+	refusals, unsent := 0, 0
 	for first := true; ; first = false {
 		if err := j.result.ensure(ctx); err != nil {
 			return err
@@ -46,6 +48,10 @@
 			return j.outOf(verdict.ReasonNoTarget, "no target can take the request")
 		}
 		err := j.attempt(ctx, target)
+		for err != nil && neverSent(err) && unsent < maxUnsent && ctx.Err() == nil {
+			unsent++
+			err = j.attempt(ctx, target)
+		}
 		if err == nil {
 			return nil
 		}
@@ -65,6 +71,12 @@
 	}
 }
 
+// neverSent says whether a kept connection had ended before the first byte was
+// written to it, so that the same target may be asked over another at no cost.
+func neverSent(err *verdict.Error) bool {
+	return err.Verdict() == verdict.NotRun && err.Reason() == verdict.ReasonConnection
+}
+
 // outOf returns the error for a request that cannot be sent any more.
 func (j *job) outOf(reason verdict.Reason, text string) *verdict.Error {
 	if n := len(j.outcome.Attempts); n > 0 && j.outcome.Attempts[n-1].Err != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -139,7 +140,7 @@
 	}
 	g := &Gateway{
 		cfg: cfg, ports: ports, log: zerolog.Nop(), now: time.Now,
-		peers: newPeerClient(), system: actor.NewActorSystem(), metrics: newMetrics(),
+		peers: newPeerClient(), system: actor.NewActorSystem(actor.WithLoggerFactory(quietLogger)), metrics: newMetrics(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -158,6 +159,9 @@
 	return g, nil
 }
 
+// quietLogger keeps the actor system's own lines out of the log.
+func quietLogger(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
+
 // budget is this node's part in the bound on repeats.
 func (g *Gateway) budget() retrybudget.Policy {
 	p := retrybudget.Policy{Ratio: 0.1, Window: 10 * time.Second, Extra: defaultMaxNodes, MaxNodes: defaultMaxNodes}
