Plan a request's stages with the nodes that form their calls, and admit by their backlog

Ruled out: processor time, the members' view (one former a service, but for a cut). Change: a request tells each service's former what it will ask for; the answer is the time its service needs for what was planned or waits, bound by room as results have been holding it; a later stage's backlog shrinks while earlier stages run. Requests that come back wait until they fit, and give way after half of their time. Items that give way leave half of a target's room free.

--- a/internal/batching/core.go
+++ b/internal/batching/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,14 @@
 	priorityStep = 200 * time.Millisecond
 	// maxNearWait is how long an item waits for a target where its inputs are.
 	maxNearWait = 300 * time.Millisecond
+	// planGrace is how long after items were due their plan is kept.
+	planGrace = 500 * time.Millisecond
+	// backgroundRoom is the part of a target's room that items which give way
+	// leave free.
+	backgroundRoom = 0.5
+	// holdWeight is the weight of the newest result in the learnt time that
+	// results take room.
+	holdWeight = 0.05
 	// maxAttempts bounds the calls that one item is part of.
 	maxAttempts = 4
 )
@@ -35,6 +44,18 @@
 	waiting bool
 }
 
+// planKey names the plan of one stage of one request.
+type planKey struct {
+	request string
+	stage   int
+}
+
+// plan is what a request will ask for.
+type plan struct {
+	items int
+	due   time.Time
+}
+
 // call is a call at work.
 type call struct {
 	target  string
@@ -54,11 +75,16 @@
 	order   []string
 	works   map[Token]*work
 	queue   []*work
+	plans   map[planKey]plan
 	calls   map[CallID]*call
 	last    CallID
 	budget  *retrybudget.Budget
-	effects []Effect
-	stats   Stats
+	// holding is the learnt time that a result takes room, in seconds, and
+	// itemBytes the learnt size of one.
+	holding   float64
+	itemBytes float64
+	effects   []Effect
+	stats     Stats
 }
 
 // Stats count what the core did.
@@ -72,6 +98,7 @@
 		targets: map[string]*target{},
 		works:   map[Token]*work{},
 		calls:   map[CallID]*call{},
+		plans:   map[planKey]plan{},
 		budget:  retrybudget.New(budget),
 	}
 }
@@ -83,6 +110,12 @@
 	switch ev := ev.(type) {
 	case Configure:
 		c.configure(ev)
+	case Plan:
+		c.plans[planKey{ev.Request, ev.Stage}] = plan{items: ev.Items, due: ev.Due}
+		return nil
+	case Cancel:
+		delete(c.plans, planKey{ev.Request, ev.Stage})
+		return nil
 	case Submit:
 		c.submit(now, ev)
 	case Withdraw:
@@ -90,7 +123,7 @@
 	case Finished:
 		c.finished(now, ev)
 	case Release:
-		c.release(ev.Target, ev.Handles)
+		c.release(now, ev.Target, ev.Handles)
 	case Tick:
 	}
 	c.passTime(now)
@@ -137,6 +170,7 @@
 		w := &work{Item: item, waiting: true}
 		c.works[item.Token] = w
 		c.queue = append(c.queue, w)
+		delete(c.plans, planKey{item.Request, item.Stage})
 		c.budget.First(now)
 	}
 }
@@ -159,12 +193,16 @@
 	}
 }
 
-func (c *Core) release(id string, handles []string) {
+func (c *Core) release(now time.Time, id string, handles []string) {
 	t := c.targets[id]
 	if t == nil || len(handles) == 0 {
 		return
 	}
 	for _, h := range handles {
+		if h, known := t.results[h]; known {
+			c.holding += holdWeight * (now.Sub(h.begun).Seconds() - c.holding)
+			c.itemBytes += holdWeight * (float64(h.bytes) - c.itemBytes)
+		}
 		t.release(h)
 	}
 	c.emit(Free{Target: t.Target, Handles: handles})
@@ -211,7 +249,7 @@
 	}
 	switch out.Refusal {
 	case Made:
-		t.hold(out.Handle, item.Bytes, now.Add(c.batch.HandleTTL))
+		t.hold(out.Handle, held{bytes: item.Bytes, begun: done.started, expires: now.Add(c.batch.HandleTTL)})
 		c.forget(item.Token)
 		c.emit(Resolve{Token: item.Token, Result: Result{Handle: out.Handle, Target: t.ID, DataCentre: t.DataCentre}})
 		return true
@@ -272,6 +310,7 @@
 	for _, t := range c.targets {
 		t.expire(now)
 	}
+	maps.DeleteFunc(c.plans, func(_ planKey, p plan) bool { return now.After(p.due.Add(planGrace)) })
 	for _, w := range slices.Clone(c.queue) {
 		if !now.Before(w.Deadline) && w.running == 0 {
 			c.stats.Expired++
@@ -394,10 +433,16 @@
 // start sends the most urgent items that suit a target and fit, if any.
 func (c *Core) start(now time.Time, t *target) {
 	room := t.room(c.batch)
+	soonest := now.Add(planned(c.batch, 1))
+	spare := int64(backgroundRoom * float64(c.batch.RoomBytes))
 	var items []Item
 	var rest []*work
 	for _, w := range c.queue {
-		if len(items) < c.batch.Size && w.Bytes <= room && c.suits(now, w, t) {
+		need := w.Bytes
+		if w.givesWay(soonest) {
+			need += spare
+		}
+		if len(items) < c.batch.Size && need <= room && c.suits(now, w, t) {
 			room -= w.Bytes
 			w.waiting = false
 			w.running++
@@ -435,41 +480,80 @@
 	return t != nil && t.usable
 }
 
-// Wait estimates how long a new item waits before its call starts. Items that
-// are late already give way to it and do not count.
-func (c *Core) Wait(now time.Time) time.Duration {
+// State is what a core holds, for logs and the state dump.
+type State struct {
+	Stats
+	// Waiting counts items without a call; Late those of them that give way.
+	Waiting, Late int
+	// Targets counts those that take work, Working those with a call and Paused
+	// those that are left alone.
+	Targets, Working, Paused int
+	// HeldBytes and RoomBytes are the room taken and the room there is.
+	HeldBytes, RoomBytes int64
+	// PerSecond is how many items all targets make with full calls.
+	PerSecond float64
+	// Planned counts items that will be submitted later.
+	Planned int
+	// Wait estimates how long a new item waits, and Backlog how long it takes to
+	// make all that is waiting or planned.
+	Wait, Backlog time.Duration
+}
+
+// State describes the core.
+func (c *Core) State(now time.Time) State {
+	s := State{Stats: c.stats, Waiting: len(c.queue)}
 	if c.batch == nil {
-		return 0
+		return s
 	}
-	// perSecond is how many items all targets make with full calls.
-	perSecond, soonest := 0.0, time.Duration(-1)
+	soonest := time.Duration(-1)
 	for _, t := range c.targets {
-		if !t.usable || now.Before(t.pausedUntil) {
+		s.HeldBytes += t.heldBytes + t.reserved
+		if !t.usable {
+			continue
+		}
+		s.Targets++
+		s.RoomBytes += c.batch.RoomBytes
+		if now.Before(t.pausedUntil) {
+			s.Paused++
 			continue
 		}
-		perSecond += float64(c.batch.Size) / t.expected(now, c.batch, c.batch.Size).Seconds()
+		s.PerSecond += float64(c.batch.Size) / t.expected(now, c.batch, c.batch.Size).Seconds()
 		left := time.Duration(0)
 		if t.call != 0 {
+			s.Working++
 			left = max(t.free.Sub(now), 0)
 		}
 		if soonest < 0 || left < soonest {
 			soonest = left
 		}
 	}
-	if perSecond == 0 {
-		return 0
-	}
-	ahead, latest := 0, now.Add(planned(c.batch, 1))
+	latest := now.Add(planned(c.batch, 1))
 	for _, w := range c.queue {
-		if !w.givesWay(latest) {
-			ahead++
+		if w.givesWay(latest) {
+			s.Late++
 		}
 	}
-	return soonest + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+	if room := c.roomPerSecond(s.RoomBytes); room > 0 {
+		s.PerSecond = min(s.PerSecond, room)
+	}
+	for _, p := range c.plans {
+		s.Planned += p.items
+	}
+	if s.PerSecond > 0 {
+		s.Backlog = soonest + time.Duration(float64(s.Waiting-s.Late+s.Planned)/s.PerSecond*float64(time.Second))
+		s.Wait = soonest + time.Duration(float64(s.Waiting-s.Late)/s.PerSecond*float64(time.Second))
+	}
+	return s
+}
+
+// roomPerSecond is how many results the room lets the targets make, by how long
+// results have been taking it; 0 for unknown.
+func (c *Core) roomPerSecond(room int64) float64 {
+	if c.holding <= 0 || c.itemBytes <= 0 {
+		return 0
+	}
+	return roomShare * float64(room) / (c.itemBytes * c.holding)
 }
 
 // Idle says whether nothing waits and nothing runs.
 func (c *Core) Idle() bool { return len(c.queue) == 0 && len(c.calls) == 0 }
-
-// Stats returns the counts so far and how many items wait.
-func (c *Core) Stats() (Stats, int) { return c.stats, len(c.queue) }
--- a/internal/batching/event.go
+++ b/internal/batching/event.go
@@ -88,6 +88,21 @@
 	Targets []directory.Target
 }
 
+// Plan tells of items that will be submitted later. It ends when they are, when
+// it is cancelled, or when they are long due.
+type Plan struct {
+	Request string
+	Stage   int
+	Items   int
+	Due     time.Time
+}
+
+// Cancel ends the plans of a request.
+type Cancel struct {
+	Request string
+	Stage   int
+}
+
 // Submit hands in items; each gets one Resolve, unless it is withdrawn.
 type Submit struct{ Items []Item }
 
@@ -111,6 +126,8 @@
 type Tick struct{}
 
 func (Configure) isEvent() {}
+func (Plan) isEvent()      {}
+func (Cancel) isEvent()    {}
 func (Submit) isEvent()    {}
 func (Withdraw) isEvent()  {}
 func (Finished) isEvent()  {}
--- a/internal/batching/target.go
+++ b/internal/batching/target.go
@@ -27,7 +27,9 @@
 
 // held is a result that takes room.
 type held struct {
-	bytes   int64
+	bytes int64
+	// begun is when the call that made it started.
+	begun   time.Time
 	expires time.Time
 }
 
@@ -92,9 +94,9 @@
 	return int64(roomShare*float64(b.RoomBytes)) - t.heldBytes - t.reserved
 }
 
-func (t *target) hold(handle string, bytes int64, expires time.Time) {
-	t.results[handle] = held{bytes: bytes, expires: expires}
-	t.heldBytes += bytes
+func (t *target) hold(handle string, h held) {
+	t.results[handle] = h
+	t.heldBytes += h.bytes
 }
 
 func (t *target) release(handle string) {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -63,6 +63,13 @@
 	Version int `json:"version,omitempty,omitzero"`
 }
 
+// ItemBacklogs answers an ItemPlan.
+type ItemBacklogs struct {
+	// For each stage, how long its service takes for what was planned or submitted
+	// before.
+	BacklogMs []int `json:"backlogMs"`
+}
+
 // ItemGroup asks the node that forms a service's calls for the items of one stage
 // of one request.
 type ItemGroup struct {
@@ -103,6 +110,19 @@
 	Stage int `json:"stage"`
 }
 
+// ItemPlan tells the node that forms the calls of services of the items that a
+// request will ask for, or that it will not.
+type ItemPlan struct {
+	// Cancelled corresponds to the JSON schema field "cancelled".
+	Cancelled bool `json:"cancelled,omitempty,omitzero"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Stages corresponds to the JSON schema field "stages".
+	Stages []PlannedStage `json:"stages"`
+}
+
 // ItemRelease frees results.
 type ItemRelease struct {
 	// Results corresponds to the JSON schema field "results".
@@ -141,9 +161,6 @@
 
 	// Text corresponds to the JSON schema field "text".
 	Text string `json:"text,omitempty,omitzero"`
-
-	// How long a new item would wait before its call starts.
-	WaitMs int `json:"waitMs,omitempty,omitzero"`
 }
 
 // LeavingMark says that one incarnation of a target is leaving; it is never taken
@@ -182,9 +199,15 @@
 	// Gossip corresponds to the JSON schema field "gossip".
 	Gossip *Gossip `json:"gossip,omitempty,omitzero"`
 
+	// ItemBacklogs corresponds to the JSON schema field "itemBacklogs".
+	ItemBacklogs *ItemBacklogs `json:"itemBacklogs,omitempty,omitzero"`
+
 	// ItemGroup corresponds to the JSON schema field "itemGroup".
 	ItemGroup *ItemGroup `json:"itemGroup,omitempty,omitzero"`
 
+	// ItemPlan corresponds to the JSON schema field "itemPlan".
+	ItemPlan *ItemPlan `json:"itemPlan,omitempty,omitzero"`
+
 	// ItemRelease corresponds to the JSON schema field "itemRelease".
 	ItemRelease *ItemRelease `json:"itemRelease,omitempty,omitzero"`
 
@@ -285,6 +308,21 @@
 	Stream bool `json:"stream,omitempty,omitzero"`
 }
 
+// PlannedStage is one stage of an ItemPlan.
+type PlannedStage struct {
+	// Time until the results are due.
+	DueMs int `json:"dueMs"`
+
+	// Items corresponds to the JSON schema field "items".
+	Items int `json:"items"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Stage corresponds to the JSON schema field "stage".
+	Stage int `json:"stage"`
+}
+
 // Reader is a node of the sender's data centre that reads the configuration
 // service.
 type Reader struct {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -14,6 +15,9 @@
 	// priorityMargin is kept free before the objective for each step of a route's
 	// priority, so that what is less urgent is refused first.
 	priorityMargin = 150 * time.Millisecond
+	// returnPause is how long a request that has come back waits before it asks
+	// again whether it can be in time.
+	returnPause = 250 * time.Millisecond
 	// comeBackShare is the part of a client's time after which it is asked to come
 	// back; clients do not wait longer than a third.
 	comeBackShare = 0.28
@@ -21,32 +25,81 @@
 	maxComeBack = 4 * time.Second
 )
 
-// admit refuses a request at once when its stages cannot all be done in time as
-// things stand. One that was refused before is let in all the same, but gives way
-// to others.
-func (j *job) admit() *verdict.Error {
+// admit tells the services of the request's stages what it will ask for. When
+// the stages cannot all be done in time after what was planned before, the
+// request is refused at once. One that has come back after a refusal waits for a
+// while instead, and is then let in but gives way to others.
+func (j *job) admit(ctx context.Context) *verdict.Error {
 	returning := j.returning()
-	if len(j.route.Stages) == 0 {
+	r := newStageResults(j)
+	stages := r.planned()
+	if len(stages) == 0 {
 		return nil
 	}
-	now := j.s.cfg.Now()
-	r := newStageResults(j)
-	var longest time.Duration
-	for i := range j.route.Stages {
-		if r.count(i) > 0 {
-			longest = max(longest, r.wait(i)+r.estimate(i)+r.afterWithWait(i))
+	giveWayAt := j.req.Arrived.Add(j.until.Sub(j.req.Arrived) / 2)
+	for {
+		lasts := r.lasts(stages, j.s.cfg.Batcher.Plan(ctx, j.req.ID, stages))
+		now := j.s.cfg.Now()
+		margin := time.Duration(j.route.Priority) * priorityMargin
+		objective := j.objective
+		if returning {
+			objective = now.Add(j.route.Objective)
+		}
+		if !now.Add(lasts + engineLead + margin).After(objective) {
+			return nil
+		}
+		j.s.cfg.Batcher.Cancel(j.req.ID, stages)
+		switch {
+		case !returning:
+			return verdict.New(verdict.NotRun, verdict.ReasonOverload, "the stages would take %v", lasts).
+				WithRetryAfter(j.comeBack())
+		case now.After(giveWayAt):
+			j.background = true
+			return nil
+		}
+		if !waitFor(ctx, returnPause) {
+			return verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the caller has gone")
 		}
 	}
-	margin := time.Duration(j.route.Priority) * priorityMargin
-	if longest == 0 || !now.Add(longest+engineLead+margin).After(j.objective) {
-		return nil
+}
+
+// waitFor waits and says whether ctx goes on.
+func waitFor(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
 	}
-	if returning {
-		j.background = true
-		return nil
+}
+
+// planned returns what the request will ask for, in the order of its stages.
+func (r *stageResults) planned() []PlannedStage {
+	var stages []PlannedStage
+	for i, s := range r.job.route.Stages {
+		if n := r.count(i); n > 0 {
+			stages = append(stages, PlannedStage{Service: s.Service, Stage: i, Items: n, Due: r.job.objective.Add(-engineLead - r.after(i))})
+		}
 	}
-	return verdict.New(verdict.NotRun, verdict.ReasonOverload, "the stages would take %v", longest).
-		WithRetryAfter(j.comeBack())
+	return stages
+}
+
+// lasts estimates how long it takes until all stages are done. While the earlier
+// stages run, a later stage's service works off what was planned before.
+func (r *stageResults) lasts(stages []PlannedStage, backlogs []time.Duration) time.Duration {
+	ends := make([]time.Duration, len(r.job.route.Stages))
+	var longest time.Duration
+	for k, s := range stages {
+		var begins time.Duration
+		for _, a := range r.job.route.Stages[s.Stage].After {
+			begins = max(begins, ends[a])
+		}
+		ends[s.Stage] = max(begins, backlogs[k]) + r.estimate(s.Stage)
+		longest = max(longest, ends[s.Stage])
+	}
+	return longest
 }
 
 // comeBack asks clients to come back when the load may have passed, spread over
@@ -69,22 +122,3 @@
 	s.patience[j.route.Name] = usual
 	return float64(j.req.Patience) < returningShare*float64(usual)
 }
-
-// wait estimates how long a stage's items wait before their call starts.
-func (r *stageResults) wait(i int) time.Duration {
-	return r.job.s.cfg.Batcher.Wait(r.job.route.Stages[i].Service)
-}
-
-// afterWithWait estimates how long the stages that follow a stage take, their
-// waiting included.
-func (r *stageResults) afterWithWait(i int) time.Duration {
-	var longest time.Duration
-	for k := i + 1; k < len(r.job.route.Stages); k++ {
-		for _, a := range r.job.route.Stages[k].After {
-			if a == i && r.count(k) > 0 {
-				longest = max(longest, r.wait(k)+r.estimate(k)+r.afterWithWait(k))
-			}
-		}
-	}
-	return longest
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,8 +124,20 @@
 	Make(ctx context.Context, service string, g Group, started func()) ([]batching.Result, *verdict.Error)
 	// Release frees results.
 	Release(service string, results []batching.Result)
-	// Wait estimates how long a new item waits before its call starts.
-	Wait(service string) time.Duration
+	// Plan tells of the stages that a request will ask for, and returns how long
+	// each stage's service takes for what was planned or asked for before; 0 where
+	// that is not known.
+	Plan(ctx context.Context, request string, stages []PlannedStage) []time.Duration
+	// Cancel takes plans back.
+	Cancel(request string, stages []PlannedStage)
+}
+
+// PlannedStage is work that a request will ask for.
+type PlannedStage struct {
+	Service string
+	Stage   int
+	Items   int
+	Due     time.Time
 }
 
 // Observer is told of what happens to requests.
@@ -264,7 +276,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.until.Sub(j.s.cfg.Now()))
 	defer cancel()
-	if err := j.admit(); err != nil {
+	if err := j.admit(ctx); err != nil {
 		return err
 	}
 	release := j.giveUpOnStop(cancel)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -48,6 +48,8 @@
 	held     map[string]bool
 	last     int
 	wait     time.Duration
+	// planned counts stages that were planned and not cancelled.
+	planned int
 	// body is what targets answer when nothing else is said.
 	body    string
 	outcome *relay.Outcome
@@ -123,7 +125,16 @@
 	}
 }
 
-func (w *world) Wait(string) time.Duration { return w.wait }
+func (w *world) Plan(_ context.Context, _ string, stages []relay.PlannedStage) []time.Duration {
+	w.planned += len(stages)
+	backlogs := make([]time.Duration, len(stages))
+	for i := range backlogs {
+		backlogs[i] = w.wait
+	}
+	return backlogs
+}
+
+func (w *world) Cancel(_ string, stages []relay.PlannedStage) { w.planned -= len(stages) }
 
 func (w *world) Ended(o *relay.Outcome) { w.outcome = o }
 
@@ -347,20 +358,39 @@
 	})
 	convey.Convey("When the stages cannot be done in time", t, func() {
 		w, s := setup(chain(), true)
-		w.wait = time.Second
+		w.wait = 3 * time.Second
 		convey.Convey("the request is refused before any work is done", func() {
 			err := s.Serve(t.Context(), request(1, 4, 2), &client{})
 			convey.So(err.Verdict(), convey.ShouldEqual, verdict.NotRun)
 			convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonOverload)
 			convey.So(err.RetryAfter(), convey.ShouldBeBetween, time.Second, 10*time.Second/3)
 			convey.So(w.makes, convey.ShouldBeEmpty)
+			convey.So(w.planned, convey.ShouldEqual, 0)
 		})
-		convey.Convey("one that has come back is let in and gives way", func() {
+	})
+	convey.Convey("One that has come back waits, and is then let in and gives way", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			w, s := setup(chain(), true)
+			w.wait = 3 * time.Second
 			_ = s.Serve(t.Context(), request(1, 4, 2), &client{})
 			again := request(1, 4, 2)
 			again.Patience = 7 * time.Second
-			convey.So(s.Serve(t.Context(), again, &client{}), convey.ShouldBeNil)
-			convey.So(w.makes[0].Background, convey.ShouldBeTrue)
+			if err := s.Serve(t.Context(), again, &client{}); err != nil || !w.makes[0].Background {
+				t.Errorf("got %v, background %v", err, w.makes[0].Background)
+			}
+		})
+	})
+	convey.Convey("One that has come back is let in as soon as it can be in time", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			w, s := setup(chain(), true)
+			w.wait = 3 * time.Second
+			_ = s.Serve(t.Context(), request(1, 4, 2), &client{})
+			time.AfterFunc(time.Second, func() { w.wait = 0 })
+			again := request(1, 4, 2)
+			again.Patience = 7 * time.Second
+			if err := s.Serve(t.Context(), again, &client{}); err != nil || w.makes[0].Background {
+				t.Errorf("got %v, background %v", err, w.makes[0].Background)
+			}
 		})
 	})
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,6 +44,7 @@
 	PathGossip    = "/peer/v1/gossip"
 	PathItems     = "/peer/v1/items"
 	PathRelease   = "/peer/v1/release"
+	PathPlan      = "/peer/v1/plan"
 	PathView      = "/peer/v1/view"
 	PathState     = "/state"
 	PathReady     = "/readyz"
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -23,9 +23,13 @@
 	freeDelay = 25 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
+	// planTimeout bounds telling the formers of a request's stages.
+	planTimeout = 100 * time.Millisecond
 	// readTime is how long after the start of a call its items have read their
 	// inputs. A target reads them before it works, which takes far longer.
 	readTime = 120 * time.Millisecond
+	// reportInterval is how often a former logs its state while it has work.
+	reportInterval = time.Second
 	// maxOwners bounds the nodes that one group is handed to.
 	maxOwners = 3
 )
@@ -37,14 +41,12 @@
 
 	mu       sync.Mutex
 	services map[string]*actor.PID
-	// waits is what was last heard of the waiting time of services.
-	waits map[string]waitNews
 	// open counts groups that this node forms calls for.
 	open atomic.Int64
 }
 
 func newBatches(g *Gateway) *batches {
-	return &batches{g: g, services: map[string]*actor.PID{}, waits: map[string]waitNews{}}
+	return &batches{g: g, services: map[string]*actor.PID{}}
 }
 
 func (b *batches) idle() bool { return b.open.Load() == 0 }
@@ -104,33 +106,6 @@
 	return b.makeHere(ctx, service, group, started)
 }
 
-// waitNews is a waiting time and when it was told.
-type waitNews struct {
-	wait time.Duration
-	at   time.Time
-}
-
-// waitForgotten is how long a waiting time that was told counts.
-const waitForgotten = time.Second
-
-func (b *batches) told(service string, wait time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.waits[service] = waitNews{wait: wait, at: b.g.now()}
-}
-
-// Wait implements relay.Batcher. News counts less the older it is.
-func (b *batches) Wait(service string) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	news := b.waits[service]
-	age := b.g.now().Sub(news.at)
-	if age >= waitForgotten {
-		return 0
-	}
-	return time.Duration(float64(news.wait) * (1 - float64(age)/float64(waitForgotten)))
-}
-
 // makeHere has the items made by calls that this node forms.
 func (b *batches) makeHere(ctx context.Context, service string, group relay.Group, started func()) ([]batching.Result, *verdict.Error) {
 	b.open.Add(1)
@@ -172,6 +147,80 @@
 	}
 }
 
+// planHere tells this node's former of a planned stage and returns its backlog.
+func (b *batches) planHere(ctx context.Context, request string, s relay.PlannedStage) time.Duration {
+	p := &plannedStage{
+		plan:    batching.Plan{Request: request, Stage: s.Stage, Items: s.Items, Due: s.Due},
+		backlog: make(chan time.Duration, 1),
+	}
+	b.g.system.Root.Send(b.former(s.Service), p)
+	select {
+	case d := <-p.backlog:
+		return d
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+func (b *batches) cancelHere(request string, s relay.PlannedStage) {
+	b.g.system.Root.Send(b.former(s.Service), batching.Cancel{Request: request, Stage: s.Stage})
+}
+
+// byOwner groups the numbers of stages by the node that forms their calls.
+func (b *batches) byOwner(stages []relay.PlannedStage) map[string][]int {
+	owners := make(map[string][]int)
+	for i, s := range stages {
+		owner := b.owner(s.Service)
+		if owner == "" {
+			owner = b.g.PeerAddress()
+		}
+		owners[owner] = append(owners[owner], i)
+	}
+	return owners
+}
+
+// Plan implements relay.Batcher.
+func (b *batches) Plan(ctx context.Context, request string, stages []relay.PlannedStage) []time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, planTimeout)
+	defer cancel()
+	backlogs := make([]time.Duration, len(stages))
+	var asked sync.WaitGroup
+	for owner, numbers := range b.byOwner(stages) {
+		if owner != b.g.PeerAddress() {
+			asked.Add(1)
+			go func() {
+				defer asked.Done()
+				b.g.askPlan(ctx, owner, request, stages, numbers, backlogs)
+			}()
+			continue
+		}
+		for _, i := range numbers {
+			backlogs[i] = b.planHere(ctx, request, stages[i])
+		}
+	}
+	asked.Wait()
+	return backlogs
+}
+
+// Cancel implements relay.Batcher.
+func (b *batches) Cancel(request string, stages []relay.PlannedStage) {
+	for owner, numbers := range b.byOwner(stages) {
+		if owner != b.g.PeerAddress() {
+			go b.g.askCancel(owner, request, stages, numbers)
+			continue
+		}
+		for _, i := range numbers {
+			b.cancelHere(request, stages[i])
+		}
+	}
+}
+
+// plannedStage tells an actor of a plan and takes the backlog before it.
+type plannedStage struct {
+	plan    batching.Plan
+	backlog chan time.Duration
+}
+
 // order is a group that waits for its results. The actor owns it until done is
 // closed.
 type order struct {
@@ -213,6 +262,8 @@
 	last    batching.Token
 	places  map[batching.Token]place
 	ticking bool
+	// reported is when the former last logged its state.
+	reported time.Time
 	// frees gathers results to free, by target.
 	frees   map[string]*pendingFree
 	freeing bool
@@ -237,6 +288,9 @@
 	switch msg := ctx.Message().(type) {
 	case *order:
 		f.open(msg)
+	case *plannedStage:
+		msg.backlog <- f.core.State(f.g.now()).Backlog
+		f.handle(msg.plan)
 	case cancelOrder:
 		f.cancel(msg.order)
 	case inputsRead:
@@ -316,7 +370,7 @@
 			f.gather(e)
 		}
 	}
-	f.g.batches.told(f.service, f.core.Wait(now))
+	f.report(now)
 	if !f.ticking && !f.core.Idle() {
 		f.ticking = true
 		self := f.self
@@ -324,6 +378,19 @@
 	}
 }
 
+// report logs what the former holds, at most once in a while.
+func (f *former) report(now time.Time) {
+	if now.Sub(f.reported) < reportInterval {
+		return
+	}
+	f.reported = now
+	s := f.core.State(now)
+	f.g.log.Info().Str("service", f.service).Int("waiting", s.Waiting).Int("late", s.Late).Int("working", s.Working).
+		Int("targets", s.Targets).Int("paused", s.Paused).Int64("heldBytes", s.HeldBytes).Int64("roomBytes", s.RoomBytes).
+		Dur("wait", s.Wait).Dur("backlog", s.Backlog).Int("planned", s.Planned).Int64("calls", s.Calls).Int64("items", s.Items).Int64("repeats", s.Repeats).
+		Int64("expired", s.Expired).Int64("refused", s.Refused).Float64("perSecond", s.PerSecond).Msg("items: state")
+}
+
 func (f *former) resolve(e batching.Resolve) {
 	p, known := f.places[e.Token]
 	if !known {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -53,6 +53,7 @@
 	mux.HandleFunc("POST "+wire.PathGossip, g.serveGossip)
 	mux.HandleFunc("POST "+wire.PathItems, g.serveItems)
 	mux.HandleFunc("POST "+wire.PathRelease, g.serveRelease)
+	mux.HandleFunc("POST "+wire.PathPlan, g.servePlan)
 	mux.HandleFunc("GET "+wire.PathView, g.serveView)
 	return mux
 }
@@ -300,7 +301,6 @@
 	if err := g.call(ctx, http.MethodPost, member, wire.PathItems, in, &out); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonConnection, "member %s gave no results", member).WithCause(err)
 	}
-	g.batches.told(service, time.Duration(out.WaitMs)*time.Millisecond)
 	if out.Reason != "" {
 		return nil, verdict.New(verdict.NotRun, verdict.Reason(out.Reason), "%s", out.Text).
 			WithRetryAfter(time.Duration(out.RetryAfterMs) * time.Millisecond)
@@ -323,7 +323,7 @@
 		Due: now.Add(time.Duration(in.DueMs) * time.Millisecond), Deadline: now.Add(time.Duration(in.DeadlineMs) * time.Millisecond),
 		Priority: in.Priority, Background: in.Background, DataCentre: in.DataCentre,
 	}, answer.started)
-	out := message.ItemResults{Results: itemsOf(results), WaitMs: int(g.batches.Wait(in.Service).Milliseconds())}
+	out := message.ItemResults{Results: itemsOf(results)}
 	if err != nil {
 		out.Reason, out.Text, out.RetryAfterMs = string(err.Reason()), err.Text(), int(err.RetryAfter().Milliseconds())
 	}
@@ -386,3 +386,51 @@
 		g.batches.releaseHere(in.Service, resultsOf(in.Results))
 	}
 }
+
+// planOf is the part of a request's plan that concerns one member.
+func planOf(now time.Time, request string, stages []relay.PlannedStage, numbers []int) message.ItemPlan {
+	plan := message.ItemPlan{Request: request, Stages: make([]message.PlannedStage, len(numbers))}
+	for k, i := range numbers {
+		s := stages[i]
+		plan.Stages[k] = message.PlannedStage{Service: s.Service, Stage: s.Stage, Items: s.Items, DueMs: int(s.Due.Sub(now).Milliseconds())}
+	}
+	return plan
+}
+
+// askPlan tells a member of planned stages and notes their backlogs.
+func (g *Gateway) askPlan(ctx context.Context, member, request string, stages []relay.PlannedStage, numbers []int, backlogs []time.Duration) {
+	var out message.ItemBacklogs
+	err := g.call(ctx, http.MethodPost, member, wire.PathPlan, planOf(g.now(), request, stages, numbers), &out)
+	if err != nil || len(out.BacklogMs) != len(numbers) {
+		return
+	}
+	for k, i := range numbers {
+		backlogs[i] = time.Duration(out.BacklogMs[k]) * time.Millisecond
+	}
+}
+
+func (g *Gateway) askCancel(member, request string, stages []relay.PlannedStage, numbers []int) {
+	ctx, cancel := context.WithTimeout(context.Background(), planTimeout)
+	defer cancel()
+	plan := planOf(g.now(), request, stages, numbers)
+	plan.Cancelled = true
+	_ = g.call(ctx, http.MethodPost, member, wire.PathPlan, plan, nil)
+}
+
+func (g *Gateway) servePlan(w http.ResponseWriter, r *http.Request) {
+	var in message.ItemPlan
+	if !readMessage(w, r, &in) {
+		return
+	}
+	now := g.now()
+	out := message.ItemBacklogs{BacklogMs: make([]int, len(in.Stages))}
+	for i, s := range in.Stages {
+		stage := relay.PlannedStage{Service: s.Service, Stage: s.Stage, Items: s.Items, Due: now.Add(time.Duration(s.DueMs) * time.Millisecond)}
+		if in.Cancelled {
+			g.batches.cancelHere(in.Request, stage)
+			continue
+		}
+		out.BacklogMs[i] = int(g.batches.planHere(r.Context(), in.Request, stage).Milliseconds())
+	}
+	writeMessage(w, out)
+}
