Let two readers and one for each 40 members look at the store often; the others wait 20 s

Cause: on Kōwhai's grown site the calls to the store were the largest price (every node's watch ended after 2 s, half a call a second a node). Change: members are ranked by hash; readers' watches wait 2 s so that a silent store is noticed, the others' 20 s. A member that is heard by gossip to know more than a watch has told ends that watch.

--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
@@ -18,6 +20,10 @@
 	// suspectFor is how long a member that failed a call is passed over, unless
 	// it gives a new sign of life.
 	suspectFor = 1500 * time.Millisecond
+	// minReaders is how many members look at the source often at the least, and
+	// membersPerReader how many members there are for each further one.
+	minReaders       = 2
+	membersPerReader = 40
 	// maxGossip bounds the members told in one exchange.
 	maxGossip = 40
 )
@@ -188,6 +194,23 @@
 	return n
 }
 
+// Reads says whether this member is one of those that look at the source often.
+// The others are told by gossip when it has news that they have not heard.
+func (r *Roster) Reads(now time.Time) bool {
+	serving := r.Serving(now)
+	readers := minReaders + len(serving)/membersPerReader
+	ahead := 0
+	own := readerRank(r.self.Address)
+	for _, a := range serving {
+		if a != r.self.Address && readerRank(a) > own {
+			ahead++
+		}
+	}
+	return ahead < readers
+}
+
+func readerRank(address string) uint64 { return xxhash.Sum64String("reader/" + address) }
+
 // Newest returns the live member that knows the newest configuration and
 // revision, when it knows more than this one; empty for none.
 func (r *Roster) Newest(now time.Time, version, revision int64) string {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -12,10 +12,15 @@
 )
 
 const (
-	// watchWait is how long a watch waits for news. A connection that has
-	// silently died is noticed within it and the slack.
-	watchWait  = 2 * time.Second
+	// readerWait is how long a reader's watch waits for news. A connection that
+	// has silently died is noticed within it and the slack.
+	readerWait = 2 * time.Second
+	// watchWait is how long the watches of the other nodes wait. They are ended
+	// when a member is heard to know more.
+	watchWait  = 20 * time.Second
 	watchSlack = 700 * time.Millisecond
+	// gatherNews is how long news gather between two watches.
+	gatherNews = 250 * time.Millisecond
 	// snapshotTimeout bounds reading everything.
 	snapshotTimeout = 3 * time.Second
 	// minRetry and maxRetry bound the pause after the source failed.
@@ -33,6 +38,10 @@
 	heard    time.Time
 	troubled time.Time
 	down     bool
+	// behindSince is since when a member is known to have heard more; zero for not.
+	behindSince time.Time
+	// endWatch ends the watch at work.
+	endWatch context.CancelFunc
 }
 
 // follow reads the source until ctx ends: all of it at first and after its
@@ -46,6 +55,7 @@
 		case err == nil:
 			whole = false
 			g.sourceHeard()
+			pause(ctx, gatherNews)
 			continue
 		case errors.Is(err, ErrHistoryGone):
 			g.log.Info().Int64("revision", g.view.Load().Revision).Msg("source: history gone, reading all")
@@ -71,12 +81,10 @@
 		})
 		return nil
 	}
-	wait, slack := watchWait, watchSlack
-	if g.source.isDown() {
-		wait, slack = probeWait, probeSlack
-	}
+	wait, slack := g.watchTime()
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
+	g.source.watching(cancel)
 	g.metrics.sourceCalls.Inc(1)
 	ch, err := g.ports.Source.Watch(ctx, g.view.Load().Revision, wait)
 	if err != nil {
@@ -88,6 +96,47 @@
 	return nil
 }
 
+// watchTime returns how long the next watch waits, and how much longer its
+// answer may take.
+func (g *Gateway) watchTime() (wait, slack time.Duration) {
+	if g.source.isDown() {
+		return probeWait, probeSlack
+	}
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	if g.roster.Reads(g.now()) {
+		return readerWait, watchSlack
+	}
+	return watchWait, watchSlack
+}
+
+// watching notes how to end the watch at work.
+func (h *sourceHealth) watching(end context.CancelFunc) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.endWatch = end
+	h.behindSince = time.Time{}
+}
+
+// checkBehind ends a watch that should have told what a member has heard.
+func (g *Gateway) checkBehind() {
+	v := g.view.Load()
+	g.rosterMu.Lock()
+	newest := g.roster.Newest(g.now(), v.Version(), v.Revision)
+	g.rosterMu.Unlock()
+	h := &g.source
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case newest == "" || h.endWatch == nil:
+		h.behindSince = time.Time{}
+	case h.behindSince.IsZero():
+		h.behindSince = g.now()
+	default:
+		h.endWatch()
+	}
+}
+
 func (g *Gateway) sourceHeard() {
 	h := &g.source
 	h.mu.Lock()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -146,6 +146,7 @@
 		for _, p := range partners {
 			go g.exchange(ctx, p)
 		}
+		g.checkBehind()
 		g.askView(ctx)
 		pause(ctx, gossipInterval)
 	}
