Place a service's prompts at one node that knows what every engine reads and keeps

Sessions met at one engine, and each node saw a sixth of what an engine had to read; the load of a full engine counted 23 ms a request beside 1,350 ms for leaving the session's engine. Ruled out: stages (1,450 ms of 2,500), slots (64 an engine, about 5 in use). Change: the owner of the service's prompts chooses the engine by the time to its first event, whether that is in time, and the shared parts that would be read again, and is told when a prompt has been read. A node that cannot ask chooses by itself as before.

--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -313,6 +313,15 @@
 	// PipelineRequest corresponds to the JSON schema field "pipelineRequest".
 	PipelineRequest *PipelineRequest `json:"pipelineRequest,omitempty,omitzero"`
 
+	// PromptPlace corresponds to the JSON schema field "promptPlace".
+	PromptPlace *PromptPlace `json:"promptPlace,omitempty,omitzero"`
+
+	// PromptPlaced corresponds to the JSON schema field "promptPlaced".
+	PromptPlaced *PromptPlaced `json:"promptPlaced,omitempty,omitzero"`
+
+	// PromptRead corresponds to the JSON schema field "promptRead".
+	PromptRead *PromptRead `json:"promptRead,omitempty,omitzero"`
+
 	// Refusal corresponds to the JSON schema field "refusal".
 	Refusal *Refusal `json:"refusal,omitempty,omitzero"`
 
@@ -413,6 +422,51 @@
 	Stage int `json:"stage"`
 }
 
+// PromptPlace asks the node that places a service's prompts for an engine.
+type PromptPlace struct {
+	// Exclude corresponds to the JSON schema field "exclude".
+	Exclude []string `json:"exclude,omitempty,omitzero"`
+
+	// Hash of the prompt's shared part, in hexadecimal; 0 for none.
+	Key string `json:"key"`
+
+	// Pull corresponds to the JSON schema field "pull".
+	Pull []ResultBytes `json:"pull,omitempty,omitzero"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// SharedTokens corresponds to the JSON schema field "sharedTokens".
+	SharedTokens int `json:"sharedTokens"`
+
+	// Time until the first event is due; negative when late.
+	SlackMs int `json:"slackMs"`
+
+	// Tokens corresponds to the JSON schema field "tokens".
+	Tokens int `json:"tokens"`
+}
+
+// PromptPlaced answers a PromptPlace.
+type PromptPlaced struct {
+	// Identity of the engine; empty for none.
+	Target string `json:"target"`
+}
+
+// PromptRead says that a prompt has been read, or that its request has ended.
+type PromptRead struct {
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Whether its first event came.
+	Whole bool `json:"whole"`
+}
+
 // Reader is a node of the sender's data centre that reads the configuration
 // service.
 type Reader struct {
@@ -453,6 +507,15 @@
 const RefusalVerdictNotRun RefusalVerdict = "not-run"
 const RefusalVerdictRan RefusalVerdict = "ran"
 
+// ResultBytes is how many bytes of a request's results lie in one data centre.
+type ResultBytes struct {
+	// Bytes corresponds to the JSON schema field "bytes".
+	Bytes int `json:"bytes"`
+
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre"`
+}
+
 // StageAnswer is a pool's or plain service's answer.
 type StageAnswer struct {
 	// Output corresponds to the JSON schema field "output".
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -127,6 +127,17 @@
 	s.judge(now, true)
 }
 
+// Ejected returns the targets that are left alone now.
+func (t *Table) Ejected(now time.Time, targets []directory.Target) []string {
+	var list []string
+	for _, c := range targets {
+		if s, known := t.targets[c.ID]; known && !s.available(now) {
+			list = append(list, c.ID)
+		}
+	}
+	return list
+}
+
 // Told takes in a target's own word of its load.
 func (t *Table) Told(now time.Time, id string, load Load) {
 	s := t.of(id)
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -43,7 +43,7 @@
 		if !j.s.spend(j.service.Name, first) {
 			return j.outOf(verdict.ReasonRetryExhausted, "the budget of repeats is spent")
 		}
-		target, ok := j.choose()
+		target, ok := j.place(ctx)
 		if !ok {
 			return j.outOf(verdict.ReasonNoTarget, "no target can take the request")
 		}
@@ -98,6 +98,37 @@
 	return j.route.MayRepeat() && j.sends < j.route.MaxAttempts
 }
 
+// place chooses the target of an attempt. For an engine the node that places the
+// service's prompts is asked; when it cannot be, this node chooses by itself.
+func (j *job) place(ctx context.Context) (directory.Target, bool) {
+	if j.service.Engine == nil {
+		return j.choose()
+	}
+	s := j.s
+	d := s.cfg.View().Directory
+	key, tokens := shared(j.req.Parts)
+	now := s.cfg.Now()
+	s.mu.Lock()
+	exclude := append(s.table.Ejected(now, d.Service(j.service.Name)), j.tried...)
+	s.mu.Unlock()
+	id, ok := s.cfg.Placer.Place(ctx, j.service.Name, placement.Prompt{
+		Request: j.req.ID, Key: key, SharedTokens: tokens, Tokens: j.req.Tokens,
+		Slack: j.objective.Sub(now), Exclude: exclude, Pull: j.result.bytes(),
+	})
+	if target, known := d.Target(id); ok && known && target.Usable(now) {
+		return target, true
+	}
+	return j.choose()
+}
+
+// promptRead tells the node that placed the prompt that it need not count it any
+// more.
+func (j *job) promptRead(whole bool) {
+	if j.service.Engine != nil {
+		j.s.cfg.Placer.Read(j.service.Name, j.req.ID, whole)
+	}
+}
+
 func (j *job) choose() (directory.Target, bool) {
 	s := j.s
 	// A newer view may know that a target leaves; the request's own view still
@@ -150,6 +181,9 @@
 		tried.Status = reply.Status
 		err = j.passBack(ctx, reply, patience)
 	}
+	if err != nil && !j.begun.Load() {
+		j.promptRead(false)
+	}
 	if err != nil && errors.Is(context.Cause(ctx), errPatience) {
 		err = err.WithReason(verdict.ReasonStalled)
 	}
@@ -280,6 +314,7 @@
 
 func (j *job) begin(reply *Reply) {
 	j.begun.Store(true)
+	j.promptRead(true)
 	j.outcome.Status = reply.Status
 	j.outcome.First = j.s.cfg.Now().Sub(j.req.Arrived)
 	j.result.consumed()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,8 @@
 	Patience time.Duration
 	// Parts are the shared parts of the prompt, in order.
 	Parts []Part
+	// Tokens is how long the prompt is.
+	Tokens int
 	// Items is how many items each stage has.
 	Items []int
 	// Source is the key of what the first items are made from.
@@ -132,6 +134,15 @@
 	Cancel(request string, stages []PlannedStage)
 }
 
+// Placer chooses engines with regard to what all nodes sent.
+type Placer interface {
+	// Place returns the identity of an engine; false when none could be asked for.
+	Place(ctx context.Context, service string, p placement.Prompt) (string, bool)
+	// Read says that a prompt that was placed has been read, or that its request
+	// has ended without.
+	Read(service, request string, whole bool)
+}
+
 // PlannedStage is work that a request will ask for.
 type PlannedStage struct {
 	Service string
@@ -239,6 +250,7 @@
 	View       func() *view.View
 	Upstream   Upstream
 	Batcher    Batcher
+	Placer     Placer
 	Observer   Observer
 	Now        func() time.Time
 	// Budget bounds repeats over all nodes.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/honeydyke/honeydyke/internal/catalog"
 	"github.com/honeydyke/honeydyke/internal/directory"
 	_ "github.com/honeydyke/honeydyke/internal/fixedseed"
+	"github.com/honeydyke/honeydyke/internal/placement"
 	"github.com/honeydyke/honeydyke/internal/relay"
 	"github.com/honeydyke/honeydyke/internal/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/view"
@@ -136,6 +137,11 @@
 
 func (w *world) Cancel(_ string, stages []relay.PlannedStage) { w.planned -= len(stages) }
 
+// Place knows of no engine, so that the node chooses by itself.
+func (w *world) Place(context.Context, string, placement.Prompt) (string, bool) { return "", false }
+
+func (w *world) Read(string, string, bool) {}
+
 func (w *world) Decided(string, relay.Decision) {}
 
 func (w *world) Ended(o *relay.Outcome) { w.outcome = o }
@@ -185,7 +191,7 @@
 	}
 	v := &view.View{Revision: 1, Catalog: c, Directory: directory.New(targets...)}
 	return w, relay.New(relay.Config{
-		DataCentre: "d", View: func() *view.View { return v }, Upstream: w, Batcher: w, Observer: w, Now: time.Now,
+		DataCentre: "d", View: func() *view.View { return v }, Upstream: w, Batcher: w, Placer: w, Observer: w, Now: time.Now,
 		Budget: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, Members: func() int { return 1 },
 	})
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,6 +45,8 @@
 	PathItems     = "/peer/v1/items"
 	PathRelease   = "/peer/v1/release"
 	PathPlan      = "/peer/v1/plan"
+	PathPlace     = "/peer/v1/place"
+	PathRead      = "/peer/v1/read"
 	PathView      = "/peer/v1/view"
 	PathState     = "/state"
 	PathReady     = "/readyz"
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -189,6 +189,7 @@
 	}
 	g.batches.configure(next)
 	g.relay.Keep(next.Directory)
+	g.prompts.keep(next.Directory)
 	g.tellRoster()
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -105,6 +105,7 @@
 
 	relay   *relay.Server
 	batches *batches
+	prompts *prompts
 	metrics *metrics
 	peers   *http.Client
 	system  *actor.ActorSystem
@@ -155,8 +156,9 @@
 	}
 	g.roster = membership.NewRoster(g.PeerAddress(), g.started.UnixNano(), cfg.Peers)
 	g.batches = newBatches(g)
+	g.prompts = newPrompts(g)
 	g.relay = relay.New(relay.Config{
-		DataCentre: cfg.DataCentre, View: g.view.Load, Upstream: ports.Targets, Batcher: g.batches,
+		DataCentre: cfg.DataCentre, View: g.view.Load, Upstream: ports.Targets, Batcher: g.batches, Placer: g.prompts,
 		Observer: g, Now: g.now, Budget: g.budget(), Members: g.memberCount,
 	})
 	return g, nil
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -54,6 +54,8 @@
 	mux.HandleFunc("POST "+wire.PathItems, g.serveItems)
 	mux.HandleFunc("POST "+wire.PathRelease, g.serveRelease)
 	mux.HandleFunc("POST "+wire.PathPlan, g.servePlan)
+	mux.HandleFunc("POST "+wire.PathPlace, g.servePlace)
+	mux.HandleFunc("POST "+wire.PathRead, g.serveRead)
 	mux.HandleFunc("GET "+wire.PathView, g.serveView)
 	return mux
 }
--- /dev/null
+++ b/pkg/gateway/prompts.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/directory"
+	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/placement"
+	"github.com/honeydyke/honeydyke/internal/wire"
+)
+
+const (
+	// placeTimeout bounds asking the node that places a service's prompts.
+	placeTimeout = 60 * time.Millisecond
+	// placeRole tells the owner of a service's prompts from that of its items.
+	placeRole = "prompts/"
+)
+
+// prompts places prompts, for the services that this node does it for, and asks
+// the others' nodes.
+type prompts struct {
+	g *Gateway
+
+	mu       sync.Mutex
+	services map[string]*placement.Prompts
+}
+
+func newPrompts(g *Gateway) *prompts {
+	return &prompts{g: g, services: map[string]*placement.Prompts{}}
+}
+
+// of returns the chooser of a service; the caller holds the lock.
+func (p *prompts) of(service string) *placement.Prompts {
+	s := p.services[service]
+	if s == nil {
+		s = placement.NewPrompts()
+		p.services[service] = s
+	}
+	return s
+}
+
+func (p *prompts) placeHere(service string, q placement.Prompt) (string, bool) {
+	engines := p.g.view.Load().Directory.Service(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.of(service).Place(p.g.now(), engines, q)
+	return t.ID, ok
+}
+
+func (p *prompts) readHere(service, request string, whole bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(service).Read(p.g.now(), request, whole)
+}
+
+// keep forgets what engines kept that are no more.
+func (p *prompts) keep(d *directory.Directory) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services {
+		s.Gone(d)
+	}
+}
+
+// Place implements relay.Placer.
+func (p *prompts) Place(ctx context.Context, service string, q placement.Prompt) (string, bool) {
+	owner := p.g.batches.owner(placeRole + service)
+	if owner == "" || owner == p.g.PeerAddress() {
+		return p.placeHere(service, q)
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	in := message.PromptPlace{
+		Service: service, Request: q.Request, Key: strconv.FormatUint(q.Key, 16), SharedTokens: q.SharedTokens, Tokens: q.Tokens,
+		SlackMs: int(q.Slack.Milliseconds()), Exclude: q.Exclude,
+	}
+	for dc, bytes := range q.Pull {
+		in.Pull = append(in.Pull, message.ResultBytes{DataCentre: dc, Bytes: int(bytes)})
+	}
+	var out message.PromptPlaced
+	if err := p.g.call(ctx, http.MethodPost, owner, wire.PathPlace, in, &out); err != nil {
+		return "", false
+	}
+	return out.Target, out.Target != ""
+}
+
+// Read implements relay.Placer.
+func (p *prompts) Read(service, request string, whole bool) {
+	owner := p.g.batches.owner(placeRole + service)
+	if owner == "" || owner == p.g.PeerAddress() {
+		p.readHere(service, request, whole)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_ = p.g.call(ctx, http.MethodPost, owner, wire.PathRead, message.PromptRead{Service: service, Request: request, Whole: whole}, nil)
+	}()
+}
+
+func (g *Gateway) servePlace(w http.ResponseWriter, r *http.Request) {
+	var in message.PromptPlace
+	if !readMessage(w, r, &in) {
+		return
+	}
+	key, err := strconv.ParseUint(in.Key, 16, 64)
+	if err != nil {
+		http.Error(w, "the key does not read", http.StatusBadRequest)
+		return
+	}
+	q := placement.Prompt{
+		Request: in.Request, Key: key, SharedTokens: in.SharedTokens, Tokens: in.Tokens,
+		Slack: time.Duration(in.SlackMs) * time.Millisecond, Exclude: in.Exclude, Pull: make(map[string]int64, len(in.Pull)),
+	}
+	for _, b := range in.Pull {
+		q.Pull[b.DataCentre] = int64(b.Bytes)
+	}
+	id, _ := g.prompts.placeHere(in.Service, q)
+	writeMessage(w, message.PromptPlaced{Target: id})
+}
+
+func (g *Gateway) serveRead(w http.ResponseWriter, r *http.Request) {
+	var in message.PromptRead
+	if readMessage(w, r, &in) {
+		g.prompts.readHere(in.Service, in.Request, in.Whole)
+	}
+}
