--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -18,7 +18,7 @@
 	// planShare is the part of the time to the objective that the stages are
 	// planned to take. The rest is for what the estimate does not know; a short
 	// queue carries as much as a long one.
-	planShare = 0.85
+	planShare = 0.72
 	// returnPause is how long a request that has come back waits before it asks
 	// again whether it can be in time.
 	returnPause = 250 * time.Millisecond
