Never refuse a request for the time that its own stages take

Change: only the wait for others' work counts, up to what the planned share leaves and at least 150 ms. The new test fails without it ('the stages would take 864ms').

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -18,7 +18,10 @@
 	// planShare is the part of the time to the objective that the stages are
 	// planned to take. The rest is for what the estimate does not know; a short
 	// queue carries as much as a long one.
-	planShare = 0.72
+	planShare = 0.85
+	// minBacklog is the wait for others' work that never speaks against a request:
+	// however short its objective, an idle system does not refuse it.
+	minBacklog = 150 * time.Millisecond
 	// returnPause is how long a request that has come back waits before it asks
 	// again whether it can be in time.
 	returnPause = 250 * time.Millisecond
@@ -50,7 +53,9 @@
 		if returning {
 			left = j.route.Objective
 		}
-		if float64(lasts+engineLead+margin) <= planShare*float64(left) {
+		alone := r.lasts(stages, make([]time.Duration, len(stages)))
+		spare := time.Duration(planShare*float64(left)) - alone - engineLead - margin
+		if lasts-alone <= max(spare, minBacklog) {
 			return nil
 		}
 		j.s.cfg.Batcher.Cancel(j.req.ID, stages)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -376,6 +376,13 @@
 			convey.So(w.planned, convey.ShouldEqual, 0)
 		})
 	})
+	convey.Convey("An idle system refuses nobody, however short the objective", t, func() {
+		r := chain()
+		w, s := setup(r, true)
+		r.Objective = 500 * time.Millisecond
+		convey.So(s.Serve(t.Context(), request(1, 4, 2), &client{}), convey.ShouldBeNil)
+		convey.So(w.makes, convey.ShouldHaveLength, 3)
+	})
 	convey.Convey("One that has come back waits, and is then let in and gives way", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			w, s := setup(chain(), true)
