Spread news of the store at once, and let all of a few members read it

Non-readers' watches waited 20 s; the reader noticed after 2.7 s, gossip took half a second a step, a node waited two steps before it ended its watch, then read everything: 4.8 s after the change (version 13 at 11.9 s, acknowledged at 7.1 s). Ruled out: the store (members had it at 10.1 s), the view (never went back). Change: readers wait 1.2 s and 0.4 s more; up to 9 members all read, of more 4 and one for each 40; a node tells members of news at once; one that is behind for 0.4 s takes a member's view and ends its watch.

--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -20,9 +20,10 @@
 	// suspectFor is how long a member that failed a call is passed over, unless
 	// it gives a new sign of life.
 	suspectFor = 1500 * time.Millisecond
-	// minReaders is how many members look at the source often at the least, and
-	// membersPerReader how many members there are for each further one.
-	minReaders       = 2
+	// allRead is how many members all look at the source often. Of more members
+	// minReaders do, and one for each membersPerReader.
+	allRead          = 9
+	minReaders       = 4
 	membersPerReader = 40
 	// maxGossip bounds the members told in one exchange.
 	maxGossip = 40
@@ -198,6 +199,9 @@
 // The others are told by gossip when it has news that they have not heard.
 func (r *Roster) Reads(now time.Time) bool {
 	serving := r.Serving(now)
+	if len(serving) <= allRead {
+		return true
+	}
 	readers := minReaders + len(serving)/membersPerReader
 	ahead := 0
 	own := readerRank(r.self.Address)
--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,6 +65,36 @@
 	})
 }
 
+func TestRosterReaders(t *testing.T) {
+	convey.Convey("All of a few members look at the source often, and a small part of many", t, func() {
+		addresses := make([]string, 80)
+		for i := range addresses {
+			addresses[i] = fmt.Sprint("m", i)
+		}
+		readers := func(n int) int {
+			count := 0
+			for _, self := range addresses[:n] {
+				r := membership.NewRoster(self, 1, nil)
+				r.Tell(true, false, 1, 1)
+				for _, other := range addresses[:n] {
+					r.Merge(rosterStart, gossip(member(other, 1, 1)))
+				}
+				if r.Reads(rosterStart) {
+					count++
+				}
+			}
+			return count
+		}
+		convey.So(readers(7), convey.ShouldEqual, 7)
+		convey.So(readers(80), convey.ShouldEqual, 6)
+	})
+	convey.Convey("A member that hears nobody looks itself", t, func() {
+		r := membership.NewRoster("self", 1, nil)
+		r.Tell(true, false, 1, 1)
+		convey.So(r.Reads(rosterStart), convey.ShouldBeTrue)
+	})
+}
+
 // TestRosterOrder shows that any order, loss of duplicates or repetition of
 // exchanges ends the same.
 func TestRosterOrder(t *testing.T) {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -14,11 +14,15 @@
 const (
 	// readerWait is how long a reader's watch waits for news. A connection that
 	// has silently died is noticed within it and the slack.
-	readerWait = 2 * time.Second
+	readerWait  = 1200 * time.Millisecond
+	readerSlack = 400 * time.Millisecond
 	// watchWait is how long the watches of the other nodes wait. They are ended
 	// when a member is heard to know more.
 	watchWait  = 20 * time.Second
 	watchSlack = 700 * time.Millisecond
+	// newsTakes is how long after a member a node may hear the same news by
+	// itself: news gather between two watches.
+	newsTakes = 400 * time.Millisecond
 	// gatherNews is how long news gather between two watches.
 	gatherNews = 250 * time.Millisecond
 	// snapshotTimeout bounds reading everything.
@@ -105,7 +109,7 @@
 	g.rosterMu.Lock()
 	defer g.rosterMu.Unlock()
 	if g.roster.Reads(g.now()) {
-		return readerWait, watchSlack
+		return readerWait, readerSlack
 	}
 	return watchWait, watchSlack
 }
@@ -115,24 +119,43 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.endWatch = end
-	h.behindSince = time.Time{}
 }
 
-// checkBehind ends a watch that should have told what a member has heard.
-func (g *Gateway) checkBehind() {
+// checkBehind looks at what members are known to have heard. A watch that should
+// have told it by now is ended, and what a member knows is taken over.
+func (g *Gateway) checkBehind(ctx context.Context) {
 	v := g.view.Load()
 	g.rosterMu.Lock()
 	newest := g.roster.Newest(g.now(), v.Version(), v.Revision)
 	g.rosterMu.Unlock()
-	h := &g.source
+	if !g.source.behind(g.now(), newest != "") {
+		return
+	}
+	g.source.end()
+	g.askView(ctx, newest)
+}
+
+// behind notes whether a member is known to have heard more, and says whether
+// that has been so for longer than news need to come by themselves.
+func (h *sourceHealth) behind(now time.Time, known bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case newest == "" || h.endWatch == nil:
+	if !known {
 		h.behindSince = time.Time{}
-	case h.behindSince.IsZero():
-		h.behindSince = g.now()
-	default:
+		return false
+	}
+	if h.behindSince.IsZero() {
+		h.behindSince = now
+	}
+	// A node that cannot hear the source at all has nothing to wait for.
+	return h.down || h.heard.IsZero() || now.Sub(h.behindSince) >= newsTakes
+}
+
+// end ends the watch at work.
+func (h *sourceHealth) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.endWatch != nil {
 		h.endWatch()
 	}
 }
@@ -191,6 +214,7 @@
 	g.relay.Keep(next.Directory)
 	g.prompts.keep(next.Directory)
 	g.tellRoster()
+	g.spread()
 }
 
 func (g *Gateway) logChanges(old, next *view.View, ch view.Changes) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -97,6 +97,8 @@
 	// inflight counts callers' requests without a final answer.
 	inflight atomic.Int64
 
+	// news wakes the gossip when there is something to tell.
+	news     chan struct{}
 	rosterMu sync.Mutex
 	roster   *membership.Roster
 
@@ -144,7 +146,7 @@
 	}
 	g := &Gateway{
 		cfg: cfg, ports: ports, log: zerolog.Nop(), now: time.Now,
-		peers: newPeerClient(), system: actor.NewActorSystem(actor.WithLoggerFactory(quietLogger)), metrics: newMetrics(),
+		peers: newPeerClient(), system: actor.NewActorSystem(actor.WithLoggerFactory(quietLogger)), metrics: newMetrics(), news: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(g)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -37,8 +37,8 @@
 	aliveFor = 700 * time.Millisecond
 	// aliveTimeout bounds asking a member for a sign of life.
 	aliveTimeout = 350 * time.Millisecond
-	// sourceSilent is how long the source must be silent before peers are asked.
-	sourceSilent = time.Second
+	// newsPause gathers news before members are told.
+	newsPause = 50 * time.Millisecond
 )
 
 func newPeerClient() *http.Client {
@@ -136,24 +136,49 @@
 	g.roster.Suspect(g.now(), address)
 }
 
-// gossip talks to other members until ctx ends.
+// gossip talks to other members until ctx ends: from time to time, and at once
+// when there is news.
 func (g *Gateway) gossip(ctx context.Context) {
-	for ctx.Err() == nil {
-		g.tellRoster()
-		g.rosterMu.Lock()
-		g.roster.Beat()
-		g.roster.Forget(g.now())
-		partners := g.roster.Partners(g.now(), gossipPartners)
-		g.rosterMu.Unlock()
-		for _, p := range partners {
-			go g.exchange(ctx, p)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-g.news:
+			pause(ctx, newsPause)
 		}
-		g.checkBehind()
-		g.askView(ctx)
-		pause(ctx, gossipInterval)
+		g.talk(ctx)
+		timer.Reset(gossipInterval)
+	}
+}
+
+// spread has the members told of news.
+func (g *Gateway) spread() {
+	select {
+	case g.news <- struct{}{}:
+	default:
 	}
 }
 
+// talk exchanges with some members.
+func (g *Gateway) talk(ctx context.Context) {
+	g.tellRoster()
+	g.rosterMu.Lock()
+	g.roster.Beat()
+	g.roster.Forget(g.now())
+	partners := g.roster.Partners(g.now(), gossipPartners)
+	g.rosterMu.Unlock()
+	for _, p := range partners {
+		go func() {
+			g.exchange(ctx, p)
+			g.checkBehind(ctx)
+		}()
+	}
+	g.checkBehind(ctx)
+}
+
 // exchange tells a member what is known of all members and hears what it knows.
 func (g *Gateway) exchange(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
@@ -182,31 +207,24 @@
 	out := g.roster.Gossip(g.now())
 	g.rosterMu.Unlock()
 	writeMessage(w, out)
-}
-
-// askView takes over what a member knows while the source cannot be heard.
-func (g *Gateway) askView(ctx context.Context) {
-	h := &g.source
-	h.mu.Lock()
-	silent := h.heard.IsZero() || (h.down && g.now().Sub(h.heard) > sourceSilent)
-	h.mu.Unlock()
-	if !silent {
-		return
-	}
 	v := g.view.Load()
 	g.rosterMu.Lock()
 	newest := g.roster.Newest(g.now(), v.Version(), v.Revision)
 	g.rosterMu.Unlock()
-	if newest == "" {
-		return
+	if newest != "" && !g.source.behind(g.now(), true) {
+		time.AfterFunc(newsTakes, g.spread)
 	}
+}
+
+// askView takes over what a member knows.
+func (g *Gateway) askView(ctx context.Context, member string) {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
 	var snapshot message.ViewSnapshot
-	if err := g.call(ctx, http.MethodGet, newest, wire.PathView, nil, &snapshot); err != nil {
+	if err := g.call(ctx, http.MethodGet, member, wire.PathView, nil, &snapshot); err != nil {
 		return
 	}
-	g.takeView(newest, snapshot)
+	g.takeView(member, snapshot)
 }
 
 func (g *Gateway) takeView(from string, s message.ViewSnapshot) {
