--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -5,11 +5,10 @@
 	"strings"
 	"time"
 
-	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/honeydyke/honeydyke/internal/relay"
+	"github.com/honeydyke/honeydyke/internal/telemetry"
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
@@ -31,13 +30,9 @@
 }
 
 func newMetrics() *metrics {
-	registry := prom.NewRegistry()
-	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "honeydyke", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
-	}, metricsInterval)
+	scope, handler := telemetry.New(metricsInterval)
 	return &metrics{
-		scope: scope, handler: reporter.HTTPHandler(),
+		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
 	}
 }
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -6,10 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/honeydyke/honeydyke/internal/telemetry"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -25,12 +24,8 @@
 }
 
 func newMetrics() *metrics {
-	registry := prom.NewRegistry()
-	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "honeydyke", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
-	}, metricsInterval)
-	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+	scope, handler := telemetry.New(metricsInterval)
+	return &metrics{scope: scope, handler: handler}
 }
 
 // answered counts the end of a request.
