--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -199,6 +199,9 @@
 			g.close()
 			return errors.Wrap(err, "listen")
 		}
+		if len(g.sockets) == 0 {
+			ln = limitConnections(ln, g.callerLimit())
+		}
 		g.sockets = append(g.sockets, ln)
 		g.servers = append(g.servers, &http.Server{
 			Handler: h.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
--- /dev/null
+++ b/pkg/gateway/limit_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func TestLimitedListener(t *testing.T) {
+	convey.Convey("A listener at its limit accepts when a connection has ended", t, func() {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		ln := limitConnections(inner, 1)
+		dial := func() net.Conn {
+			conn, err := net.Dial("tcp", inner.Addr().String())
+			convey.So(err, convey.ShouldBeNil)
+			return conn
+		}
+		defer dial().Close()
+		defer dial().Close()
+		first, err := ln.Accept()
+		convey.So(err, convey.ShouldBeNil)
+		second := make(chan net.Conn)
+		go func() {
+			conn, _ := ln.Accept()
+			second <- conn
+		}()
+		select {
+		case <-second:
+			t.Error("accepted beyond the limit")
+		default:
+		}
+		convey.So(first.Close(), convey.ShouldBeNil)
+		convey.So(first.Close(), convey.ShouldNotBeNil)
+		conn := <-second
+		convey.So(conn, convey.ShouldNotBeNil)
+		convey.Convey("and ends its wait when it is closed", func() {
+			ended := make(chan error)
+			go func() {
+				_, err := ln.Accept()
+				ended <- err
+			}()
+			convey.So(ln.Close(), convey.ShouldBeNil)
+			convey.So(<-ended, convey.ShouldNotBeNil)
+		})
+	})
+}
