Give items up at once that cannot be made in the time left

Cause: a request whose remaining stages could not end before its deadline waited on until the deadline itself; the users ask for the final answer at once.

--- a/internal/batching/batching_test.go
+++ b/internal/batching/batching_test.go
@@ -145,6 +145,16 @@
 		convey.So(late, convey.ShouldHaveLength, 1)
 		convey.So(late[0], convey.ShouldHaveSameTypeAs, batching.Free{})
 	})
+	convey.Convey("An item that cannot be made in the time left is given up at once", t, func() {
+		c := newCore(1)
+		c.Handle(start, batching.Submit{Items: items(1, 1, 2*time.Second)})
+		short := items(2, 1, time.Second)
+		short[0].Deadline = start.Add(300 * time.Millisecond)
+		c.Handle(start, batching.Submit{Items: short})
+		out := c.Handle(start.Add(50*time.Millisecond), batching.Tick{})
+		convey.So(out, convey.ShouldHaveLength, 1)
+		convey.So(out[0].(batching.Resolve).Err.Reason(), convey.ShouldEqual, verdict.ReasonDeadline)
+	})
 	convey.Convey("An item whose input is gone is not tried again", t, func() {
 		c := newCore(1)
 		s := starts(c.Handle(start, batching.Submit{Items: items(1, 1, time.Second)}))
--- a/internal/batching/core.go
+++ b/internal/batching/core.go
@@ -315,9 +315,9 @@
 	}
 	maps.DeleteFunc(c.plans, func(_ planKey, p plan) bool { return now.After(p.due.Add(planGrace)) })
 	for _, w := range slices.Clone(c.queue) {
-		if !now.Before(w.Deadline) && w.running == 0 {
+		if w.running == 0 && c.hopeless(now, w) {
 			c.stats.Expired++
-			c.fail(w.Token, verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the item waited too long"))
+			c.fail(w.Token, verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the item cannot be made in the time left"))
 		}
 	}
 	for _, running := range c.calls {
@@ -327,6 +327,14 @@
 	}
 }
 
+// hopeless says whether an item would be of no use any more when it is made.
+func (c *Core) hopeless(now time.Time, w *work) bool {
+	if c.batch != nil {
+		now = now.Add(planned(c.batch, 1))
+	}
+	return now.After(w.Deadline)
+}
+
 func (c *Core) giveUp(now time.Time, running *call) {
 	t := c.targets[running.target]
 	t.failed(now)
