Await answers of the store and of members that are on their way

Ruled out: decoding (0.07 of a core), the store (it acknowledged), news (members knew it). Change: only the head of an answer must come in time; the rest may take 6 s. A member's view is fetched beside the gossip, one at a time.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -27,6 +27,9 @@
 	gatherNews = 250 * time.Millisecond
 	// snapshotTimeout bounds reading everything.
 	snapshotTimeout = 3 * time.Second
+	// answerTimeout bounds the rest of an answer whose head has come. A megabyte
+	// takes a second over the slowest links.
+	answerTimeout = 6 * time.Second
 	// minRetry and maxRetry bound the pause after the source failed.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
@@ -73,10 +76,10 @@
 
 func (g *Gateway) read(ctx context.Context, whole bool) error {
 	if whole {
-		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		ctx, answered, cancel := untilAnswered(ctx, snapshotTimeout)
 		defer cancel()
 		g.metrics.sourceCalls.Inc(1)
-		ch, err := g.ports.Source.Snapshot(ctx)
+		ch, err := g.ports.Source.Snapshot(ctx, answered)
 		if err != nil {
 			return err
 		}
@@ -86,11 +89,11 @@
 		return nil
 	}
 	wait, slack := g.watchTime()
-	ctx, cancel := context.WithTimeout(ctx, wait+slack)
+	ctx, answered, cancel := untilAnswered(ctx, wait+slack)
 	defer cancel()
 	g.source.watching(cancel)
 	g.metrics.sourceCalls.Inc(1)
-	ch, err := g.ports.Source.Watch(ctx, g.view.Load().Revision, wait)
+	ch, err := g.ports.Source.Watch(ctx, g.view.Load().Revision, wait, answered)
 	if err != nil {
 		return err
 	}
@@ -100,6 +103,17 @@
 	return nil
 }
 
+// untilAnswered returns a context that ends when no answer has come in time, or
+// when one that has begun takes too long.
+func untilAnswered(ctx context.Context, limit time.Duration) (_ context.Context, answered func(), cancel context.CancelFunc) {
+	ctx, end := context.WithCancel(ctx)
+	timer := time.AfterFunc(limit, end)
+	return ctx, func() { timer.Reset(answerTimeout) }, func() {
+		timer.Stop()
+		end()
+	}
+}
+
 // watchTime returns how long the next watch waits, and how much longer its
 // answer may take.
 func (g *Gateway) watchTime() (wait, slack time.Duration) {
@@ -131,8 +145,14 @@
 	if !g.source.behind(g.now(), newest != "") {
 		return
 	}
-	g.source.end()
-	g.askView(ctx, newest)
+	if !g.asking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.asking.Store(false)
+		g.askView(ctx, newest)
+		g.source.end()
+	}()
 }
 
 // behind notes whether a member is known to have heard more, and says whether
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,12 +34,14 @@
 // revision; the whole must be read again.
 var ErrHistoryGone = errors.New("the source's history does not reach back so far")
 
-// Source publishes the configuration and the targets.
+// Source publishes the configuration and the targets. The calls tell answered when
+// the head of an answer has come: an answer that is on its way may take far longer
+// than one that is not there.
 type Source interface {
 	// Snapshot reads everything.
-	Snapshot(ctx context.Context) (view.Changes, error)
+	Snapshot(ctx context.Context, answered func()) (view.Changes, error)
 	// Watch waits for changes after a revision.
-	Watch(ctx context.Context, after int64, wait time.Duration) (view.Changes, error)
+	Watch(ctx context.Context, after int64, wait time.Duration, answered func()) (view.Changes, error)
 	// Decode reads the text of a configuration that a peer passed on.
 	Decode(document []byte) (view.CatalogChange, error)
 }
@@ -97,6 +99,8 @@
 	// inflight counts callers' requests without a final answer.
 	inflight atomic.Int64
 
+	// asking is true while a member's view is being fetched.
+	asking atomic.Bool
 	// news wakes the gossip when there is something to tell.
 	news     chan struct{}
 	rosterMu sync.Mutex
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -218,7 +218,7 @@
 
 // askView takes over what a member knows.
 func (g *Gateway) askView(ctx context.Context, member string) {
-	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	var snapshot message.ViewSnapshot
 	if err := g.call(ctx, http.MethodGet, member, wire.PathView, nil, &snapshot); err != nil {
