--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -2,6 +2,54 @@
 
 package message
 
+// BatchState is what the former of one service's calls holds.
+type BatchState struct {
+	// Time to make all that waits or is planned.
+	BacklogMs int `json:"backlogMs"`
+
+	// Calls corresponds to the JSON schema field "calls".
+	Calls int `json:"calls"`
+
+	// Expired corresponds to the JSON schema field "expired".
+	Expired int `json:"expired"`
+
+	// Room taken by results.
+	HeldBytes int `json:"heldBytes"`
+
+	// Items corresponds to the JSON schema field "items".
+	Items int `json:"items"`
+
+	// Waiting items that give way.
+	Late int `json:"late"`
+
+	// Items made a second with full calls, as far as room allows.
+	PerSecond float64 `json:"perSecond"`
+
+	// Items that will be asked for.
+	Planned int `json:"planned"`
+
+	// Refused corresponds to the JSON schema field "refused".
+	Refused int `json:"refused"`
+
+	// Repeats corresponds to the JSON schema field "repeats".
+	Repeats int `json:"repeats"`
+
+	// Room there is.
+	RoomBytes int `json:"roomBytes"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Targets corresponds to the JSON schema field "targets".
+	Targets int `json:"targets"`
+
+	// Items without a call.
+	Waiting int `json:"waiting"`
+
+	// Targets with a call.
+	Working int `json:"working"`
+}
+
 // Exchange is what two nodes tell each other, in both directions.
 type Exchange struct {
 	// Number of the newest verified bundle.
@@ -32,6 +80,45 @@
 	Readers []Reader `json:"readers,omitempty,omitzero"`
 }
 
+// GatewayState is what a gateway node knows and holds.
+type GatewayState struct {
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre"`
+
+	// InFlight corresponds to the JSON schema field "inFlight".
+	InFlight int `json:"inFlight"`
+
+	// Members corresponds to the JSON schema field "members".
+	Members []GossipMember `json:"members"`
+
+	// Peer address.
+	Node string `json:"node"`
+
+	// Phase corresponds to the JSON schema field "phase".
+	Phase GatewayStatePhase `json:"phase"`
+
+	// Revision up to which the source was heard.
+	Revision int `json:"revision"`
+
+	// Services whose calls this node forms or formed.
+	Services []BatchState `json:"services"`
+
+	// Time since the source was last heard; -1 for never.
+	SourceAgeMs int `json:"sourceAgeMs"`
+
+	// Targets corresponds to the JSON schema field "targets".
+	Targets []ViewTarget `json:"targets"`
+
+	// Version of the configuration in force; 0 for none.
+	Version int `json:"version"`
+}
+
+type GatewayStatePhase string
+
+const GatewayStatePhaseLeaving GatewayStatePhase = "leaving"
+const GatewayStatePhaseServing GatewayStatePhase = "serving"
+const GatewayStatePhaseStarting GatewayStatePhase = "starting"
+
 // Gossip is what two gateway nodes tell each other of the members, in both
 // directions.
 type Gossip struct {
@@ -196,6 +283,9 @@
 	// Exchange corresponds to the JSON schema field "exchange".
 	Exchange *Exchange `json:"exchange,omitempty,omitzero"`
 
+	// GatewayState corresponds to the JSON schema field "gatewayState".
+	GatewayState *GatewayState `json:"gatewayState,omitempty,omitzero"`
+
 	// Gossip corresponds to the JSON schema field "gossip".
 	Gossip *Gossip `json:"gossip,omitempty,omitzero"`
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -38,7 +38,8 @@
 	}
 	giveWayAt := j.req.Arrived.Add(j.until.Sub(j.req.Arrived) / 2)
 	for {
-		lasts := r.lasts(stages, j.s.cfg.Batcher.Plan(ctx, j.req.ID, stages))
+		backlogs := j.s.cfg.Batcher.Plan(ctx, j.req.ID, stages)
+		lasts := r.lasts(stages, backlogs)
 		now := j.s.cfg.Now()
 		margin := time.Duration(j.route.Priority) * priorityMargin
 		objective := j.objective
@@ -51,10 +52,12 @@
 		j.s.cfg.Batcher.Cancel(j.req.ID, stages)
 		switch {
 		case !returning:
+			j.decided(Refused{Stages: stages, Backlogs: backlogs, Lasts: lasts, Left: j.objective.Sub(now)})
 			return verdict.New(verdict.NotRun, verdict.ReasonOverload, "the stages would take %v", lasts).
 				WithRetryAfter(j.comeBack())
 		case now.After(giveWayAt):
 			j.background = true
+			j.decided(LetInLate{Lasts: lasts, Waited: now.Sub(j.req.Arrived)})
 			return nil
 		}
 		if !waitFor(ctx, returnPause) {
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -60,7 +60,12 @@
 		} else if refusals++; refusals > maxRefusals {
 			return err
 		}
-		if ctx.Err() != nil || !j.mayRetry(err) {
+		again := ctx.Err() == nil && j.mayRetry(err)
+		j.decided(AttemptFailed{
+			Attempt: j.outcome.Attempts[len(j.outcome.Attempts)-1], Events: j.outcome.Events, LastEvent: j.req.LastEvent,
+			Left: j.until.Sub(j.s.cfg.Now()), Again: again,
+		})
+		if !again {
 			return err
 		}
 		if err.Reason() == verdict.ReasonInputGone {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -140,11 +140,69 @@
 	Due     time.Time
 }
 
-// Observer is told of what happens to requests.
+// Observer is told of what is decided about requests.
 type Observer interface {
+	// Decided is told of each decision on the way.
+	Decided(request string, d Decision)
+	// Ended is told of the end.
 	Ended(o *Outcome)
 }
 
+// Decision is something decided about a request on its way.
+type Decision interface{ isDecision() }
+
+// Refused is a request that is not let in because its stages would take too long.
+type Refused struct {
+	// Stages and Backlogs are what was planned and how long each stage's service
+	// takes for what was planned before.
+	Stages   []PlannedStage
+	Backlogs []time.Duration
+	// Lasts is how long the stages would take, and Left the time to the objective.
+	Lasts, Left time.Duration
+}
+
+// LetInLate is a request that came back after a refusal, waited and is let in
+// though it will be late.
+type LetInLate struct{ Lasts, Waited time.Duration }
+
+// StageMade is a stage whose results are there.
+type StageMade struct {
+	Stage   int
+	Service string
+	Items   int
+	Took    time.Duration
+	// Targets are the makers.
+	Targets []string
+}
+
+// StageFailed is a stage that gave no results.
+type StageFailed struct {
+	Stage   int
+	Service string
+	Items   int
+	Took    time.Duration
+	Err     *verdict.Error
+}
+
+// AttemptFailed is a call to a target that ended without a whole answer.
+type AttemptFailed struct {
+	Attempt Attempt
+	// Events is how many events had been passed on.
+	Events int
+	// LastEvent is the event after which another target would go on.
+	LastEvent string
+	// Left is the time until the request must have its answer.
+	Left time.Duration
+	// Again says whether another target may be asked.
+	Again bool
+}
+
+func (Refused) isDecision()       {}
+func (LetInLate) isDecision()     {}
+func (StageMade) isDecision()     {}
+func (StageFailed) isDecision()   {}
+func (AttemptFailed) isDecision() {}
+
 // Outcome is the story of one request.
 type Outcome struct {
 	Request      *Request
@@ -162,7 +220,7 @@
 	Took   time.Duration
 	Status int
 	Events int
-	// Reread counts calls for which results had to be made again.
+	// Remade counts how often results had to be made again.
 	Remade int
 	Err    *verdict.Error
 }
@@ -319,6 +377,9 @@
 	return err
 }
 
+// decided tells the observer of a decision.
+func (j *job) decided(d Decision) { j.s.cfg.Observer.Decided(j.req.ID, d) }
+
 // resolve finds the route, the organisation and the service.
 func (j *job) resolve() *verdict.Error {
 	c := j.view.Catalog
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -136,6 +136,8 @@
 
 func (w *world) Cancel(_ string, stages []relay.PlannedStage) { w.planned -= len(stages) }
 
+func (w *world) Decided(string, relay.Decision) {}
+
 func (w *world) Ended(o *relay.Outcome) { w.outcome = o }
 
 // client is a fake caller.
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -147,11 +147,15 @@
 		if err := r.obtainInputs(ctx, i); err != nil {
 			return err
 		}
-		results, err := r.job.s.cfg.Batcher.Make(ctx, r.job.route.Stages[i].Service, r.group(i), func() { r.inputsRead(i) })
+		service, begun := r.job.route.Stages[i].Service, r.job.s.cfg.Now()
+		results, err := r.job.s.cfg.Batcher.Make(ctx, service, r.group(i), func() { r.inputsRead(i) })
+		took := r.job.s.cfg.Now().Sub(begun)
 		if err == nil {
+			r.job.decided(StageMade{Stage: i, Service: service, Items: len(results), Took: took, Targets: makers(results)})
 			r.set(i, results)
 			return nil
 		}
+		r.job.decided(StageFailed{Stage: i, Service: service, Items: r.count(i), Took: took, Err: err})
 		if err.Reason() != verdict.ReasonInputGone {
 			return err
 		}
@@ -164,6 +168,17 @@
 	}
 }
 
+// makers returns the targets that made results, each once.
+func makers(results []batching.Result) []string {
+	var targets []string
+	for _, r := range results {
+		if !slices.Contains(targets, r.Target) {
+			targets = append(targets, r.Target)
+		}
+	}
+	return targets
+}
+
 // obtainInputs has the results made again that a stage needs and that are not
 // held.
 func (r *stageResults) obtainInputs(ctx context.Context, i int) *verdict.Error {
--- /dev/null
+++ b/pkg/cmd/explain/explain.go
@@ -0,0 +1,140 @@
+// Package explain holds the verb that tells one request's story from log lines.
+package explain
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
+)
+
+// maxLine bounds one line of a log.
+const maxLine = 1 << 20
+
+// Options are the parts and flags of the verb.
+type Options struct {
+	Factory *factory.Factory
+	Request string
+	Files   []string
+	JSON    bool
+}
+
+// NewCmdExplain returns the verb.
+func NewCmdExplain(f *factory.Factory, runF func(context.Context, *Options) error) *cobra.Command {
+	opts := &Options{Factory: f}
+	cmd := &cobra.Command{
+		Use:   "explain <request> [<file>...]",
+		Short: "Tell one request's story from the nodes' logs",
+		Long: "Read log lines of nodes, from files or standard input, and print those of one\n" +
+			"request in the order of their times, with what decided it. Text before a line's\n" +
+			"JSON, such as a node's name that a log collector adds, is kept. Exits with 1 when\n" +
+			"no line names the request.",
+		Example: "  honeydyke explain 9c41d07be2a35f68 node-*.log\n" +
+			"  collect-logs | honeydyke explain 9c41d07be2a35f68 --json",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			opts.Request, opts.Files = args[0], args[1:]
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return run(opts)
+		},
+	}
+	cmd.Flags().BoolVar(&opts.JSON, "json", false, "print the lines as a JSON array")
+	return cmd
+}
+
+// line is one log line of the request.
+type line struct {
+	// From is what stood before the line's JSON, or the file's name.
+	From string `json:"from,omitempty"`
+	// Fields are the line's own.
+	Fields map[string]any `json:"fields"`
+}
+
+// at returns the line's time.
+func (l line) at() time.Time {
+	ms, _ := l.Fields["time"].(float64)
+	return time.UnixMilli(int64(ms))
+}
+
+func run(opts *Options) error {
+	var lines []line
+	if len(opts.Files) == 0 {
+		opts.Files = []string{"-"}
+	}
+	for _, name := range opts.Files {
+		text, err := opts.Factory.Read(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read(name, strings.NewReader(string(text)), opts.Request)...)
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("no line names request %q", opts.Request)
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return a.at().Compare(b.at()) })
+	if opts.JSON {
+		return opts.Factory.PrintJSON(lines)
+	}
+	for _, l := range lines {
+		if _, err := fmt.Fprintln(opts.Factory.Out, l.text(lines[0].at())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// read returns the lines that name the request; what is no JSON is passed over.
+func read(name string, r io.Reader, request string) []line {
+	var lines []line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		before, text, found := strings.Cut(scanner.Text(), "{")
+		if !found {
+			continue
+		}
+		l := line{From: strings.TrimSpace(before)}
+		if json.Unmarshal([]byte("{"+text), &l.Fields) != nil || l.Fields["request"] != request {
+			continue
+		}
+		if l.From == "" && name != "-" {
+			l.From = name
+		}
+		lines = append(lines, l)
+	}
+	return lines
+}
+
+// text is the line for people: the time since the first, where it comes from,
+// what happened, and the other fields by name.
+func (l line) text(first time.Time) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "+%.3fs  %v", l.at().Sub(first).Seconds(), l.Fields["message"])
+	if l.From != "" {
+		fmt.Fprintf(&b, "  [%s]", l.From)
+	}
+	keys := make([]string, 0, len(l.Fields))
+	for k := range l.Fields {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b string) int { return cmp.Compare(a, b) })
+	for _, k := range keys {
+		switch k {
+		case "message", "time", "request", "level":
+		default:
+			fmt.Fprintf(&b, "\n         %s: %v", k, l.Fields[k])
+		}
+	}
+	return b.String()
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -15,6 +15,7 @@
 	"github.com/honeydyke/honeydyke/pkg/cmd/bundle"
 	"github.com/honeydyke/honeydyke/pkg/cmd/demo"
 	"github.com/honeydyke/honeydyke/pkg/cmd/experiment"
+	"github.com/honeydyke/honeydyke/pkg/cmd/explain"
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
 	"github.com/honeydyke/honeydyke/pkg/cmd/key"
 	"github.com/honeydyke/honeydyke/pkg/cmd/load"
@@ -68,6 +69,7 @@
 	cmd.AddCommand(
 		bundle.NewCmdBundle(f),
 		demo.NewCmdDemo(f, nil),
+		explain.NewCmdExplain(f, nil),
 		experiment.NewCmdExperiment(f),
 		key.NewCmdKey(f),
 		load.NewCmdLoad(f, nil),
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -221,6 +222,26 @@
 	backlog chan time.Duration
 }
 
+// describe asks an actor for its state.
+type describe struct{ state chan batching.State }
+
+// states asks all actors for their state.
+func (b *batches) states(ctx context.Context) map[string]batching.State {
+	b.mu.Lock()
+	services := maps.Clone(b.services)
+	b.mu.Unlock()
+	states := make(map[string]batching.State, len(services))
+	for service, pid := range services {
+		d := describe{state: make(chan batching.State, 1)}
+		b.g.system.Root.Send(pid, d)
+		select {
+		case states[service] = <-d.state:
+		case <-ctx.Done():
+		}
+	}
+	return states
+}
+
 // order is a group that waits for its results. The actor owns it until done is
 // closed.
 type order struct {
@@ -291,6 +312,8 @@
 	case *plannedStage:
 		msg.backlog <- f.core.State(f.g.now()).Backlog
 		f.handle(msg.plan)
+	case describe:
+		msg.state <- f.core.State(f.g.now())
 	case cancelOrder:
 		f.cancel(msg.order)
 	case inputsRead:
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -100,6 +100,9 @@
 	rosterMu sync.Mutex
 	roster   *membership.Roster
 
+	sampleMu sync.Mutex
+	sampler  sampler
+
 	relay   *relay.Server
 	batches *batches
 	metrics *metrics
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"github.com/honeydyke/honeydyke/internal/relay"
 	"github.com/honeydyke/honeydyke/internal/wire"
-	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
 // metricsInterval is how often counts reach the exposition.
@@ -68,63 +66,10 @@
 	m.scope.Tagged(map[string]string{"service": label(service)}).Histogram("call_items", batchBuckets).RecordValue(float64(items))
 }
 
-// Ended implements relay.Observer.
-func (g *Gateway) Ended(o *relay.Outcome) {
-	g.metrics.ended(o)
-	g.logRequest(o)
-}
-
-// logRequest writes one line with what decided the request's end.
-func (g *Gateway) logRequest(o *relay.Outcome) {
-	ev := g.log.Info()
-	if o.Err != nil && o.Err.Reason() != verdict.ReasonCancelled {
-		ev = g.log.Warn()
-	}
-	ev.Str("request", o.Request.ID).Int64("version", o.Version).Int64("revision", o.Revision)
-	if o.Route != nil {
-		ev.Str("route", o.Route.Name).Str("service", o.Service)
-	}
-	if o.Organisation != "" {
-		ev.Str("organisation", o.Organisation)
-	}
-	if o.StagesTook > 0 {
-		ev.Dur("stages", o.StagesTook)
-	}
-	ev.Dur("first", o.First).Dur("took", o.Took).Int("status", o.Status).Int("events", o.Events)
-	if o.Remade > 0 {
-		ev.Int("remade", o.Remade)
-	}
-	ev.Str("attempts", attemptsText(o.Attempts))
-	if o.Err != nil {
-		ev.Str("verdict", o.Err.Verdict().String()).Str("reason", string(o.Err.Reason())).
-			Dur("retryAfter", o.Err.RetryAfter()).Str("error", o.Err.Error())
-	}
-	ev.Msg("request: ended")
-}
-
-// attemptsText lists target, status or reason, and milliseconds of each attempt.
-func attemptsText(attempts []relay.Attempt) string {
-	var b strings.Builder
-	for i, a := range attempts {
-		if i > 0 {
-			b.WriteByte(' ')
-		}
-		b.WriteString(a.Target)
-		b.WriteByte(':')
-		if a.Err != nil {
-			b.WriteString(string(a.Err.Reason()))
-			b.WriteByte('/')
-		}
-		b.WriteString(strconv.Itoa(a.Status))
-		b.WriteByte(':')
-		b.WriteString(strconv.FormatInt(a.Took.Milliseconds(), 10))
-	}
-	return b.String()
-}
-
 func (g *Gateway) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+wire.PathMetrics, g.metrics.handler)
 	mux.HandleFunc("GET "+wire.PathReady, g.serveReady)
+	mux.HandleFunc("GET "+wire.PathState, func(w http.ResponseWriter, _ *http.Request) { writeMessage(w, g.State()) })
 	return mux
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -236,12 +236,8 @@
 		http.Error(w, "no configuration is known", http.StatusServiceUnavailable)
 		return
 	}
-	s := message.ViewSnapshot{Revision: int(v.Revision), Document: base64.StdEncoding.EncodeToString(v.Document), Targets: []message.ViewTarget{}}
-	for _, t := range v.Directory.All() {
-		s.Targets = append(s.Targets, message.ViewTarget{
-			Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: t.Slots,
-			Draining: t.State == directory.Draining,
-		})
+	s := message.ViewSnapshot{
+		Revision: int(v.Revision), Document: base64.StdEncoding.EncodeToString(v.Document), Targets: targetsOf(v.Directory),
 	}
 	writeMessage(w, s)
 }
--- /dev/null
+++ b/pkg/gateway/requestlog.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/honeydyke/honeydyke/internal/relay"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+const (
+	// wholeLogs is how many requests a second have all their decisions logged.
+	// Beyond, a part of them is, drawn by the request's identity so that one
+	// request's lines stay together at all nodes; failures always are.
+	wholeLogs = 50.0
+	// logWindow is how long requests are counted for.
+	logWindow = time.Second
+)
+
+// sampler decides which requests are logged in full.
+type sampler struct {
+	begun time.Time
+	count int
+	// share is the part of requests that is logged, from the last window.
+	share float64
+}
+
+// take counts a request and says whether it is logged in full.
+func (s *sampler) take(now time.Time, id string) bool {
+	if now.Sub(s.begun) >= logWindow {
+		s.share = min(1, wholeLogs/float64(max(s.count, 1)))
+		s.begun, s.count = now, 0
+	}
+	s.count++
+	return float64(xxhash.Sum64String(id)%1000) < 1000*s.share
+}
+
+// sampled says whether a request's decisions are logged.
+func (g *Gateway) sampled(id string) bool {
+	g.sampleMu.Lock()
+	defer g.sampleMu.Unlock()
+	return g.sampler.take(g.now(), id)
+}
+
+// Decided implements relay.Observer.
+func (g *Gateway) Decided(request string, d relay.Decision) {
+	switch d := d.(type) {
+	case relay.Refused:
+		ev := g.log.Info().Str("request", request).Dur("lasts", d.Lasts).Dur("left", d.Left)
+		for i, s := range d.Stages {
+			ev.Str("stage"+strconv.Itoa(s.Stage), s.Service+" "+strconv.Itoa(s.Items)+" items behind "+d.Backlogs[i].Round(time.Millisecond).String())
+		}
+		ev.Msg("request: refused, the stages would take too long")
+	case relay.LetInLate:
+		g.log.Info().Str("request", request).Dur("lasts", d.Lasts).Dur("waited", d.Waited).Msg("request: let in late, gives way")
+	case relay.StageMade:
+		if g.sampled(request) {
+			g.log.Info().Str("request", request).Int("stage", d.Stage).Str("service", d.Service).Int("items", d.Items).
+				Dur("took", d.Took).Strs("targets", d.Targets).Msg("request: stage made")
+		}
+	case relay.StageFailed:
+		logError(g.log.Warn(), d.Err).Str("request", request).Int("stage", d.Stage).Str("service", d.Service).Int("items", d.Items).
+			Dur("took", d.Took).Msg("request: stage failed")
+	case relay.AttemptFailed:
+		logError(g.log.Warn(), d.Attempt.Err).Str("request", request).Str("target", d.Attempt.Target).Int("status", d.Attempt.Status).
+			Dur("took", d.Attempt.Took).Int("events", d.Events).Str("lastEvent", d.LastEvent).Dur("left", d.Left).Bool("again", d.Again).
+			Msg("request: attempt failed")
+	}
+}
+
+func logError(ev *zerolog.Event, err *verdict.Error) *zerolog.Event {
+	if err == nil {
+		return ev
+	}
+	return ev.Str("verdict", err.Verdict().String()).Str("reason", string(err.Reason())).Str("error", err.Error())
+}
+
+// Ended implements relay.Observer. A request that ended well is one of many;
+// one that did not is always logged.
+func (g *Gateway) Ended(o *relay.Outcome) {
+	g.metrics.ended(o)
+	if o.Err == nil && len(o.Attempts) <= 1 && !g.sampled(o.Request.ID) {
+		return
+	}
+	g.logRequest(o)
+}
+
+// logRequest writes one line with what decided the request's end.
+func (g *Gateway) logRequest(o *relay.Outcome) {
+	ev := g.log.Info()
+	if o.Err != nil && o.Err.Reason() != verdict.ReasonCancelled {
+		ev = g.log.Warn()
+	}
+	ev.Str("request", o.Request.ID).Int64("version", o.Version).Int64("revision", o.Revision)
+	if o.Route != nil {
+		ev.Str("route", o.Route.Name).Str("service", o.Service)
+	}
+	if o.Organisation != "" {
+		ev.Str("organisation", o.Organisation)
+	}
+	if o.StagesTook > 0 {
+		ev.Dur("stages", o.StagesTook)
+	}
+	ev.Dur("first", o.First).Dur("took", o.Took).Int("status", o.Status).Int("events", o.Events)
+	if o.Remade > 0 {
+		ev.Int("remade", o.Remade)
+	}
+	ev.Str("attempts", attemptsText(o.Attempts))
+	if o.Err != nil {
+		logError(ev, o.Err).Dur("retryAfter", o.Err.RetryAfter())
+	}
+	ev.Msg("request: ended")
+}
+
+// attemptsText lists target, status or reason, and milliseconds of each attempt.
+func attemptsText(attempts []relay.Attempt) string {
+	var b strings.Builder
+	for i, a := range attempts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(a.Target)
+		b.WriteByte(':')
+		if a.Err != nil {
+			b.WriteString(string(a.Err.Reason()))
+			b.WriteByte('/')
+		}
+		b.WriteString(strconv.Itoa(a.Status))
+		b.WriteByte(':')
+		b.WriteString(strconv.FormatInt(a.Took.Milliseconds(), 10))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pkg/gateway/state.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/directory"
+	"github.com/honeydyke/honeydyke/internal/message"
+)
+
+// describeTimeout bounds describing the node.
+const describeTimeout = time.Second
+
+// State describes what the node knows and holds.
+func (g *Gateway) State() message.GatewayState {
+	ctx, cancel := context.WithTimeout(context.Background(), describeTimeout)
+	defer cancel()
+	v := g.view.Load()
+	s := message.GatewayState{
+		Node: g.PeerAddress(), DataCentre: g.cfg.DataCentre, Phase: g.phase(),
+		Version: int(v.Version()), Revision: int(v.Revision), SourceAgeMs: g.sourceAge(), InFlight: int(g.inflight.Load()),
+		Targets: targetsOf(v.Directory), Services: []message.BatchState{},
+	}
+	g.rosterMu.Lock()
+	s.Members = g.roster.Members()
+	g.rosterMu.Unlock()
+	states := g.batches.states(ctx)
+	for _, service := range slices.Sorted(maps.Keys(states)) {
+		b := states[service]
+		s.Services = append(s.Services, message.BatchState{
+			Service: service, Waiting: b.Waiting, Planned: b.Planned, Late: b.Late, Working: b.Working, Targets: b.Targets,
+			HeldBytes: int(b.HeldBytes), RoomBytes: int(b.RoomBytes), PerSecond: b.PerSecond, BacklogMs: int(b.Backlog.Milliseconds()),
+			Calls: int(b.Calls), Items: int(b.Items), Repeats: int(b.Repeats), Expired: int(b.Expired), Refused: int(b.Refused),
+		})
+	}
+	return s
+}
+
+func (g *Gateway) phase() message.GatewayStatePhase {
+	switch {
+	case g.leaving.Load():
+		return message.GatewayStatePhaseLeaving
+	case g.Serving():
+		return message.GatewayStatePhaseServing
+	}
+	return message.GatewayStatePhaseStarting
+}
+
+// sourceAge returns the milliseconds since the source was heard; -1 for never.
+func (g *Gateway) sourceAge() int {
+	g.source.mu.Lock()
+	defer g.source.mu.Unlock()
+	if g.source.heard.IsZero() {
+		return -1
+	}
+	return int(g.now().Sub(g.source.heard).Milliseconds())
+}
+
+// targetsOf lists the targets in the order of their identities.
+func targetsOf(d *directory.Directory) []message.ViewTarget {
+	list := make([]message.ViewTarget, 0, len(d.All()))
+	for _, id := range slices.Sorted(maps.Keys(d.All())) {
+		t, _ := d.Target(id)
+		list = append(list, message.ViewTarget{
+			Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: t.Slots,
+			Draining: t.State == directory.Draining,
+		})
+	}
+	return list
+}
