--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -56,6 +56,7 @@
 		alone := r.lasts(stages, make([]time.Duration, len(stages)))
 		spare := time.Duration(planShare*float64(left)) - alone - engineLead - margin
 		if lasts-alone <= max(spare, minBacklog) {
+			j.outcome.Planned = lasts
 			return nil
 		}
 		j.s.cfg.Batcher.Cancel(j.req.ID, stages)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -224,6 +224,9 @@
 	Version  int64
 	Revision int64
 	Attempts []Attempt
+	// Planned is how long the stages were expected to take when the request was
+	// let in.
+	Planned time.Duration
 	// StagesTook is the time until all stages were done.
 	StagesTook time.Duration
 	// First is the time to the first byte passed back; 0 for none.
--- a/pkg/gateway/requestlog.go
+++ b/pkg/gateway/requestlog.go
@@ -102,6 +102,12 @@
 	if o.Organisation != "" {
 		ev.Str("organisation", o.Organisation)
 	}
+	if o.Request.Tokens > 0 {
+		ev.Int("tokens", o.Request.Tokens)
+	}
+	if o.Planned > 0 {
+		ev.Dur("planned", o.Planned)
+	}
 	if o.StagesTook > 0 {
 		ev.Dur("stages", o.StagesTook)
 	}
