Give work for all nodes to members with the capacity for it

Cause: on the grown sites the node that forms a service's calls was often a machine with 0.192 of a core and 10 Mbit/s. Change: members tell their capacity by gossip (the scarcer of processor and link, new settings gateway.cores and gateway.linkMbps); duties and the reading of the store fall to members with at least half of the strongest one's. Tests: TestRosterDuties.

--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -27,6 +27,9 @@
 	membersPerReader = 40
 	// maxGossip bounds the members told in one exchange.
 	maxGossip = 40
+	// dutyShare is the part of the strongest member's capacity from which on a
+	// member does the work that one node does for all.
+	dutyShare = 0.5
 )
 
 // rosterEntry is what is known of one member.
@@ -73,6 +76,10 @@
 	r.self.Revision = int(revision)
 }
 
+// SetCapacity sets what this member can carry of the work that one node does for
+// all, in thousandths of a core; 0 for unknown.
+func (r *Roster) SetCapacity(capacity int) { r.self.Capacity = capacity }
+
 // Beat raises this member's beat.
 func (r *Roster) Beat() { r.self.Beat++ }
 
@@ -184,6 +191,25 @@
 	return list
 }
 
+// Dutiful returns the members of Serving that are strong enough to work for all
+// the others: those with at least half of the strongest one's capacity.
+func (r *Roster) Dutiful(now time.Time) []string {
+	serving := r.Serving(now)
+	strongest := 0
+	for _, a := range serving {
+		strongest = max(strongest, r.capacity(a))
+	}
+	least := int(dutyShare * float64(strongest))
+	return slices.DeleteFunc(serving, func(a string) bool { return r.capacity(a) < least })
+}
+
+func (r *Roster) capacity(address string) int {
+	if address == r.self.Address {
+		return r.self.Capacity
+	}
+	return r.known[address].Capacity
+}
+
 // Size returns how many members are known to live, this one included.
 func (r *Roster) Size(now time.Time) int {
 	n := 1
@@ -195,18 +221,27 @@
 	return n
 }
 
-// Reads says whether this member is one of those that look at the source often.
-// The others are told by gossip when it has news that they have not heard.
+// Reads says whether this member is one of those that look at the source often,
+// strong ones first. The others are told by gossip when it has news that they
+// have not heard.
 func (r *Roster) Reads(now time.Time) bool {
 	serving := r.Serving(now)
 	if len(serving) <= allRead {
 		return true
 	}
 	readers := minReaders + len(serving)/membersPerReader
+	strong := r.Dutiful(now)
+	if !slices.Contains(strong, r.self.Address) {
+		if len(strong) >= readers {
+			return false
+		}
+		readers -= len(strong)
+		strong = slices.DeleteFunc(serving, func(a string) bool { return slices.Contains(strong, a) })
+	}
 	ahead := 0
 	own := readerRank(r.self.Address)
-	for _, a := range serving {
-		if a != r.self.Address && readerRank(a) > own {
+	for _, a := range strong {
+		if readerRank(a) > own {
 			ahead++
 		}
 	}
--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -119,3 +119,66 @@
 		}
 	})
 }
+
+func TestRosterDuties(t *testing.T) {
+	strong := func(address string, capacity int) message.GossipMember {
+		m := member(address, 1, 1)
+		m.Capacity = capacity
+		return m
+	}
+	convey.Convey("Work for all goes to the strong members", t, func() {
+		r := membership.NewRoster("self", 1, nil)
+		r.Tell(true, false, 1, 1)
+		r.SetCapacity(40)
+		r.Merge(rosterStart, gossip(strong("a", 800), strong("b", 500), strong("c", 40)))
+		convey.So(r.Dutiful(rosterStart), convey.ShouldResemble, []string{"a", "b"})
+		convey.Convey("to the others only when no strong one is left", func() {
+			convey.So(r.Dutiful(rosterStart.Add(3*time.Second)), convey.ShouldResemble, []string{"self"})
+		})
+	})
+	convey.Convey("Members that tell no capacity are all alike", t, func() {
+		r := membership.NewRoster("self", 1, nil)
+		r.Tell(true, false, 1, 1)
+		r.Merge(rosterStart, gossip(strong("a", 0)))
+		convey.So(r.Dutiful(rosterStart), convey.ShouldResemble, []string{"a", "self"})
+	})
+	convey.Convey("Of many members the strong ones look at the source, and others only where those are too few", t, func() {
+		readers := func(strongOnes int) (strongReaders, all int) {
+			for self := range 80 {
+				r := membership.NewRoster("", 1, nil)
+				for i := range 80 {
+					capacity := 40
+					if i < strongOnes {
+						capacity = 800
+					}
+					name := fmt.Sprint("m", i)
+					if i == self {
+						r = membership.NewRoster(name, 1, nil)
+						r.Tell(true, false, 1, 1)
+						r.SetCapacity(capacity)
+					}
+				}
+				for i := range 80 {
+					capacity := 40
+					if i < strongOnes {
+						capacity = 800
+					}
+					r.Merge(rosterStart, gossip(strong(fmt.Sprint("m", i), capacity)))
+				}
+				if r.Reads(rosterStart) {
+					all++
+					if self < strongOnes {
+						strongReaders++
+					}
+				}
+			}
+			return strongReaders, all
+		}
+		strongReaders, all := readers(20)
+		convey.So(strongReaders, convey.ShouldEqual, 6)
+		convey.So(all, convey.ShouldEqual, 6)
+		strongReaders, all = readers(2)
+		convey.So(strongReaders, convey.ShouldEqual, 2)
+		convey.So(all, convey.ShouldEqual, 6)
+	})
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -134,6 +134,10 @@
 	// Rises while the member runs.
 	Beat int `json:"beat"`
 
+	// What it can carry of the work that one node does for all, in thousandths of a
+	// core; 0 for unknown.
+	Capacity int `json:"capacity,omitempty,omitzero"`
+
 	// Rises with each start of the member.
 	Incarnation int `json:"incarnation"`
 
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -87,7 +87,7 @@
 	g := b.g
 	g.rosterMu.Lock()
 	defer g.rosterMu.Unlock()
-	return placement.Owner(service, g.roster.Serving(g.now()))
+	return placement.Owner(service, g.roster.Dutiful(g.now()))
 }
 
 // Make implements relay.Batcher.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -161,6 +161,7 @@
 		return nil, err
 	}
 	g.roster = membership.NewRoster(g.PeerAddress(), g.started.UnixNano(), cfg.Peers)
+	g.roster.SetCapacity(capacityOf(cfg.Gateway))
 	g.batches = newBatches(g)
 	g.prompts = newPrompts(g)
 	g.relay = relay.New(relay.Config{
@@ -170,6 +171,20 @@
 	return g, nil
 }
 
+// linkPerCore is the bandwidth that work for other nodes needs beside a core, in
+// Mbit/s: whichever of the two is scarcer bounds what a node can carry.
+const linkPerCore = 250.0
+
+// capacityOf returns what a machine can carry of the work that one node does for
+// all, in thousandths of a core; 0 for unknown.
+func capacityOf(cfg *settings.Gateway) int {
+	cores := cfg.Cores
+	if cfg.LinkMbps > 0 {
+		cores = min(cores, cfg.LinkMbps/linkPerCore)
+	}
+	return int(1000 * cores)
+}
+
 // quietLogger keeps the actor system's own lines out of the log.
 func quietLogger(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
 
--- a/pkg/settings/settings_gen.go
+++ b/pkg/settings/settings_gen.go
@@ -14,6 +14,9 @@
 // Gateway makes the node relay requests by a configuration that a trusted store
 // publishes, in place of signed bundles.
 type Gateway struct {
+	// Processor of the machine for the process, in cores; 0 for unknown.
+	Cores float64 `json:"cores,omitempty,omitzero"`
+
 	// File descriptors of the process; 0 for unknown.
 	Descriptors int `json:"descriptors,omitempty,omitzero"`
 
@@ -23,6 +26,9 @@
 	// Time from the signal to stop until the process is killed, in milliseconds.
 	GraceMs int `json:"graceMs,omitempty,omitzero"`
 
+	// Bandwidth of the machine's link, in Mbit/s; 0 for unknown.
+	LinkMbps float64 `json:"linkMbps,omitempty,omitzero"`
+
 	// Memory of the machine for the process, in MB; 0 for unknown.
 	MemoryMb int `json:"memoryMb,omitempty,omitzero"`
 
