Use slow targets when more waits than the fast ones can take next

Ruled out: room, pauses, data centres (none of the idle targets was near its room). Change: a slow target is left out only while the busy faster ones can take all that waits with their next calls. Test: TestCalls, 'With a target that has become slow', failed before.

--- a/internal/batching/batching_test.go
+++ b/internal/batching/batching_test.go
@@ -118,6 +118,24 @@
 		convey.So(far, convey.ShouldHaveLength, 1)
 		convey.So(far[0].Target.ID, convey.ShouldEqual, "t1")
 	})
+	convey.Convey("With a target that has become slow", t, func() {
+		c := newCore(2)
+		s := starts(c.Handle(start, batching.Submit{Items: items(1, 8, 2*time.Second)}))
+		c.Handle(start.Add(320*time.Millisecond), made(s[0]))
+		now := start.Add(1600 * time.Millisecond)
+		c.Handle(now, made(s[1]))
+		fast := starts(c.Handle(now, batching.Submit{Items: items(10, 4, 4*time.Second)}))
+		convey.So(fast, convey.ShouldHaveLength, 1)
+		convey.So(fast[0].Target.ID, convey.ShouldEqual, "t0")
+		convey.Convey("a few items wait for the fast one", func() {
+			convey.So(starts(c.Handle(now, batching.Submit{Items: items(14, 4, 4*time.Second)})), convey.ShouldBeEmpty)
+		})
+		convey.Convey("more than that one can take next go to the slow one too", func() {
+			slow := starts(c.Handle(now, batching.Submit{Items: items(14, 6, 4*time.Second)}))
+			convey.So(slow, convey.ShouldHaveLength, 1)
+			convey.So(slow[0].Target.ID, convey.ShouldEqual, "t1")
+		})
+	})
 	convey.Convey("Background items give way", t, func() {
 		c := newCore(1)
 		s := starts(c.Handle(start, batching.Submit{Items: items(1, 1, 2*time.Second)}))
--- a/internal/batching/core.go
+++ b/internal/batching/core.go
@@ -386,7 +386,8 @@
 }
 
 // idle returns the targets that can take a call now, the fastest first. One that
-// is so slow that waiting for another is better is left out.
+// is so slow that all that waits is better off with the next calls of others is
+// left out.
 func (c *Core) idle(now time.Time) []*target {
 	var list []*target
 	for _, id := range c.order {
@@ -399,9 +400,10 @@
 	return list
 }
 
-// worthWaiting says whether a busy target would be done with its call and the
-// next one before an idle target is.
+// worthWaiting says whether busy targets would be done with their calls and with
+// all that waits before an idle target is with its own.
 func (c *Core) worthWaiting(now time.Time, idleCost time.Duration) bool {
+	taken := 0
 	for _, id := range c.order {
 		t := c.targets[id]
 		if !t.usable || t.call == 0 || c.calls[t.call].stuck {
@@ -409,10 +411,10 @@
 		}
 		left := max(t.free.Sub(now), 0)
 		if left+t.expected(now, c.batch, 1) < idleCost {
-			return true
+			taken += c.batch.Size
 		}
 	}
-	return false
+	return taken >= len(c.queue)
 }
 
 // suits says whether an item should go to a target: it is where the item's
