Make stages due by the time that a prompt's size takes at its engine

Ruled out: the engines' own queues (reading alone takes that long by the sheet's pace). Change: a service's pace of reading is learnt from its first events; a request's stages are due that much before the objective. Admission stays as it was.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -93,7 +93,7 @@
 	var stages []PlannedStage
 	for i, s := range r.job.route.Stages {
 		if n := r.count(i); n > 0 {
-			stages = append(stages, PlannedStage{Service: s.Service, Stage: i, Items: n, Due: r.job.objective.Add(-engineLead - r.after(i))})
+			stages = append(stages, PlannedStage{Service: s.Service, Stage: i, Items: n, Due: r.job.objective.Add(-r.job.lead - r.after(i))})
 		}
 	}
 	return stages
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -175,6 +175,7 @@
 	defer patience.Stop()
 	tried := Attempt{Target: target.ID}
 	answered := time.Duration(0)
+	j.sentAt = start
 	reply, err := s.cfg.Upstream.Send(ctx, j.call(target))
 	if err == nil {
 		answered = s.cfg.Now().Sub(start)
@@ -316,7 +317,11 @@
 	j.begun.Store(true)
 	j.promptRead(true)
 	j.outcome.Status = reply.Status
-	j.outcome.First = j.s.cfg.Now().Sub(j.req.Arrived)
+	now := j.s.cfg.Now()
+	j.outcome.First = now.Sub(j.req.Arrived)
+	if j.service.Engine != nil && reply.Succeeded {
+		j.s.learnReading(j.service.Name, j.req.Tokens, now.Sub(j.sentAt))
+	}
 	j.result.consumed()
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -275,6 +275,8 @@
 	budgets map[string]*retrybudget.Budget
 	// patience is the longest that clients of a route wait.
 	patience map[string]time.Duration
+	// readers is what was learnt of how fast each service reads prompts.
+	readers map[string]*readingPace
 }
 
 // New returns a server.
@@ -282,6 +284,7 @@
 	return &Server{
 		cfg: cfg, stopped: make(chan struct{}), table: placement.New(),
 		budgets: map[string]*retrybudget.Budget{}, patience: map[string]time.Duration{},
+		readers: map[string]*readingPace{},
 	}
 }
 
@@ -291,7 +294,8 @@
 	answerMargin = 25 * time.Millisecond
 	// defaultPatience is assumed of clients that do not tell theirs.
 	defaultPatience = 30 * time.Second
-	// engineLead is about the time from the last stage to an engine's first event.
+	// engineLead is the least time that is planned from the last stage to an
+	// engine's first event.
 	engineLead = 150 * time.Millisecond
 	// priorityLevels is the number of ranks at engines.
 	priorityLevels = 10
@@ -313,6 +317,8 @@
 	until time.Time
 	// objective is when its answer should come.
 	objective time.Time
+	// lead is the time planned from the last stage to the answer's beginning.
+	lead time.Duration
 	outcome   Outcome
 	tried     []string
 	// background requests were refused before and would still be late; their
@@ -321,6 +327,8 @@
 	// sends counts the calls that a target may have run.
 	sends  int
 	begun  atomic.Bool
+	// sentAt is when the attempt at work was sent.
+	sentAt time.Time
 	result *stageResults
 }
 
@@ -433,6 +441,7 @@
 	}
 	j.until = j.req.Arrived.Add(patience - min(answerMargin, patience/10))
 	j.objective = j.req.Arrived.Add(j.route.Objective)
+	j.lead = max(engineLead, j.s.readingTime(j.service.Name, j.req.Tokens))
 }
 
 // priority is the rank at an engine: the organisation's comes before the route's.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -338,6 +338,17 @@
 		convey.So(w.calls[0].Inputs, convey.ShouldHaveLength, 2)
 		convey.So(w.held, convey.ShouldBeEmpty)
 	})
+	convey.Convey("The stages of a long prompt are due sooner", t, func() {
+		due := func(tokens int) time.Duration {
+			w, s := setup(chain(), true)
+			r := request(1, 4, 2)
+			r.Tokens = tokens
+			convey.So(s.Serve(t.Context(), r, &client{}), convey.ShouldBeNil)
+			return w.makes[0].Due.Sub(r.Arrived)
+		}
+		convey.So(due(100)-due(2000), convey.ShouldEqual, 0)
+		convey.So(due(100)-due(30_000), convey.ShouldBeGreaterThan, 400*time.Millisecond)
+	})
 	convey.Convey("A stage without items is left out", t, func() {
 		w, s := setup(chain(), true)
 		convey.So(s.Serve(t.Context(), request(1, 1, 0), &client{}), convey.ShouldBeNil)
