Relay news of targets between members instead of watching the store at every node

Ruled out: gathering news for longer (saves under half, and delays all). Change: a view remembers which targets changed at which revision; a member that lags asks for what changed since its own. Of more than nine members only the readers watch; the others do while they hear of no member that hears the store, and read a new configuration there themselves, since links between members may be slow. Lapsed targets are told with the time they have left. A watch whose view moved on meanwhile is dropped: what it brought could be older. A target that a member told of as lapsed used to stay for good.

--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -68,12 +68,36 @@
 	r.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == r.self.Address })
 }
 
+// Standing is what a member tells of itself.
+type Standing struct {
+	// Serving says that it knows a configuration, Leaving that it stops, and Hears
+	// that it has heard the source lately.
+	Serving, Leaving, Hears bool
+	// Version and Revision are those of what it knows.
+	Version, Revision int64
+}
+
 // Tell sets what this member tells of itself.
-func (r *Roster) Tell(serving, leaving bool, version, revision int64) {
-	r.self.Serving = serving
-	r.self.Leaving = leaving
-	r.self.Version = int(version)
-	r.self.Revision = int(revision)
+func (r *Roster) Tell(s Standing) {
+	r.self.Serving = s.Serving
+	r.self.Leaving = s.Leaving
+	r.self.Hears = s.Hears
+	r.self.Version = int(s.Version)
+	r.self.Revision = int(s.Revision)
+}
+
+// Relayed says whether this member leaves the source to others: it is not one of
+// those that look at it, and a live member has heard it lately.
+func (r *Roster) Relayed(now time.Time) bool {
+	if r.Reads(now) {
+		return false
+	}
+	for _, e := range r.known {
+		if e.Hears && r.live(now, e) {
+			return true
+		}
+	}
+	return false
 }
 
 // SetCapacity sets what this member can carry of the work that one node does for
@@ -266,6 +290,9 @@
 	return newest
 }
 
+// VersionOf returns the version that a member knows; 0 for unknown.
+func (r *Roster) VersionOf(address string) int { return r.known[address].Version }
+
 // Members returns all that is known, for the state dump.
 func (r *Roster) Members() []message.GossipMember {
 	list := []message.GossipMember{r.self}
--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -24,7 +24,7 @@
 func TestRoster(t *testing.T) {
 	convey.Convey("Given a roster that knows a member", t, func() {
 		r := membership.NewRoster("self", 1, []string{"self", "seed"})
-		r.Tell(true, false, 3, 10)
+		r.Tell(membership.Standing{Serving: true, Version: 3, Revision: 10})
 		r.Merge(rosterStart, gossip(member("a", 5, 1)))
 		convey.Convey("both take work", func() {
 			convey.So(r.Serving(rosterStart), convey.ShouldResemble, []string{"a", "self"})
@@ -75,7 +75,7 @@
 			count := 0
 			for _, self := range addresses[:n] {
 				r := membership.NewRoster(self, 1, nil)
-				r.Tell(true, false, 1, 1)
+				r.Tell(membership.Standing{Serving: true, Version: 1, Revision: 1})
 				for _, other := range addresses[:n] {
 					r.Merge(rosterStart, gossip(member(other, 1, 1)))
 				}
@@ -90,7 +90,7 @@
 	})
 	convey.Convey("A member that hears nobody looks itself", t, func() {
 		r := membership.NewRoster("self", 1, nil)
-		r.Tell(true, false, 1, 1)
+		r.Tell(membership.Standing{Serving: true, Version: 1, Revision: 1})
 		convey.So(r.Reads(rosterStart), convey.ShouldBeTrue)
 	})
 }
@@ -128,7 +128,7 @@
 	}
 	convey.Convey("Work for all goes to the strong members", t, func() {
 		r := membership.NewRoster("self", 1, nil)
-		r.Tell(true, false, 1, 1)
+		r.Tell(membership.Standing{Serving: true, Version: 1, Revision: 1})
 		r.SetCapacity(40)
 		r.Merge(rosterStart, gossip(strong("a", 800), strong("b", 500), strong("c", 40)))
 		convey.So(r.Dutiful(rosterStart), convey.ShouldResemble, []string{"a", "b"})
@@ -138,7 +138,7 @@
 	})
 	convey.Convey("Members that tell no capacity are all alike", t, func() {
 		r := membership.NewRoster("self", 1, nil)
-		r.Tell(true, false, 1, 1)
+		r.Tell(membership.Standing{Serving: true, Version: 1, Revision: 1})
 		r.Merge(rosterStart, gossip(strong("a", 0)))
 		convey.So(r.Dutiful(rosterStart), convey.ShouldResemble, []string{"a", "self"})
 	})
@@ -154,7 +154,7 @@
 					name := fmt.Sprint("m", i)
 					if i == self {
 						r = membership.NewRoster(name, 1, nil)
-						r.Tell(true, false, 1, 1)
+						r.Tell(membership.Standing{Serving: true, Version: 1, Revision: 1})
 						r.SetCapacity(capacity)
 					}
 				}
@@ -182,3 +182,28 @@
 		convey.So(all, convey.ShouldEqual, 6)
 	})
 }
+
+func TestRosterRelayed(t *testing.T) {
+	roster := func(hearing bool) *membership.Roster {
+		r := membership.NewRoster("self", 1, nil)
+		r.Tell(membership.Standing{Serving: true, Version: 1, Revision: 1})
+		r.SetCapacity(40)
+		for i := range 20 {
+			m := member(fmt.Sprint("m", i), 1, 1)
+			m.Capacity, m.Hears = 800, hearing
+			r.Merge(rosterStart, gossip(m))
+		}
+		return r
+	}
+	convey.Convey("One of many leaves the source to members that hear it", t, func() {
+		convey.So(roster(true).Relayed(rosterStart), convey.ShouldBeTrue)
+	})
+	convey.Convey("and looks itself", t, func() {
+		convey.Convey("when none of them hears it", func() {
+			convey.So(roster(false).Relayed(rosterStart), convey.ShouldBeFalse)
+		})
+		convey.Convey("when they have fallen silent", func() {
+			convey.So(roster(true).Relayed(rosterStart.Add(3*time.Second)), convey.ShouldBeFalse)
+		})
+	})
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -138,6 +138,9 @@
 	// core; 0 for unknown.
 	Capacity int `json:"capacity,omitempty,omitzero"`
 
+	// Whether the member has heard the source lately.
+	Hears bool `json:"hears,omitempty,omitzero"`
+
 	// Rises with each start of the member.
 	Incarnation int `json:"incarnation"`
 
@@ -704,15 +707,22 @@
 	Spent int `json:"spent"`
 }
 
-// ViewSnapshot is what one node knows of the deployment, for a node that the
-// source turns away.
+// ViewSnapshot is what one node knows of the deployment, or what of it changed
+// since a revision.
 type ViewSnapshot struct {
-	// The source's own text of the configuration, in base64.
+	// The source's own text of the configuration, in base64; empty where only targets
+	// are told.
 	Document string `json:"document"`
 
+	// Targets that have gone since.
+	Gone []string `json:"gone,omitempty,omitzero"`
+
 	// Revision corresponds to the JSON schema field "revision".
 	Revision int `json:"revision"`
 
+	// Revision since which the targets changed; 0 for all that is known.
+	Since int `json:"since,omitempty,omitzero"`
+
 	// Targets corresponds to the JSON schema field "targets".
 	Targets []ViewTarget `json:"targets"`
 }
@@ -731,6 +741,10 @@
 	// Id corresponds to the JSON schema field "id".
 	Id string `json:"id"`
 
+	// Time until a target that vanished while the source was in trouble is given up,
+	// in milliseconds; 0 for one that is listed.
+	LapsesMs int `json:"lapsesMs,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -318,15 +318,15 @@
 	// objective is when its answer should come.
 	objective time.Time
 	// lead is the time planned from the last stage to the answer's beginning.
-	lead time.Duration
-	outcome   Outcome
-	tried     []string
+	lead    time.Duration
+	outcome Outcome
+	tried   []string
 	// background requests were refused before and would still be late; their
 	// items give way to those of others.
 	background bool
 	// sends counts the calls that a target may have run.
-	sends  int
-	begun  atomic.Bool
+	sends int
+	begun atomic.Bool
 	// sentAt is when the attempt at work was sent.
 	sentAt time.Time
 	result *stageResults
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -54,6 +54,8 @@
 	Catalog   *catalog.Catalog
 	Document  []byte
 	Directory *directory.Directory
+	// history is what changed lately, up to Revision.
+	history History
 }
 
 // New returns the view of a node that knows nothing.
@@ -83,6 +85,7 @@
 		}
 	}
 	next.Revision = max(next.Revision, ch.Revision)
+	next.history = next.history.With(ch)
 	return &next
 }
 
@@ -103,6 +106,7 @@
 			next.Directory = next.withoutTarget(now, id, troubled)
 		}
 	}
+	next.history = newHistory(next.Revision)
 	return next
 }
 
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -60,3 +60,52 @@
 		})
 	})
 }
+
+func TestDelta(t *testing.T) {
+	known := func() *view.View {
+		return view.New().WithSnapshot(now, view.Changes{Revision: 5, List: []view.Change{
+			version(1), target("a", directory.Ready), target("b", directory.Ready),
+		}}, time.Time{})
+	}
+	leaving := view.Changes{Revision: 7, List: []view.Change{target("a", directory.Draining), target("c", directory.Ready)}}
+	gone := view.Changes{Revision: 9, List: []view.Change{view.TargetGone{ID: "a"}}}
+	convey.Convey("A member that lags behind is told what changed, as it stands now", t, func() {
+		behind, ahead := known(), known().WithChanges(now, leaving, time.Time{}).WithChanges(now, gone, time.Time{})
+		d, ok := ahead.DeltaSince(behind.Revision)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(d.Gone, convey.ShouldResemble, []string{"a"})
+		convey.So(d.Targets, convey.ShouldHaveLength, 1)
+		caughtUp := behind.WithDelta(d)
+		convey.So(caughtUp.Revision, convey.ShouldEqual, 9)
+		convey.So(caughtUp.Directory.All(), convey.ShouldResemble, ahead.Directory.All())
+		convey.Convey("and can tell others in turn", func() {
+			again, ok := caughtUp.DeltaSince(5)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(known().WithDelta(again).Directory.All(), convey.ShouldResemble, ahead.Directory.All())
+		})
+	})
+	convey.Convey("What was told for another revision than the view's is not taken", t, func() {
+		d, _ := known().WithChanges(now, leaving, time.Time{}).DeltaSince(5)
+		later := known().WithChanges(now, view.Changes{Revision: 6, List: []view.Change{view.TargetGone{ID: "b"}}}, time.Time{})
+		convey.So(later.WithDelta(d), convey.ShouldEqual, later)
+	})
+	convey.Convey("News without targets leave nothing out", t, func() {
+		v := known().WithChanges(now, leaving, time.Time{}).WithChanges(now, view.Changes{Revision: 8}, time.Time{})
+		d, ok := v.DeltaSince(5)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(d.Revision, convey.ShouldEqual, 8)
+		convey.So(d.Targets, convey.ShouldHaveLength, 2)
+	})
+	convey.Convey("What is not remembered is not told", t, func() {
+		_, ok := known().DeltaSince(4)
+		convey.So(ok, convey.ShouldBeFalse)
+		v := known()
+		for i := range 600 {
+			v = v.WithChanges(now, view.Changes{Revision: int64(6 + i), List: []view.Change{target("a", directory.Ready)}}, time.Time{})
+		}
+		_, ok = v.DeltaSince(6)
+		convey.So(ok, convey.ShouldBeFalse)
+		_, ok = v.DeltaSince(500)
+		convey.So(ok, convey.ShouldBeTrue)
+	})
+}
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -37,6 +37,18 @@
 	// the end of its trouble is noticed soon.
 	probeWait  = 100 * time.Millisecond
 	probeSlack = 600 * time.Millisecond
+	// newCatalogSlack is how long the answer to a node that reads a configuration
+	// which members know may take to begin.
+	newCatalogSlack = 1500 * time.Millisecond
+	// hearsFor is how long after its last answer a node counts as hearing the
+	// source.
+	hearsFor = 2500 * time.Millisecond
+	// relayCheck is how often a node that leaves the source to others looks
+	// whether it still may.
+	relayCheck = 250 * time.Millisecond
+	// followerRetry bounds the pause after the source failed at a node that need
+	// not look at it often.
+	followerRetry = 2 * time.Second
 )
 
 // sourceHealth remembers how well the source can be heard.
@@ -52,10 +64,14 @@
 }
 
 // follow reads the source until ctx ends: all of it at first and after its
-// history is lost, else what changes.
+// history is lost, else what changes. Of many nodes most leave it to others.
 func (g *Gateway) follow(ctx context.Context) {
 	whole := true
 	for ctx.Err() == nil {
+		if !whole && g.relayed() {
+			pause(ctx, relayCheck)
+			continue
+		}
 		begun := g.now()
 		err := g.read(ctx, whole)
 		switch {
@@ -70,8 +86,31 @@
 			continue
 		}
 		g.sourceFailed(begun, err)
-		pause(ctx, minRetry+rand.N(maxRetry-minRetry))
+		pause(ctx, g.retryPause())
+	}
+}
+
+// retryPause is how long a node waits after the source failed.
+func (g *Gateway) retryPause() time.Duration {
+	if g.view.Load().Catalog != nil && !g.reads() {
+		return followerRetry/2 + rand.N(followerRetry/2)
 	}
+	return minRetry + rand.N(maxRetry-minRetry)
+}
+
+// reads says whether this node is one of those that look at the source often.
+func (g *Gateway) reads() bool {
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	return g.roster.Reads(g.now())
+}
+
+// relayed says whether this node leaves the source to others, who tell it what
+// they hear.
+func (g *Gateway) relayed() bool {
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	return g.roster.Relayed(g.now())
 }
 
 func (g *Gateway) read(ctx context.Context, whole bool) error {
@@ -89,15 +128,25 @@
 		return nil
 	}
 	wait, slack := g.watchTime()
+	return g.readChanges(ctx, wait, slack)
+}
+
+// readChanges waits for what changes at the source. What a member told meanwhile
+// goes before it; the next watch tells the rest.
+func (g *Gateway) readChanges(ctx context.Context, wait, slack time.Duration) error {
 	ctx, answered, cancel := untilAnswered(ctx, wait+slack)
 	defer cancel()
 	g.source.watching(cancel)
 	g.metrics.sourceCalls.Inc(1)
-	ch, err := g.ports.Source.Watch(ctx, g.view.Load().Revision, wait, answered)
+	after := g.view.Load().Revision
+	ch, err := g.ports.Source.Watch(ctx, after, wait, answered)
 	if err != nil {
 		return err
 	}
 	g.apply(ch, func(now time.Time, v *view.View, troubled time.Time) *view.View {
+		if v.Revision != after {
+			return v
+		}
 		return v.WithChanges(now, ch, troubled)
 	})
 	return nil
@@ -120,9 +169,7 @@
 	if g.source.isDown() {
 		return probeWait, probeSlack
 	}
-	g.rosterMu.Lock()
-	defer g.rosterMu.Unlock()
-	if g.roster.Reads(g.now()) {
+	if g.reads() {
 		return readerWait, readerSlack
 	}
 	return watchWait, watchSlack
@@ -141,8 +188,10 @@
 	v := g.view.Load()
 	g.rosterMu.Lock()
 	newest := g.roster.Newest(g.now(), v.Version(), v.Revision)
+	version := g.roster.VersionOf(newest)
+	relayed := g.roster.Relayed(g.now())
 	g.rosterMu.Unlock()
-	if !g.source.behind(g.now(), newest != "") {
+	if !g.source.behind(g.now(), newest != "", relayed) {
 		return
 	}
 	if !g.asking.CompareAndSwap(false, true) {
@@ -150,14 +199,15 @@
 	}
 	go func() {
 		defer g.asking.Store(false)
-		g.askView(ctx, newest)
+		g.catchUp(ctx, newest, version, relayed)
 		g.source.end()
 	}()
 }
 
 // behind notes whether a member is known to have heard more, and says whether
-// that has been so for longer than news need to come by themselves.
-func (h *sourceHealth) behind(now time.Time, known bool) bool {
+// that has been so for longer than news need to come by themselves. To a node
+// that leaves the source to others they do not.
+func (h *sourceHealth) behind(now time.Time, known, relayed bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !known {
@@ -168,7 +218,14 @@
 		h.behindSince = now
 	}
 	// A node that cannot hear the source at all has nothing to wait for.
-	return h.down || h.heard.IsZero() || now.Sub(h.behindSince) >= newsTakes
+	return relayed || h.down || h.heard.IsZero() || now.Sub(h.behindSince) >= newsTakes
+}
+
+// hears says whether the source has answered lately.
+func (h *sourceHealth) hears(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.down && !h.heard.IsZero() && now.Sub(h.heard) <= hearsFor
 }
 
 // end ends the watch at work.
@@ -225,6 +282,9 @@
 	old := g.view.Load()
 	now := g.now()
 	next := change(now, old.WithTime(now), g.source.lastTrouble())
+	if next == old {
+		return
+	}
 	g.view.Store(next)
 	g.logChanges(old, next, ch)
 	if next.Directory == old.Directory && next.Catalog == old.Catalog {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"io"
 	"net"
@@ -14,10 +13,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/honeydyke/honeydyke/internal/batching"
-	"github.com/honeydyke/honeydyke/internal/directory"
+	"github.com/honeydyke/honeydyke/internal/membership"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/relay"
-	"github.com/honeydyke/honeydyke/internal/view"
 	"github.com/honeydyke/honeydyke/internal/wire"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -127,7 +125,10 @@
 	v := g.view.Load()
 	g.rosterMu.Lock()
 	defer g.rosterMu.Unlock()
-	g.roster.Tell(v.Catalog != nil, g.leaving.Load(), v.Version(), v.Revision)
+	g.roster.Tell(membership.Standing{
+		Serving: v.Catalog != nil, Leaving: g.leaving.Load(), Hears: g.source.hears(g.now()),
+		Version: v.Version(), Revision: v.Revision,
+	})
 }
 
 func (g *Gateway) suspect(address string) {
@@ -210,58 +211,17 @@
 	v := g.view.Load()
 	g.rosterMu.Lock()
 	newest := g.roster.Newest(g.now(), v.Version(), v.Revision)
+	relayed := g.roster.Relayed(g.now())
 	g.rosterMu.Unlock()
-	if newest != "" && !g.source.behind(g.now(), true) {
+	switch {
+	case newest == "":
+	case relayed:
+		g.spread()
+	case !g.source.behind(g.now(), true, relayed):
 		time.AfterFunc(newsTakes, g.spread)
 	}
 }
 
-// askView takes over what a member knows.
-func (g *Gateway) askView(ctx context.Context, member string) {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
-	var snapshot message.ViewSnapshot
-	if err := g.call(ctx, http.MethodGet, member, wire.PathView, nil, &snapshot); err != nil {
-		return
-	}
-	g.takeView(member, snapshot)
-}
-
-func (g *Gateway) takeView(from string, s message.ViewSnapshot) {
-	ch := view.Changes{Revision: int64(s.Revision)}
-	document, err := base64.StdEncoding.DecodeString(s.Document)
-	if err != nil {
-		return
-	}
-	catalog, err := g.ports.Source.Decode(document)
-	if err != nil {
-		g.log.Error().Str("member", from).Err(err).Msg("view: a member's configuration was refused")
-		return
-	}
-	ch.List = append(ch.List, catalog)
-	for _, t := range s.Targets {
-		target := directory.Target{ID: t.Id, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: t.Slots}
-		if t.Draining {
-			target.State = directory.Draining
-		}
-		ch.List = append(ch.List, view.TargetChange{Target: target})
-	}
-	g.log.Info().Str("member", from).Int64("version", catalog.Catalog.Version).Int("revision", s.Revision).Msg("view: taken from a member")
-	g.apply(view.Changes{}, func(now time.Time, v *view.View, _ time.Time) *view.View { return v.WithSnapshot(now, ch, time.Time{}) })
-}
-
-func (g *Gateway) serveView(w http.ResponseWriter, _ *http.Request) {
-	v := g.view.Load()
-	if v.Catalog == nil {
-		http.Error(w, "no configuration is known", http.StatusServiceUnavailable)
-		return
-	}
-	s := message.ViewSnapshot{
-		Revision: int(v.Revision), Document: base64.StdEncoding.EncodeToString(v.Document), Targets: targetsOf(v.Directory),
-	}
-	writeMessage(w, s)
-}
-
 // askItemsWatching has a member make the items of a group, and gives up on the
 // member when it shows no sign of life meanwhile.
 func (g *Gateway) askItemsWatching(ctx context.Context, member, service string, group relay.Group, started func()) ([]batching.Result, *verdict.Error) {
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -21,7 +21,7 @@
 	s := message.GatewayState{
 		Node: g.PeerAddress(), DataCentre: g.cfg.DataCentre, Phase: g.phase(),
 		Version: int(v.Version()), Revision: int(v.Revision), SourceAgeMs: g.sourceAge(), InFlight: int(g.inflight.Load()),
-		Targets: targetsOf(v.Directory), Services: []message.BatchState{},
+		Targets: targetsOf(g.now(), v.Directory), Services: []message.BatchState{},
 	}
 	g.rosterMu.Lock()
 	s.Members = g.roster.Members()
@@ -59,14 +59,11 @@
 }
 
 // targetsOf lists the targets in the order of their identities.
-func targetsOf(d *directory.Directory) []message.ViewTarget {
+func targetsOf(now time.Time, d *directory.Directory) []message.ViewTarget {
 	list := make([]message.ViewTarget, 0, len(d.All()))
 	for _, id := range slices.Sorted(maps.Keys(d.All())) {
 		t, _ := d.Target(id)
-		list = append(list, message.ViewTarget{
-			Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: t.Slots,
-			Draining: t.State == directory.Draining,
-		})
+		list = append(list, viewTarget(now, t))
 	}
 	return list
 }
