Refuse who came back at half of its time, and let nobody in behind all others

Cause: a request that came back after a refusal and did not fit was let in from half of its time on, with items that gave way to all others. Change: they wait until they fit, and are refused with a time to come back while half of their time is left. Items know no 'background' any more. The test that they are let in is replaced by one that they are refused in time, without any work done: letting in was the fault.

--- a/internal/batching/batching_test.go
+++ b/internal/batching/batching_test.go
@@ -136,12 +136,12 @@
 			convey.So(slow[0].Target.ID, convey.ShouldEqual, "t1")
 		})
 	})
-	convey.Convey("Background items give way", t, func() {
+	convey.Convey("Items that cannot be in time give way", t, func() {
 		c := newCore(1)
 		s := starts(c.Handle(start, batching.Submit{Items: items(1, 1, 2*time.Second)}))
 		back := items(2, 3, time.Second)
 		for i := range back {
-			back[i].Background = true
+			back[i].Due = start.Add(100 * time.Millisecond)
 		}
 		c.Handle(start, batching.Submit{Items: back})
 		c.Handle(start, batching.Submit{Items: items(5, 4, 2*time.Second)})
--- a/internal/batching/core.go
+++ b/internal/batching/core.go
@@ -25,9 +25,8 @@
 	maxNearWait = 300 * time.Millisecond
 	// planGrace is how long after items were due their plan is kept.
 	planGrace = 500 * time.Millisecond
-	// backgroundRoom is the part of a target's room that items which give way
-	// leave free.
-	backgroundRoom = 0.5
+	// lateRoom is the part of a target's room that items which give way leave free.
+	lateRoom = 0.5
 	// roomInUse is the part of the room that is taken on average when room bounds
 	// the rate: calls come whole.
 	roomInUse = 0.8
@@ -368,8 +367,8 @@
 	})
 }
 
-// givesWay says whether the item cannot be in time any more, or need not be.
-func (w *work) givesWay(soonest time.Time) bool { return w.Background || soonest.After(w.Due) }
+// givesWay says whether the item cannot be in time any more.
+func (w *work) givesWay(soonest time.Time) bool { return soonest.After(w.Due) }
 
 func (w *work) rank() int64 {
 	return w.Due.Add(time.Duration(w.Priority) * priorityStep).UnixNano()
@@ -447,7 +446,7 @@
 func (c *Core) start(now time.Time, t *target) {
 	room := t.room(c.batch)
 	soonest := now.Add(planned(c.batch, 1))
-	spare := int64(backgroundRoom * float64(c.batch.RoomBytes))
+	spare := int64(lateRoom * float64(c.batch.RoomBytes))
 	var items []Item
 	var rest []*work
 	for _, w := range c.queue {
--- a/internal/batching/event.go
+++ b/internal/batching/event.go
@@ -39,8 +39,6 @@
 	Deadline time.Time
 	// Priority is lower for items that go first.
 	Priority int
-	// Background items give way to all others.
-	Background bool
 	// DataCentre is where the result will be used; empty for anywhere.
 	DataCentre string
 }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -167,9 +167,6 @@
 // ItemGroup asks the node that forms a service's calls for the items of one stage
 // of one request.
 type ItemGroup struct {
-	// Whether the items give way to all others.
-	Background bool `json:"background,omitempty,omitzero"`
-
 	// Rough size of one result.
 	Bytes int `json:"bytes"`
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -22,6 +22,9 @@
 	// minBacklog is the wait for others' work that never speaks against a request:
 	// however short its objective, an idle system does not refuse it.
 	minBacklog = 150 * time.Millisecond
+	// returnShare is the part of its time for which a request that has come back
+	// waits to be let in.
+	returnShare = 0.5
 	// returnPause is how long a request that has come back waits before it asks
 	// again whether it can be in time.
 	returnPause = 250 * time.Millisecond
@@ -34,8 +37,8 @@
 
 // admit tells the services of the request's stages what it will ask for. When
 // the stages cannot all be done in time after what was planned before, the
-// request is refused at once. One that has come back after a refusal waits for a
-// while instead, and is then let in but gives way to others.
+// request is refused at once. One that has come back after a refusal waits until
+// they can, and is refused again while it has half of its time left.
 func (j *job) admit(ctx context.Context) *verdict.Error {
 	returning := j.returning()
 	r := newStageResults(j)
@@ -43,7 +46,7 @@
 	if len(stages) == 0 {
 		return nil
 	}
-	giveWayAt := j.req.Arrived.Add(j.until.Sub(j.req.Arrived) / 2)
+	giveUpAt := j.req.Arrived.Add(time.Duration(returnShare * float64(j.until.Sub(j.req.Arrived))))
 	for {
 		backlogs := j.s.cfg.Batcher.Plan(ctx, j.req.ID, stages)
 		lasts := r.lasts(stages, backlogs)
@@ -60,15 +63,10 @@
 			return nil
 		}
 		j.s.cfg.Batcher.Cancel(j.req.ID, stages)
-		switch {
-		case !returning:
+		if !returning || now.Add(returnPause).After(giveUpAt) {
 			j.decided(Refused{Stages: stages, Backlogs: backlogs, Lasts: lasts, Left: j.objective.Sub(now)})
 			return verdict.New(verdict.NotRun, verdict.ReasonOverload, "the stages would take %v", lasts).
 				WithRetryAfter(j.comeBack())
-		case now.After(giveWayAt):
-			j.background = true
-			j.decided(LetInLate{Lasts: lasts, Waited: now.Sub(j.req.Arrived)})
-			return nil
 		}
 		if !waitFor(ctx, returnPause) {
 			return verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the caller has gone")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,7 +115,6 @@
 	Due        time.Time
 	Deadline   time.Time
 	Priority   int
-	Background bool
 	DataCentre string
 }
 
@@ -172,10 +171,6 @@
 	Lasts, Left time.Duration
 }
 
-// LetInLate is a request that came back after a refusal, waited and is let in
-// though it will be late.
-type LetInLate struct{ Lasts, Waited time.Duration }
-
 // StageMade is a stage whose results are there.
 type StageMade struct {
 	Stage   int
@@ -209,7 +204,6 @@
 }
 
 func (Refused) isDecision()       {}
-func (LetInLate) isDecision()     {}
 func (StageMade) isDecision()     {}
 func (StageFailed) isDecision()   {}
 func (AttemptFailed) isDecision() {}
@@ -321,9 +315,6 @@
 	lead    time.Duration
 	outcome Outcome
 	tried   []string
-	// background requests were refused before and would still be late; their
-	// items give way to those of others.
-	background bool
 	// sends counts the calls that a target may have run.
 	sends int
 	begun atomic.Bool
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -400,15 +400,20 @@
 		convey.So(s.Serve(t.Context(), request(1, 4, 2), &client{}), convey.ShouldBeNil)
 		convey.So(w.makes, convey.ShouldHaveLength, 3)
 	})
-	convey.Convey("One that has come back waits, and is then let in and gives way", t, func() {
+	convey.Convey("One that has come back waits, and is refused while it has half of its time left", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			w, s := setup(chain(), true)
 			w.wait = 3 * time.Second
 			_ = s.Serve(t.Context(), request(1, 4, 2), &client{})
 			again := request(1, 4, 2)
 			again.Patience = 7 * time.Second
-			if err := s.Serve(t.Context(), again, &client{}); err != nil || !w.makes[0].Background {
-				t.Errorf("got %v, background %v", err, w.makes[0].Background)
+			err := s.Serve(t.Context(), again, &client{})
+			took := time.Since(again.Arrived)
+			if err == nil || err.Verdict() != verdict.NotRun || err.RetryAfter() <= 0 || len(w.makes) > 0 {
+				t.Errorf("got %v after %d groups", err, len(w.makes))
+			}
+			if took < 2*time.Second || took > 3500*time.Millisecond {
+				t.Errorf("held for %v", took)
 			}
 		})
 	})
@@ -424,8 +429,8 @@
 			})
 			again := request(1, 4, 2)
 			again.Patience = 7 * time.Second
-			if err := s.Serve(t.Context(), again, &client{}); err != nil || w.makes[0].Background {
-				t.Errorf("got %v, background %v", err, w.makes[0].Background)
+			if err := s.Serve(t.Context(), again, &client{}); err != nil {
+				t.Error(err)
 			}
 		})
 	})
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -239,7 +239,7 @@
 	stage := j.route.Stages[i]
 	g := Group{
 		Request: j.req.ID, Stage: i, Count: r.count(i), Bytes: stage.ResultBytes,
-		Due: j.objective.Add(-j.lead - r.after(i)), Deadline: j.until.Add(-engineLead - r.after(i)), Priority: j.priority(), Background: j.background,
+		Due: j.objective.Add(-j.lead - r.after(i)), Deadline: j.until.Add(-engineLead - r.after(i)), Priority: j.priority(),
 	}
 	if len(stage.After) == 0 {
 		g.Source = j.req.Source
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -342,7 +342,7 @@
 		items[i] = batching.Item{
 			Token: f.last, Request: o.group.Request, Stage: o.group.Stage, Index: i,
 			Source: o.group.Source, Inputs: o.group.Inputs, Bytes: o.group.Bytes,
-			Due: o.group.Due, Deadline: o.group.Deadline, Priority: o.group.Priority, Background: o.group.Background,
+			Due: o.group.Due, Deadline: o.group.Deadline, Priority: o.group.Priority,
 			DataCentre: o.group.DataCentre,
 		}
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -272,7 +272,7 @@
 		Service: service, Request: group.Request, Stage: group.Stage, Count: group.Count,
 		Source: group.Source, Inputs: group.Inputs, Bytes: int(group.Bytes),
 		DueMs: int(group.Due.Sub(now).Milliseconds()), DeadlineMs: int(group.Deadline.Sub(now).Milliseconds()),
-		Priority: group.Priority, Background: group.Background, DataCentre: group.DataCentre,
+		Priority: group.Priority, DataCentre: group.DataCentre,
 	}
 	out := itemAnswer{started: started}
 	if err := g.call(ctx, http.MethodPost, member, wire.PathItems, in, &out); err != nil {
@@ -298,7 +298,7 @@
 	results, err := g.batches.makeHere(r.Context(), in.Service, relay.Group{
 		Request: in.Request, Stage: in.Stage, Count: in.Count, Source: in.Source, Inputs: in.Inputs, Bytes: int64(in.Bytes),
 		Due: now.Add(time.Duration(in.DueMs) * time.Millisecond), Deadline: now.Add(time.Duration(in.DeadlineMs) * time.Millisecond),
-		Priority: in.Priority, Background: in.Background, DataCentre: in.DataCentre,
+		Priority: in.Priority, DataCentre: in.DataCentre,
 	}, answer.started)
 	out := message.ItemResults{Results: itemsOf(results)}
 	if err != nil {
--- a/pkg/gateway/requestlog.go
+++ b/pkg/gateway/requestlog.go
@@ -55,8 +55,6 @@
 			ev.Str("stage"+strconv.Itoa(s.Stage), s.Service+" "+strconv.Itoa(s.Items)+" items behind "+d.Backlogs[i].Round(time.Millisecond).String())
 		}
 		ev.Msg("request: refused, the stages would take too long")
-	case relay.LetInLate:
-		g.log.Info().Str("request", request).Dur("lasts", d.Lasts).Dur("waited", d.Waited).Msg("request: let in late, gives way")
 	case relay.StageMade:
 		if g.sampled(request) {
 			g.log.Info().Str("request", request).Int("stage", d.Stage).Str("service", d.Service).Int("items", d.Items).
