Tell items whose time is over from a member that is lost

Change: such a call ends as late or withdrawn; only another error speaks against the member. Test: TestAskItems (two of three failed before).

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -276,7 +276,7 @@
 	}
 	out := itemAnswer{started: started}
 	if err := g.call(ctx, http.MethodPost, member, wire.PathItems, in, &out); err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonConnection, "member %s gave no results", member).WithCause(err)
+		return nil, verdict.New(verdict.NotRun, unansweredReason(ctx), "member %s gave no results", member).WithCause(err)
 	}
 	if out.Reason != "" {
 		return nil, verdict.New(verdict.NotRun, verdict.Reason(out.Reason), "%s", out.Text).
@@ -288,6 +288,18 @@
 	return resultsOf(out.Results), nil
 }
 
+// unansweredReason says why a call that ended with an error got no answer. When
+// its time was over or nobody waits any more, that says nothing of the member.
+func unansweredReason(ctx context.Context) verdict.Reason {
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		return verdict.ReasonDeadline
+	case context.Canceled:
+		return verdict.ReasonCancelled
+	}
+	return verdict.ReasonConnection
+}
+
 func (g *Gateway) serveItems(w http.ResponseWriter, r *http.Request) {
 	var in message.ItemGroup
 	if !readMessage(w, r, &in) {
