Free inputs early only where the target is known to have no other call

Change: only a target whose last call ended with its answer counts as reading at once. Test: TestTrouble 'A target reads its inputs at once only when ...'.

--- a/internal/batching/batching_test.go
+++ b/internal/batching/batching_test.go
@@ -152,6 +152,18 @@
 }
 
 func TestTrouble(t *testing.T) {
+	convey.Convey("A target reads its inputs at once only when it is known to have no other call", t, func() {
+		c := newCore(1)
+		first := starts(c.Handle(start, batching.Submit{Items: items(1, 1, 2*time.Second)}))
+		convey.So(first[0].AtOnce, convey.ShouldBeFalse)
+		c.Handle(start.Add(300*time.Millisecond), made(first[0]))
+		second := starts(c.Handle(start.Add(300*time.Millisecond), batching.Submit{Items: items(2, 1, 2*time.Second)}))
+		convey.So(second[0].AtOnce, convey.ShouldBeTrue)
+		lost := verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "reset")
+		c.Handle(start.Add(600*time.Millisecond), batching.Finished{Call: second[0].Call, Err: lost})
+		third := starts(c.Handle(start.Add(time.Second), batching.Tick{}))
+		convey.So(third[0].AtOnce, convey.ShouldBeFalse)
+	})
 	convey.Convey("Items of a call that is stuck go elsewhere, and its late results are freed", t, func() {
 		c := newCore(2)
 		s := starts(c.Handle(start, batching.Submit{Items: items(1, 1, 5*time.Second)}))
--- a/internal/batching/core.go
+++ b/internal/batching/core.go
@@ -228,6 +228,7 @@
 		return
 	}
 	t.failures = 0
+	t.known = true
 	t.learn(now, now.Sub(done.started), done.planned)
 	var unused []string
 	for i, out := range ev.Outcomes {
@@ -482,7 +483,7 @@
 	}
 	c.stats.Calls++
 	c.stats.Items += int64(n)
-	c.emit(Start{Call: c.last, Target: t.Target, Items: items, Limit: limitFactor * patience})
+	c.emit(Start{Call: c.last, Target: t.Target, Items: items, Limit: limitFactor * patience, AtOnce: t.known})
 }
 
 // Usable says whether an item may be sent to a target now; a shell asks once
--- a/internal/batching/event.go
+++ b/internal/batching/event.go
@@ -142,6 +142,9 @@
 	Items  []Item
 	// Limit is the longest that the call may take.
 	Limit time.Duration
+	// AtOnce says that the target is known to have no other call, so that it reads
+	// the items' inputs as soon as the call comes.
+	AtOnce bool
 }
 
 // Resolve ends an item: with a result, or with an error.
--- a/internal/batching/target.go
+++ b/internal/batching/target.go
@@ -39,6 +39,9 @@
 	usable bool
 	// call is the call at work; 0 for none.
 	call CallID
+	// known says that the target's last call ended with its answer. Before, it may
+	// still be at work on a call that was given up, or that another node formed.
+	known bool
 	// free is when the call at work is expected to end.
 	free time.Time
 	// pace is how long calls take, compared with what the catalog says.
@@ -82,6 +85,7 @@
 func (t *target) failed(now time.Time) {
 	pause := min(shortPause<<min(t.failures, 6), longPause)
 	t.failures++
+	t.known = false
 	t.pausedUntil = now.Add(pause)
 }
 
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -26,8 +26,9 @@
 	freeTimeout = time.Second
 	// planTimeout bounds telling the formers of a request's stages.
 	planTimeout = 100 * time.Millisecond
-	// readTime is how long after the start of a call its items have read their
-	// inputs. A target reads them before it works, which takes far longer.
+	// readTime is how long after the start of a call that has no other before it its
+	// items have read their inputs. A target reads them before it works, which takes
+	// far longer.
 	readTime = 120 * time.Millisecond
 	// reportInterval is how often a former logs its state while it has work.
 	reportInterval = time.Second
@@ -452,7 +453,9 @@
 	free := f.frees[e.Target.ID]
 	delete(f.frees, e.Target.ID)
 	f.g.metrics.batch(f.service, len(e.Items))
-	f.countBegun(e.Items)
+	if e.AtOnce {
+		f.countBegun(e.Items)
+	}
 	self := f.self
 	go func() {
 		if free != nil {
