Hand waiting groups back when a node that forms calls leaves

Ruled out: the new node alone (calls are known to read at once only after one has ended). Change: a leaving node ends groups of which nothing has begun as not run, for the next node to take, unless it is the last; its members hear at once that it leaves. Test: TestHandBack.

--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -99,15 +99,34 @@
 			break
 		}
 		results, err := b.g.askItemsWatching(ctx, owner, service, group, started)
-		if err == nil || err.Reason() != verdict.ReasonConnection || ctx.Err() != nil {
+		if err == nil || !otherOwner(err) || ctx.Err() != nil {
 			return results, err
 		}
-		b.g.log.Warn().Str("request", group.Request).Str("service", service).Str("member", owner).Err(err).Msg("items: member lost, asking another")
+		b.g.log.Warn().Str("request", group.Request).Str("service", service).Str("member", owner).Err(err).Msg("items: member lost or leaving, asking another")
 		b.g.suspect(owner)
 	}
 	return b.makeHere(ctx, service, group, started)
 }
 
+// otherOwner says whether a group that a member did not make should go to another
+// member.
+func otherOwner(err *verdict.Error) bool {
+	return err.Reason() == verdict.ReasonConnection || err.Reason() == verdict.ReasonLeaving
+}
+
+// handBack gives the groups that wait for their first call back, for the member
+// that takes this node's duties over. It does nothing when there is no other.
+func (b *batches) handBack() {
+	if b.owner("") == "" {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, pid := range b.services {
+		b.g.system.Root.Send(pid, handBack{})
+	}
+}
+
 // makeHere has the items made by calls that this node forms.
 func (b *batches) makeHere(ctx context.Context, service string, group relay.Group, started func()) ([]batching.Result, *verdict.Error) {
 	b.open.Add(1)
@@ -255,8 +274,10 @@
 	// counts the items that have not been part of a call.
 	started   func()
 	unstarted int
-	closed    bool
-	done      chan struct{}
+	// begun says whether any item has been part of a call.
+	begun  bool
+	closed bool
+	done   chan struct{}
 }
 
 // inputsRead says that an order's items should have read their inputs.
@@ -268,6 +289,9 @@
 // freeNow asks an actor to send what it gathered.
 type freeNow struct{}
 
+// handBack tells an actor that another node forms the service's calls from now on.
+type handBack struct{}
+
 // place is where an item's result goes.
 type place struct {
 	order *order
@@ -284,6 +308,8 @@
 	last    batching.Token
 	places  map[batching.Token]place
 	ticking bool
+	// leaving says that another node forms the calls of what has not begun.
+	leaving bool
 	// reported is when the former last logged its state.
 	reported time.Time
 	// frees gathers results to free, by target.
@@ -321,6 +347,8 @@
 		if !msg.order.closed {
 			go msg.order.started()
 		}
+	case handBack:
+		f.handBack()
 	case freeNow:
 		f.freeing = false
 		f.flush()
@@ -333,6 +361,10 @@
 }
 
 func (f *former) open(o *order) {
+	if f.leaving {
+		f.closeOrder(o, errHandedBack())
+		return
+	}
 	items := make([]batching.Item, o.group.Count)
 	o.pending, o.unstarted = len(items), len(items)
 	o.results = make([]batching.Result, len(items))
@@ -350,6 +382,21 @@
 	f.handle(batching.Submit{Items: items})
 }
 
+// handBack ends the orders that have not begun, now and from now on. Two nodes
+// that form calls for the same targets get into each other's way.
+func (f *former) handBack() {
+	f.leaving = true
+	for _, p := range f.places {
+		if !p.order.begun && !p.order.closed {
+			f.closeOrder(p.order, errHandedBack())
+		}
+	}
+}
+
+func errHandedBack() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the node is leaving")
+}
+
 // cancel takes an order's items back and frees what is made of it.
 func (f *former) cancel(o *order) {
 	if !o.closed {
@@ -453,6 +500,11 @@
 	free := f.frees[e.Target.ID]
 	delete(f.frees, e.Target.ID)
 	f.g.metrics.batch(f.service, len(e.Items))
+	for _, item := range e.Items {
+		if p, known := f.places[item.Token]; known {
+			p.order.begun = true
+		}
+	}
 	if e.AtOnce {
 		f.countBegun(e.Items)
 	}
--- /dev/null
+++ b/pkg/gateway/batches_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/honeydyke/honeydyke/internal/batching"
+	"github.com/honeydyke/honeydyke/internal/catalog"
+	"github.com/honeydyke/honeydyke/internal/directory"
+	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/relay"
+	"github.com/honeydyke/honeydyke/internal/view"
+	"github.com/honeydyke/honeydyke/pkg/settings"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// slowTargets make items once they are told to.
+type slowTargets struct {
+	begun   chan int
+	release chan struct{}
+}
+
+func (s *slowTargets) Send(context.Context, relay.Call) (*relay.Reply, *verdict.Error) {
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "none")
+}
+
+func (s *slowTargets) Make(_ context.Context, c ItemCall) ([]batching.Outcome, *verdict.Error) {
+	s.begun <- len(c.Items)
+	<-s.release
+	outcomes := make([]batching.Outcome, len(c.Items))
+	for i := range outcomes {
+		outcomes[i].Handle = "made"
+	}
+	return outcomes, nil
+}
+
+func (s *slowTargets) Release(context.Context, directory.Target, []string) error { return nil }
+
+// oneTargetGateway returns a gateway with a batch service of one target. It does
+// not run.
+func oneTargetGateway(t *testing.T, targets Targets) *Gateway {
+	t.Helper()
+	g, err := New(&settings.Settings{
+		DataCentre: "d", Listen: settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Admin: "127.0.0.1:0"},
+		Gateway: &settings.Gateway{Store: "-", Ready: "127.0.0.1:0"},
+	}, Ports{Targets: targets, Callers: func(Relay) http.Handler { return http.NotFoundHandler() }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.close)
+	batch := &catalog.Batch{Slots: 1, Size: 4, CallLatency: time.Minute, RoomBytes: 1000, HandleTTL: time.Minute}
+	c, err := catalog.New(1, nil, []*catalog.Service{{Name: "s", Batch: batch}}, nil, catalog.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.view.Store(view.New().WithChanges(g.now(), view.Changes{Revision: 1, List: []view.Change{
+		view.CatalogChange{Catalog: c}, view.TargetChange{Target: directory.Target{ID: "t", Service: "s"}},
+	}}, time.Time{}))
+	g.tellRoster()
+	return g
+}
+
+func TestHandBack(t *testing.T) {
+	group := relay.Group{Count: 1, Bytes: 1, Due: time.Now().Add(time.Hour), Deadline: time.Now().Add(time.Hour)}
+	type result struct {
+		results []batching.Result
+		err     *verdict.Error
+	}
+	convey.Convey("Given a node with a call at work and a group that waits", t, func() {
+		targets := &slowTargets{begun: make(chan int), release: make(chan struct{})}
+		g := oneTargetGateway(t, targets)
+		ask := func() <-chan result {
+			done := make(chan result, 1)
+			go func() {
+				results, err := g.batches.makeHere(t.Context(), "s", group, nil)
+				done <- result{results, err}
+			}()
+			return done
+		}
+		atWork := ask()
+		<-targets.begun
+		waiting := ask()
+		for g.batches.states(t.Context())["s"].Waiting == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		g.leaving.Store(true)
+		g.tellRoster()
+		convey.Convey("when it leaves and there is another, what waits is handed back and what is at work is finished", func() {
+			g.rosterMu.Lock()
+			g.roster.Merge(g.now(), message.Gossip{Members: []message.GossipMember{{Address: "10.0.0.1:1", Incarnation: 1, Beat: 1, Serving: true}}})
+			g.rosterMu.Unlock()
+			g.batches.handBack()
+			convey.So((<-waiting).err.Reason(), convey.ShouldEqual, verdict.ReasonLeaving)
+			convey.Convey("nor does it take more", func() {
+				convey.So((<-ask()).err.Reason(), convey.ShouldEqual, verdict.ReasonLeaving)
+			})
+			close(targets.release)
+			convey.So((<-atWork).results, convey.ShouldHaveLength, 1)
+		})
+		convey.Convey("when it leaves as the last one, it goes on with both", func() {
+			g.batches.handBack()
+			close(targets.release)
+			convey.So((<-atWork).err, convey.ShouldBeNil)
+			convey.So(<-targets.begun, convey.ShouldEqual, 1)
+			convey.So((<-waiting).err, convey.ShouldBeNil)
+		})
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -349,6 +349,8 @@
 	g.leavingSince.Store(&begun)
 	g.leaving.Store(true)
 	g.tellRoster()
+	g.spread()
+	g.batches.handBack()
 	g.servers[0].SetKeepAlivesEnabled(false)
 	grace := defaultGrace
 	if ms := g.cfg.Gateway.GraceMs; ms > 0 {
