Send waiting groups to the member that has taken the duty over

Change: a former that sees another member own its service hands back, once, the groups of which nothing has begun; their nodes ask the new owner. It goes on with what still comes.

--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -30,6 +30,9 @@
 	// items have read their inputs. A target reads them before it works, which takes
 	// far longer.
 	readTime = 120 * time.Millisecond
+	// dutyCheck is how often a former with work looks whether the work is still its
+	// own.
+	dutyCheck = 100 * time.Millisecond
 	// reportInterval is how often a former logs its state while it has work.
 	reportInterval = time.Second
 	// maxOwners bounds the nodes that one group is handed to.
@@ -102,6 +105,9 @@
 		if err == nil || !otherOwner(err) || ctx.Err() != nil {
 			return results, err
 		}
+		if err.Reason() == verdict.ReasonMoved {
+			continue
+		}
 		b.g.log.Warn().Str("request", group.Request).Str("service", service).Str("member", owner).Err(err).Msg("items: member lost or leaving, asking another")
 		b.g.suspect(owner)
 	}
@@ -111,7 +117,11 @@
 // otherOwner says whether a group that a member did not make should go to another
 // member.
 func otherOwner(err *verdict.Error) bool {
-	return err.Reason() == verdict.ReasonConnection || err.Reason() == verdict.ReasonLeaving
+	switch err.Reason() {
+	case verdict.ReasonConnection, verdict.ReasonLeaving, verdict.ReasonMoved:
+		return true
+	}
+	return false
 }
 
 // handBack gives the groups that wait for their first call back, for the member
@@ -310,6 +320,10 @@
 	ticking bool
 	// leaving says that another node forms the calls of what has not begun.
 	leaving bool
+	// owned says whether this node was to form the service's calls when that was
+	// last checked.
+	owned   bool
+	checked time.Time
 	// reported is when the former last logged its state.
 	reported time.Time
 	// frees gathers results to free, by target.
@@ -348,7 +362,8 @@
 			go msg.order.started()
 		}
 	case handBack:
-		f.handBack()
+		f.leaving = true
+		f.handBack(errLeaving())
 	case freeNow:
 		f.freeing = false
 		f.flush()
@@ -362,7 +377,7 @@
 
 func (f *former) open(o *order) {
 	if f.leaving {
-		f.closeOrder(o, errHandedBack())
+		f.closeOrder(o, errLeaving())
 		return
 	}
 	items := make([]batching.Item, o.group.Count)
@@ -382,21 +397,37 @@
 	f.handle(batching.Submit{Items: items})
 }
 
-// handBack ends the orders that have not begun, now and from now on. Two nodes
-// that form calls for the same targets get into each other's way.
-func (f *former) handBack() {
-	f.leaving = true
+// handBack ends the orders that have not begun, for another node to take. Two
+// nodes that form calls for the same targets get into each other's way.
+func (f *former) handBack(cause *verdict.Error) {
 	for _, p := range f.places {
 		if !p.order.begun && !p.order.closed {
-			f.closeOrder(p.order, errHandedBack())
+			f.closeOrder(p.order, cause)
 		}
 	}
 }
 
-func errHandedBack() *verdict.Error {
+func errLeaving() *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the node is leaving")
 }
 
+// checkDuty hands back what has not begun when another node has come to form the
+// service's calls. Groups that still come are from nodes that do not know it yet.
+func (f *former) checkDuty(now time.Time) {
+	if now.Sub(f.checked) < dutyCheck {
+		return
+	}
+	f.checked = now
+	owner := f.g.batches.owner(f.service)
+	owned := owner == "" || owner == f.g.PeerAddress()
+	if f.owned && !owned && !f.leaving {
+		f.g.log.Info().Str("service", f.service).Str("member", owner).Int("waiting", f.core.State(now).Waiting).
+			Msg("items: another member forms the calls now")
+		f.handBack(verdict.New(verdict.NotRun, verdict.ReasonMoved, "member %s forms the calls now", owner))
+	}
+	f.owned = owned
+}
+
 // cancel takes an order's items back and frees what is made of it.
 func (f *former) cancel(o *order) {
 	if !o.closed {
@@ -442,6 +473,7 @@
 		}
 	}
 	f.report(now)
+	f.checkDuty(now)
 	if !f.ticking && !f.core.Idle() {
 		f.ticking = true
 		self := f.self
