Divide the budget of repeats by the most members ever heard of

Cause: the extra repeats were divided by 16 nodes, whatever the number of members: 80 nodes could spend five times what all together may. Change: a node's part is the extra by 1.5 times the most members that it ever knew to live at once, at least 16; for the first 2 s of its life, when it has not heard of all, it has none. Tests: TestSumOverNodes with 80 nodes (33 repeats where 32 were allowed, before), TestUnknownNodes.

--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -50,6 +50,8 @@
 	self  message.GossipMember
 	known map[string]rosterEntry
 	seeds []string
+	// most is the most members that were ever known to live at once.
+	most int
 }
 
 // NewRoster returns the roster of a member that knows only itself and the
@@ -120,6 +122,7 @@
 		}
 		r.known[m.Address] = rosterEntry{GossipMember: m, advanced: now}
 	}
+	r.most = max(r.most, r.Size(now))
 }
 
 // refute outbids what is told of an earlier life at this address.
@@ -245,6 +248,10 @@
 	return n
 }
 
+// Most returns the most members that were ever known to live at once, this one
+// included.
+func (r *Roster) Most() int { return max(r.most, 1) }
+
 // Reads says whether this member is one of those that look at the source often,
 // strong ones first. The others are told by gossip when it has news that they
 // have not heard.
--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -32,6 +32,11 @@
 		convey.Convey("a silent member is taken for dead", func() {
 			convey.So(r.Serving(rosterStart.Add(3*time.Second)), convey.ShouldResemble, []string{"self"})
 		})
+		convey.Convey("though it is remembered how many there were", func() {
+			r.Merge(rosterStart.Add(3*time.Second), gossip())
+			convey.So(r.Size(rosterStart.Add(3*time.Second)), convey.ShouldEqual, 1)
+			convey.So(r.Most(), convey.ShouldEqual, 2)
+		})
 		convey.Convey("old news does not bring it back", func() {
 			r.Merge(rosterStart.Add(3*time.Second), gossip(member("a", 4, 99), member("a", 5, 1)))
 			convey.So(r.Serving(rosterStart.Add(3*time.Second)), convey.ShouldResemble, []string{"self"})
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -3,10 +3,14 @@
 //
 // Every node may repeat a ratio of the requests that it sent itself, plus its
 // part of a fixed extra. The part is the extra divided by the most nodes that
-// may exist, so no view of the members can make the sum exceed the whole.
+// may exist: a fixed number, or more where more were ever heard of, so a node
+// that has lost sight of others does not spend their parts.
 package retrybudget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Policy is the bound that holds over all nodes in each window.
 type Policy struct {
@@ -16,8 +20,25 @@
 	Window time.Duration
 	// Extra is what may be repeated beyond the ratio, over all nodes.
 	Extra float64
-	// MaxNodes is the most nodes that share the extra.
+	// MaxNodes is the least number of nodes that the extra is shared by.
 	MaxNodes int
+	// Nodes returns how many nodes may share the extra, where that may be more than
+	// MaxNodes; nil for never. It must not fall within a node's life, and returns
+	// UnknownNodes while there may be any number.
+	Nodes func() int
+}
+
+// UnknownNodes says that there may be any number of nodes, so that a node has no
+// part of the extra.
+const UnknownNodes = math.MaxInt
+
+// part is a node's part of the extra.
+func (p Policy) part() float64 {
+	nodes := max(p.MaxNodes, 1)
+	if p.Nodes != nil {
+		nodes = max(nodes, p.Nodes())
+	}
+	return p.Extra / float64(nodes)
 }
 
 // Budget is one node's part for one service. The zero value of the events is
@@ -49,7 +70,7 @@
 // Left returns how many repeats are allowed now.
 func (b *Budget) Left(now time.Time) float64 {
 	b.trim(now)
-	return b.policy.Ratio*float64(len(b.firsts)) + b.policy.Extra/float64(max(b.policy.MaxNodes, 1)) - float64(len(b.repeats))
+	return b.policy.Ratio*float64(len(b.firsts)) + b.policy.part() - float64(len(b.repeats))
 }
 
 // trim forgets what left the window. Requests count for one window only, so
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -14,10 +14,10 @@
 // will, come and go, and holds the sum against the bound in every window.
 func TestSumOverNodes(t *testing.T) {
 	const window = 10 * time.Second
-	policy := retrybudget.Policy{Ratio: 0.2, Window: window, Extra: 32, MaxNodes: 16}
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		nodes := make([]*retrybudget.Budget, 16)
+		nodes := make([]*retrybudget.Budget, rapid.SampledFrom([]int{16, 80}).Draw(t, "nodes"))
+		policy := retrybudget.Policy{Ratio: 0.2, Window: window, Extra: 32, MaxNodes: 16, Nodes: func() int { return len(nodes) }}
 		for i := range nodes {
 			nodes[i] = retrybudget.New(policy)
 		}
@@ -50,3 +50,18 @@
 	}
 	return n
 }
+
+func TestUnknownNodes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := retrybudget.New(retrybudget.Policy{
+		Ratio: 0.5, Window: time.Second, Extra: 1000, MaxNodes: 1, Nodes: func() int { return retrybudget.UnknownNodes },
+	})
+	if b.Spend(now) {
+		t.Error("a node that knows nobody has a part of the extra")
+	}
+	b.First(now)
+	b.First(now)
+	if !b.Spend(now) {
+		t.Error("the ratio of its own requests is refused")
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -129,9 +129,14 @@
 func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.now = now } }
 
 const (
-	// defaultMaxNodes is the most nodes that are assumed to share the budget of
-	// repeats.
+	// defaultMaxNodes is the least number of nodes that are assumed to share the
+	// budget of repeats.
 	defaultMaxNodes = 16
+	// membersKnown is how long after its start a node has heard of all members.
+	membersKnown = 2 * time.Second
+	// sharersFactor is how many nodes may share the budget of repeats for each that
+	// was heard of.
+	sharersFactor = 1.5
 	// defaultGrace is the time to stop when the settings name none.
 	defaultGrace = 8 * time.Second
 	// defaultBodyLimit bounds bodies before a configuration is known.
@@ -199,9 +204,21 @@
 			p.MaxNodes = r.MaxNodes
 		}
 	}
+	p.Nodes = g.sharers
 	return p
 }
 
+// sharers returns how many nodes may share the budget of repeats: more than were
+// ever heard of at once, for those that came or went meanwhile.
+func (g *Gateway) sharers() int {
+	if g.now().Sub(g.started) < membersKnown {
+		return retrybudget.UnknownNodes
+	}
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	return int(sharersFactor * float64(g.roster.Most()))
+}
+
 func (g *Gateway) listen() error {
 	handlers := []struct {
 		address string
