--- a/pkg/gateway/batches_test.go
+++ b/pkg/gateway/batches_test.go
@@ -64,12 +64,25 @@
 	return g
 }
 
+// result is how a group ended.
+type result struct {
+	results []batching.Result
+	err     *verdict.Error
+}
+
+// ended returns how a group ended; one that never does ends with an error of its
+// own.
+func ended(group <-chan result) result {
+	select {
+	case r := <-group:
+		return r
+	case <-time.After(10 * time.Second):
+		return result{err: verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "the group never ended")}
+	}
+}
+
 func TestHandBack(t *testing.T) {
 	group := relay.Group{Count: 1, Bytes: 1, Due: time.Now().Add(time.Hour), Deadline: time.Now().Add(time.Hour)}
-	type result struct {
-		results []batching.Result
-		err     *verdict.Error
-	}
 	convey.Convey("Given a node with a call at work and a group that waits", t, func() {
 		targets := &slowTargets{begun: make(chan int), release: make(chan struct{})}
 		g := oneTargetGateway(t, targets)
@@ -94,12 +107,12 @@
 			g.roster.Merge(g.now(), message.Gossip{Members: []message.GossipMember{{Address: "10.0.0.1:1", Incarnation: 1, Beat: 1, Serving: true}}})
 			g.rosterMu.Unlock()
 			g.batches.handBack()
-			convey.So((<-waiting).err.Reason(), convey.ShouldEqual, verdict.ReasonLeaving)
+			convey.So(ended(waiting).err.Reason(), convey.ShouldEqual, verdict.ReasonLeaving)
 			convey.Convey("nor does it take more", func() {
-				convey.So((<-ask()).err.Reason(), convey.ShouldEqual, verdict.ReasonLeaving)
+				convey.So(ended(ask()).err.Reason(), convey.ShouldEqual, verdict.ReasonLeaving)
 			})
 			close(targets.release)
-			convey.So((<-atWork).results, convey.ShouldHaveLength, 1)
+			convey.So(ended(atWork).results, convey.ShouldHaveLength, 1)
 		})
 		convey.Convey("when another member takes the duty over, what waits goes there and what still comes is made", func() {
 			g.leaving.Store(false)
@@ -107,19 +120,19 @@
 			g.rosterMu.Lock()
 			g.roster.Merge(g.now(), message.Gossip{Members: []message.GossipMember{{Address: "10.0.0.1:1", Incarnation: 1, Beat: 1, Serving: true, Capacity: 800}}})
 			g.rosterMu.Unlock()
-			convey.So((<-waiting).err.Reason(), convey.ShouldEqual, verdict.ReasonMoved)
+			convey.So(ended(waiting).err.Reason(), convey.ShouldEqual, verdict.ReasonMoved)
 			late := ask()
 			close(targets.release)
-			convey.So((<-atWork).results, convey.ShouldHaveLength, 1)
+			convey.So(ended(atWork).results, convey.ShouldHaveLength, 1)
 			convey.So(<-targets.begun, convey.ShouldEqual, 1)
-			convey.So((<-late).err, convey.ShouldBeNil)
+			convey.So(ended(late).err, convey.ShouldBeNil)
 		})
 		convey.Convey("when it leaves as the last one, it goes on with both", func() {
 			g.batches.handBack()
 			close(targets.release)
-			convey.So((<-atWork).err, convey.ShouldBeNil)
+			convey.So(ended(atWork).err, convey.ShouldBeNil)
 			convey.So(<-targets.begun, convey.ShouldEqual, 1)
-			convey.So((<-waiting).err, convey.ShouldBeNil)
+			convey.So(ended(waiting).err, convey.ShouldBeNil)
 		})
 	})
 }
