Split the shell around batching from the handing of groups, and gossip from calls between members

Change: former.go holds the actor that forms calls, gossip.go the exchange between members; no line of code changes.

--- /dev/null
+++ b/pkg/gateway/gossip.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/membership"
+	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/wire"
+)
+
+const (
+	// gossipInterval is how often a node talks to other members.
+	gossipInterval = 500 * time.Millisecond
+	// gossipPartners is how many it talks to.
+	gossipPartners = 2
+	// gossipTimeout bounds one exchange.
+	gossipTimeout = 400 * time.Millisecond
+	// newsPause gathers news before members are told.
+	newsPause = 50 * time.Millisecond
+)
+
+// tellRoster sets what this node tells of itself.
+func (g *Gateway) tellRoster() {
+	v := g.view.Load()
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	g.roster.Tell(membership.Standing{
+		Serving: v.Catalog != nil, Leaving: g.leaving.Load(), Hears: g.source.hears(g.now()),
+		Version: v.Version(), Revision: v.Revision,
+	})
+}
+
+func (g *Gateway) suspect(address string) {
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	g.roster.Suspect(g.now(), address)
+}
+
+// gossip talks to other members until ctx ends: from time to time, and at once
+// when there is news.
+func (g *Gateway) gossip(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-g.news:
+			pause(ctx, newsPause)
+		}
+		g.talk(ctx)
+		timer.Reset(gossipInterval)
+	}
+}
+
+// spread has the members told of news.
+func (g *Gateway) spread() {
+	select {
+	case g.news <- struct{}{}:
+	default:
+	}
+}
+
+// talk exchanges with some members.
+func (g *Gateway) talk(ctx context.Context) {
+	g.tellRoster()
+	g.rosterMu.Lock()
+	g.roster.Beat()
+	g.roster.Forget(g.now())
+	partners := g.roster.Partners(g.now(), gossipPartners)
+	g.rosterMu.Unlock()
+	for _, p := range partners {
+		go func() {
+			g.exchange(ctx, p)
+			g.checkBehind(ctx)
+		}()
+	}
+	g.checkBehind(ctx)
+}
+
+// exchange tells a member what is known of all members and hears what it knows.
+func (g *Gateway) exchange(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	g.rosterMu.Lock()
+	out := g.roster.Gossip(g.now())
+	g.rosterMu.Unlock()
+	var in message.Gossip
+	if err := g.call(ctx, http.MethodPost, address, wire.PathGossip, out, &in); err != nil {
+		return false
+	}
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	g.roster.Merge(g.now(), in)
+	g.roster.Hear(g.now(), address)
+	return true
+}
+
+func (g *Gateway) serveGossip(w http.ResponseWriter, r *http.Request) {
+	var in message.Gossip
+	if !readMessage(w, r, &in) {
+		return
+	}
+	g.rosterMu.Lock()
+	g.roster.Merge(g.now(), in)
+	out := g.roster.Gossip(g.now())
+	g.rosterMu.Unlock()
+	writeMessage(w, out)
+	v := g.view.Load()
+	g.rosterMu.Lock()
+	newest := g.roster.Newest(g.now(), v.Version(), v.Revision)
+	relayed := g.roster.Relayed(g.now())
+	g.rosterMu.Unlock()
+	switch {
+	case newest == "":
+	case relayed:
+		g.spread()
+	case !g.source.behind(g.now(), true, relayed):
+		time.AfterFunc(newsTakes, g.spread)
+	}
+}
