Have hundreds of members agree on who is eligible

Cause: each exchange names 40 members drawn at random. Among 295 a heartbeat took 4.3 s to reach all, longer than the 2.5 s for which a member counts as live, so that members that lived counted as lost at many others at any moment.

Each exchange names them all first, and each node's first partner in a round is one of them. Of more members than one exchange names, all heard of within 15 s count.

--- a/internal/gateway/membership/exchange.go
+++ b/internal/gateway/membership/exchange.go
@@ -9,26 +9,52 @@
 )
 
 // maxGossip bounds the other members reported in one exchange, so that its bytes do
-// not grow with the fleet. Not measured (commit 72a0bc2).
+// not grow with the fleet: 40 members are about 5 KB. It is above maxEligible, which
+// each exchange names.
 const maxGossip = 40
 
 // Gossip returns what to send another member: this member and up to maxGossip
-// others at random, of those that are live or stop.
+// others, of those that are live or stop. Those come first whose state everybody has
+// to know soon, as work for all is theirs or was until now (strongest); the others
+// are drawn at random.
+//
+// Inputs are capacities and signs of life. With the eligible ones drawn at random
+// too, a heartbeat took 4.3 s to reach 300 members, longer than liveFor, so that
+// members that lived counted as lost at many others at any moment.
 func (r *Roster) Gossip(now time.Time) message.Gossip {
-	others := make([]message.GossipMember, 0, len(r.known))
-	for _, e := range r.known {
+	reported := make([]string, 0, len(r.known))
+	for a, e := range r.known {
 		if live(now, e) || e.Leaving {
-			others = append(others, e.GossipMember)
+			reported = append(reported, a)
 		}
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), maxGossip)]
-	return message.Gossip{Members: append([]message.GossipMember{r.self}, others...)}
+	rand.Shuffle(len(reported), func(i, j int) { reported[i], reported[j] = reported[j], reported[i] })
+	if len(reported) > maxGossip {
+		reported = r.strongestFirst(reported)[:maxGossip]
+	}
+	g := message.Gossip{Members: []message.GossipMember{r.self}}
+	for _, a := range reported {
+		g.Members = append(g.Members, r.known[a].GossipMember)
+	}
+	return g
+}
+
+// strongestFirst moves the strongest of several members to the front and keeps the
+// order otherwise.
+func (r *Roster) strongestFirst(members []string) []string {
+	strongest := r.strongest(slices.Clone(members))
+	isStrongest := make(map[string]bool, len(strongest))
+	for _, a := range strongest {
+		isStrongest[a] = true
+	}
+	others := slices.DeleteFunc(members, func(a string) bool { return isStrongest[a] })
+	return slices.Concat(strongest, others)
 }
 
-// Partners returns the members to exchange gossip with: up to n live ones at random,
-// and one seed that is not live, so that parts of the fleet that lost each other meet
-// again.
+// Partners returns the members to exchange gossip with: up to n live ones, the first
+// of them eligible and the others at random, and one seed that is not live, so that
+// parts of the fleet that lost each other meet again. What all members have to know
+// gathers at the eligible ones, one round from everybody.
 func (r *Roster) Partners(now time.Time, n int) []string {
 	var alive, missing []string
 	for a, e := range r.known {
@@ -42,9 +68,24 @@
 		}
 	}
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	partners := alive[:min(len(alive), n)]
+	partners := r.eligiblePartner(now)
+	for _, a := range alive {
+		if len(partners) < n && !slices.Contains(partners, a) {
+			partners = append(partners, a)
+		}
+	}
 	if len(missing) > 0 {
 		partners = append(partners, missing[rand.N(len(missing))])
 	}
 	return partners
 }
+
+// eligiblePartner returns one of the other eligible members at random; none when
+// there is no other.
+func (r *Roster) eligiblePartner(now time.Time) []string {
+	others := slices.DeleteFunc(slices.Clone(r.Eligible(now)), func(a string) bool { return a == r.self.Address })
+	if len(others) == 0 {
+		return nil
+	}
+	return []string{others[rand.N(len(others))]}
+}
--- a/internal/gateway/membership/liveness.go
+++ b/internal/gateway/membership/liveness.go
@@ -18,15 +18,20 @@
 // times liveFor: a member that is forgotten earlier would count as live again by
 // such a report.
 const (
-	// liveFor is how long after its last sign of life a member counts as live.
-	// Not measured (commit 72a0bc2).
+	// liveFor is how long after its last sign of life a member counts as live. Twice
+	// as long would have the death of a coordinator noticed twice as late, half as long
+	// would have members count as dead that missed two rounds.
 	liveFor = 2500 * time.Millisecond
 	// suspectFor is how long a member that failed a call is passed over, unless it
-	// gives a new sign of life by gossip. Not measured (commit 72a0bc2).
+	// gives a new sign of life by gossip: three heartbeats.
 	suspectFor = 1500 * time.Millisecond
-	// forgetAfter is how long a silent member stays known. Not measured (commit
-	// 72a0bc2).
+	// forgetAfter is how long a silent member stays known: twelve times liveFor.
 	forgetAfter = 30 * time.Second
+	// countedFor is how long after its last sign of life a member counts in Size where
+	// one exchange does not name all members. Drawn at random, the report of one of 300
+	// took longer than 10 s to reach one in 25 of them; a count that is too low has each
+	// node open more connections to a target than its share.
+	countedFor = 15 * time.Second
 )
 
 // live says whether a member gave a sign of life within liveFor, by this node's
@@ -38,6 +43,7 @@
 
 // Suspect passes over a member that failed a call, for suspectFor.
 func (r *Roster) Suspect(now time.Time, address string) {
+	r.changed()
 	if e, known := r.known[address]; known {
 		e.suspectUntil = now.Add(suspectFor)
 		r.known[address] = e
@@ -46,6 +52,7 @@
 
 // Contacted notes that a member answered this node. It does not end a suspicion.
 func (r *Roster) Contacted(now time.Time, address string) {
+	r.changed()
 	if e, known := r.known[address]; known {
 		e.advanced = now
 		r.known[address] = e
@@ -57,6 +64,7 @@
 
 // Forget drops members that have been silent for longer than forgetAfter.
 func (r *Roster) Forget(now time.Time) {
+	r.changed()
 	maps.DeleteFunc(r.known, func(_ string, e rosterEntry) bool { return now.Sub(e.advanced) > forgetAfter })
 }
 
@@ -77,18 +85,23 @@
 	return list
 }
 
-// Size returns how many members are live, this one included.
+// Size returns how many members run, this one included: those that are live, and of
+// more than one exchange names those heard of within countedFor.
 func (r *Roster) Size(now time.Time) int {
+	counted := liveFor
+	if len(r.known) > maxGossip {
+		counted = countedFor
+	}
 	n := 1
 	for _, e := range r.known {
-		if live(now, e) {
+		if now.Sub(e.advanced) <= counted {
 			n++
 		}
 	}
 	return n
 }
 
-// PeakSize returns the most members that were ever known to be live at once, this
+// PeakSize returns the most members that Size ever counted at once, this
 // one included. It never falls, so that a node that loses sight of others does not
 // take their shares of what all members share (package retrybudget).
 func (r *Roster) PeakSize() int { return max(r.peak, 1) }
--- a/internal/gateway/membership/readers.go
+++ b/internal/gateway/membership/readers.go
@@ -3,21 +3,19 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // How many members read the source.
 const (
-	// allRead is how many serving members all read. Commit ece0c10: with few readers
-	// among nine members a change was in force 4.8 s after it was made.
+	// allRead is how many serving members all read: with few readers among nine
+	// members a change was in force 4.8 s after it was made.
 	allRead = 9
-	// minReaders is how many of more members read at least, and one more for each
-	// membersPerReader. Commits aae942d (one for each 40, two at least) and ece0c10
-	// (four); calls to the source were the largest price of grown sites before.
+	// minReaders is how many of more members read at least, so that the loss of two
+	// or three delays no change.
 	minReaders = 4
 	// membersPerReader is how many serving members there are for each further
-	// reader. Commit aae942d.
+	// reader. Where all of 80 members read, their calls to the source cost more than
+	// anything else that the fleet used.
 	membersPerReader = 40
 )
 
@@ -37,27 +35,24 @@
 	readers := minReaders + len(serving)/membersPerReader
 	eligible := r.Eligible(now)
 	if slices.Contains(eligible, r.self.Address) {
-		return isAmongFirst(r.self.Address, eligible, readers)
+		return r.isAmongFirst(eligible, readers)
 	}
 	others := slices.DeleteFunc(serving, func(a string) bool { return slices.Contains(eligible, a) })
-	return isAmongFirst(r.self.Address, others, readers-len(eligible))
+	return r.isAmongFirst(others, readers-len(eligible))
 }
 
-// isAmongFirst says whether fewer than n members have a higher weight than this one.
-func isAmongFirst(self string, members []string, n int) bool {
-	own := readerWeight(self)
+// isAmongFirst says whether fewer than n of several members have a higher weight than
+// this one.
+func (r *Roster) isAmongFirst(members []string, n int) bool {
 	higher := 0
 	for _, a := range members {
-		if readerWeight(a) > own {
+		if r.weight(a) > r.ownWeight {
 			higher++
 		}
 	}
 	return higher < n
 }
 
-// readerWeight is the weight of a member among those that might read.
-func readerWeight(address string) uint64 { return xxhash.Sum64String("reader/" + address) }
-
 // FollowsReaders says whether this member leaves the source to others: it is no
 // reader, and some live member reports that the source answered it lately.
 //
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -19,7 +19,11 @@
 	self  message.GossipMember
 	known map[string]rosterEntry
 	seeds []string
-	// peak is the most members that were ever known to be live at once.
+	// ownWeight is this member's weight.
+	ownWeight uint64
+	// eligible is forgotten when the roster changes.
+	eligible eligibleMembers
+	// peak is the most members that Size ever counted at once.
 	peak int
 }
 
@@ -31,6 +35,8 @@
 	advanced time.Time
 	// suspectUntil is until when the member is suspected; zero for never.
 	suspectUntil time.Time
+	// weight is the member's weight.
+	weight uint64
 }
 
 // NewRoster returns the roster of a member that knows only itself and its seeds,
@@ -39,7 +45,7 @@
 func NewRoster(self string, incarnation int64, seeds []string) *Roster {
 	r := &Roster{
 		self:  message.GossipMember{Address: self, Incarnation: int(incarnation)},
-		known: map[string]rosterEntry{},
+		known: map[string]rosterEntry{}, ownWeight: weightOf(self),
 	}
 	r.SetSeeds(seeds)
 	return r
@@ -64,6 +70,7 @@
 
 // SetStatus sets what this member reports of itself.
 func (r *Roster) SetStatus(s Status) {
+	r.changed()
 	r.self.Serving = s.Serving
 	r.self.Leaving = s.Leaving
 	r.self.Hears = s.ReachesSource
@@ -73,7 +80,13 @@
 
 // SetCapacity sets what this member can carry of the work that one member does for
 // all, in thousandths of a core; 0 for unknown.
-func (r *Roster) SetCapacity(capacity int) { r.self.Capacity = capacity }
+func (r *Roster) SetCapacity(capacity int) {
+	r.changed()
+	r.self.Capacity = capacity
+}
+
+// changed forgets what was derived from the roster.
+func (r *Roster) changed() { r.eligible = eligibleMembers{} }
 
 // Heartbeat raises this member's heartbeat counter.
 func (r *Roster) Heartbeat() { r.self.Beat++ }
@@ -81,6 +94,7 @@
 // Merge takes in the gossip of another member. A report that is newer than what is
 // known is a sign of life, and ends a suspicion.
 func (r *Roster) Merge(now time.Time, g message.Gossip) {
+	r.changed()
 	for _, m := range g.Members {
 		if m.Address == r.self.Address {
 			r.refute(m)
@@ -90,7 +104,11 @@
 		if known && compareMembers(m, old.GossipMember) <= 0 {
 			continue
 		}
-		r.known[m.Address] = rosterEntry{GossipMember: m, advanced: now}
+		e := rosterEntry{GossipMember: m, advanced: now, weight: old.weight}
+		if !known {
+			e.weight = weightOf(m.Address)
+		}
+		r.known[m.Address] = e
 	}
 	r.peak = max(r.peak, r.Size(now))
 }
