--- a/internal/gateway/placement/bench_test.go
+++ b/internal/gateway/placement/bench_test.go
@@ -68,3 +68,36 @@
 		})
 	}
 }
+
+// A large service: 240 engines and 500 prompts a second of 4,600 sessions.
+const (
+	largeEngines  = 240
+	largeSessions = 4600
+	largeInterval = time.Second / 500
+	// largeFirstParts is the number of first parts that the sessions share.
+	largeFirstParts = 80
+)
+
+// BenchmarkPlaceLarge places a prompt at the member that does so for all nodes of a
+// large service, when it has done that for 30 s. Each prompt is prefilled 200 ms later.
+func BenchmarkPlaceLarge(b *testing.B) {
+	chooser, list := placement.NewEngineChooser(), engines(largeEngines)
+	at := now
+	n := 0
+	place := func() {
+		at = at.Add(largeInterval)
+		n++
+		session := n * 7919 % largeSessions
+		chooser.Place(at, list, placement.Prompt{
+			Request: fmt.Sprint("r", n), Tokens: 3000, Slack: time.Second,
+			Shared: []placement.SharedPart{{Key: uint64(session%largeFirstParts + 1), Tokens: 300}, {Key: uint64(session + 1000), Tokens: 700}},
+		})
+		chooser.Prefilled(at, fmt.Sprint("r", n-100), true)
+	}
+	for range 15_000 {
+		place()
+	}
+	for b.Loop() {
+		place()
+	}
+}
--- a/internal/gateway/placement/byprefill.go
+++ b/internal/gateway/placement/byprefill.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
@@ -89,16 +90,13 @@
 	p.forgetExpired(now)
 	delete(p.pending, q.Request)
 	backlogs := p.backlogs()
-	mostCached := 0
-	for _, e := range engines {
-		mostCached = max(mostCached, p.cache.tokens(e.ID, q.Shared))
-	}
+	cached := p.cache.tokens(engines, q.Shared)
+	mostCached := slices.Max(append(cached, 0))
 	ranks := rendezvousRanks(engines, q.key())
 	inputs := newTransfer(q.InputBytes)
-	engine, found := best(now, engines, q.Exclude, func(e *directory.Target) assessment {
-		cached := p.cache.tokens(e.ID, q.Shared)
-		cost := p.promptCost(q, engineLoad{backlog: backlogs[e.ID], cached: cached, cachedElsewhere: mostCached - cached})
-		cost += rankCost * float64(ranks[e.ID])
+	chosen, found := best(now, engines, q.Exclude, func(i int, e *directory.Target) assessment {
+		cost := p.promptCost(q, engineLoad{backlog: backlogs[e.ID], cached: cached[i], cachedElsewhere: mostCached - cached[i]})
+		cost += rankCost * float64(ranks[i])
 		cost += inputs.cost(e.DataCentre)
 		if e.State == directory.Lapsed {
 			cost += lateCost
@@ -108,13 +106,14 @@
 	if !found {
 		return Placement{}, false
 	}
-	cached := p.cache.tokens(engine.ID, q.Shared)
+	engine := engines[chosen]
 	placed := Placement{Target: engine}
-	if source, ok := p.copySource(now, engines, engine.ID, q); ok {
-		placed.CopyFrom = source.Address
-		cached = p.cache.tokens(source.ID, q.Shared)
+	held := cached[chosen]
+	if source, ok := p.copySource(now, engines, cached, chosen, q); ok {
+		placed.CopyFrom = engines[source].Address
+		held = cached[source]
 	}
-	p.add(now, engine.ID, q, q.prefillTokens(cached), backlogs[engine.ID] == 0)
+	p.add(now, engine.ID, q, q.prefillTokens(held), backlogs[engine.ID] == 0)
 	return placed, true
 }
 
--- a/internal/gateway/placement/byprefix.go
+++ b/internal/gateway/placement/byprefix.go
@@ -59,15 +59,16 @@
 	ranks := rendezvousRanks(targets, q.Key)
 	inputs := newTransfer(q.InputBytes)
 	rankCost := max(rankTokensCost*float64(q.SharedTokens)/tokensPerUnit, minRankCost)
-	return best(now, targets, q.Exclude, func(c *directory.Target) assessment {
+	i, found := best(now, targets, q.Exclude, func(i int, c *directory.Target) assessment {
 		s := t.of(c.ID)
 		cost := s.engineLoad(now, c.Slots)
 		cost += inputs.cost(c.DataCentre)
 		if q.Key != 0 {
-			cost += rankCost * float64(min(ranks[c.ID], maxRanks))
+			cost += rankCost * float64(min(ranks[i], maxRanks))
 		}
 		return assessment{tier: s.tier(now, c.State, q.MaxInflight), cost: cost}
 	})
+	return targetAt(targets, i, found)
 }
 
 // engineLoad is the cost of an engine's load and failures, in milliseconds.
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -41,24 +41,29 @@
 }
 
 // best returns the candidate that goes before all others, among the usable targets
-// that are not excluded; of two alike the earlier one. It returns false when there
-// is none.
-func best(now time.Time, targets []directory.Target, exclude []string, assess func(*directory.Target) assessment) (directory.Target, bool) {
-	var chosen *directory.Target
+// that are not excluded, by its index; of two alike the earlier one. It returns false
+// when there is none.
+func best(now time.Time, targets []directory.Target, exclude []string, assess func(i int, c *directory.Target) assessment) (int, bool) {
+	chosen := -1
 	var least assessment
 	for i := range targets {
 		c := &targets[i]
 		if slices.Contains(exclude, c.ID) || !c.Usable(now) {
 			continue
 		}
-		if a := assess(c); chosen == nil || a.before(least) {
-			chosen, least = c, a
+		if a := assess(i, c); chosen < 0 || a.before(least) {
+			chosen, least = i, a
 		}
 	}
-	if chosen == nil {
+	return chosen, chosen >= 0
+}
+
+// targetAt returns a candidate by its index; false when none was found.
+func targetAt(targets []directory.Target, i int, found bool) (directory.Target, bool) {
+	if !found {
 		return directory.Target{}, false
 	}
-	return *chosen, true
+	return targets[i], true
 }
 
 // Query asks a TargetTable for a target.
--- a/internal/gateway/placement/copysource.go
+++ b/internal/gateway/placement/copysource.go
@@ -28,25 +28,25 @@
 // are no source. The chosen engine copies only what it lacks, so a source that has
 // dropped the parts costs a look there.
 //
-// A wrong yes occupies the links of two engines; a wrong no prefills what another
-// engine has prefilled before.
-func (p *EngineChooser) copySource(now time.Time, engines []directory.Target, chosen string, q Prompt) (directory.Target, bool) {
+// Engines are given and returned by their index; cached is what each has of the shared
+// parts, in tokens. A wrong yes occupies the links of two engines; a wrong no prefills
+// what another engine has prefilled before.
+func (p *EngineChooser) copySource(now time.Time, engines []directory.Target, cached []int, chosen int, q Prompt) (source int, found bool) {
 	if !p.copiesFast() {
-		return directory.Target{}, false
+		return 0, false
 	}
-	most := p.cache.tokens(chosen, q.Shared) + minCopyTokens
-	var source directory.Target
+	most := cached[chosen] + minCopyTokens
 	var last time.Time
-	for _, e := range engines {
-		if e.ID == chosen || e.State == directory.Lapsed || !e.Usable(now) || slices.Contains(q.Exclude, e.ID) {
+	for i, e := range engines {
+		if cached[i] < most || i == chosen || e.State == directory.Lapsed || !e.Usable(now) || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
-		tokens, used := p.cache.tokens(e.ID, q.Shared), p.cache.lastUsed(e.ID, q.Shared)
-		if tokens > most || (tokens == most && used.After(last)) {
-			most, last, source = tokens, used, e
+		used := p.cache.lastUsed(e.ID, q.Shared)
+		if cached[i] > most || used.After(last) {
+			most, last, source, found = cached[i], used, i, true
 		}
 	}
-	return source, source.ID != ""
+	return source, found
 }
 
 // copiesFast says whether engines copy cached tokens so much faster than they prefill
--- a/internal/gateway/placement/leastloaded.go
+++ b/internal/gateway/placement/leastloaded.go
@@ -34,7 +34,7 @@
 // given is chosen. A wrong answer costs the difference of two targets' waiting
 // times, and an attempt when the target fails. See docs/decisions/0011.
 func (t *TargetTable) LeastLoaded(now time.Time, targets []directory.Target, q Query) (directory.Target, bool) {
-	return best(now, targets, q.Exclude, func(c *directory.Target) assessment {
+	i, found := best(now, targets, q.Exclude, func(_ int, c *directory.Target) assessment {
 		s := t.of(c.ID)
 		latency := max(s.latency*remainingWeight(now, s.learntAt), minLatency)
 		cost := latency * (1 + s.outstanding(now)/s.slots(c.Slots)) * (1 + failurePenalty*s.failing)
@@ -43,4 +43,5 @@
 		}
 		return assessment{tier: s.tier(now, c.State, q.MaxInflight), cost: cost}
 	})
+	return targetAt(targets, i, found)
 }
--- a/internal/gateway/placement/prefixcache.go
+++ b/internal/gateway/placement/prefixcache.go
@@ -11,6 +11,10 @@
 // last use. Not measured (commit e368e2f).
 const cachedFor = 30 * time.Second
 
+// forgetInterval is how often parts that are too old are looked for: to go through
+// thousands of them for each prompt takes longer than to place it.
+const forgetInterval = time.Second
+
 // SharedPart is a part of a prompt that other prompts may begin with too.
 type SharedPart struct {
 	// Key is the hash of the part's identity.
@@ -25,6 +29,8 @@
 type prefixCache struct {
 	// used says when each engine last used a part, by the part's key.
 	used map[uint64]map[string]time.Time
+	// forgotten is when parts that were too old were last looked for.
+	forgotten time.Time
 }
 
 func newPrefixCache() prefixCache {
@@ -41,17 +47,23 @@
 	}
 }
 
-// tokens returns how many tokens of a prompt's shared parts an engine has cached: a
-// part counts only when all parts before it do.
-func (c *prefixCache) tokens(engine string, parts []SharedPart) int {
-	total := 0
-	for _, part := range parts {
-		if _, cached := c.used[part.Key][engine]; !cached {
-			break
+// tokens returns how many tokens of a prompt's shared parts each engine has cached, in
+// the order of the engines: a part counts only when all parts before it do.
+func (c *prefixCache) tokens(engines []directory.Target, parts []SharedPart) []int {
+	totals := make([]int, len(engines))
+	holders := make([]map[string]time.Time, len(parts))
+	for k, part := range parts {
+		holders[k] = c.used[part.Key]
+	}
+	for i, e := range engines {
+		for k, part := range parts {
+			if _, cached := holders[k][e.ID]; !cached {
+				break
+			}
+			totals[i] += part.Tokens
 		}
-		total += part.Tokens
 	}
-	return total
+	return totals
 }
 
 // lastUsed returns when an engine last used the last of the parts.
@@ -72,8 +84,12 @@
 	}
 }
 
-// forgetExpired drops what is too old to count.
+// forgetExpired drops what is too old to count, at most once in forgetInterval.
 func (c *prefixCache) forgetExpired(now time.Time) {
+	if now.Sub(c.forgotten) < forgetInterval {
+		return
+	}
+	c.forgotten = now
 	maps.DeleteFunc(c.used, func(_ uint64, engines map[string]time.Time) bool {
 		maps.DeleteFunc(engines, func(_ string, used time.Time) bool { return now.Sub(used) > cachedFor })
 		return len(engines) == 0
--- a/internal/gateway/placement/rendezvous.go
+++ b/internal/gateway/placement/rendezvous.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
@@ -16,20 +19,20 @@
 	return mix(key ^ xxhash.Sum64String(name))
 }
 
-// rendezvousRanks returns the rank of each target for a key: how many targets come
-// before it, 0 for the first.
-func rendezvousRanks(targets []directory.Target, key uint64) map[string]int {
+// rendezvousRanks returns the rank of each target for a key, in the order of the
+// targets: how many targets come before it, 0 for the first. It sorts the weights once,
+// since the member that places the prompts of all nodes asks for it with hundreds of
+// targets and hundreds of times a second (BenchmarkPlaceLarge).
+func rendezvousRanks(targets []directory.Target, key uint64) []int {
 	weights := make([]uint64, len(targets))
 	for i, t := range targets {
 		weights[i] = rendezvousWeight(key, t.ID)
 	}
-	ranks := make(map[string]int, len(targets))
-	for i, t := range targets {
-		for _, w := range weights {
-			if w > weights[i] {
-				ranks[t.ID]++
-			}
-		}
+	descending := slices.Clone(weights)
+	slices.SortFunc(descending, func(a, b uint64) int { return cmp.Compare(b, a) })
+	ranks := make([]int, len(targets))
+	for i, w := range weights {
+		ranks[i], _ = slices.BinarySearchFunc(descending, w, func(a, b uint64) int { return cmp.Compare(b, a) })
 	}
 	return ranks
 }
