Send a node's plain calls to as many targets as leave their connections free

Cause: each of 295 nodes kept connections to all 6 targets of the plain service, which take 370 each.

Change: by the connections of a target, the targets and the nodes alive, a node uses a part of the targets while these are healthy (3 of 6 here), those of its data centre first, the others by rendezvous hashing of its name. Others come before targets whose share of connections is in use. Where connections are many, as on all sites of few nodes, nothing changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 		exchange: g.gossip.exchange,
 	}
 	g.relay = relay.New(relay.Config{
-		DataCentre: g.cfg.DataCentre, View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
+		DataCentre: g.cfg.DataCentre, Node: g.PeerAddress(), View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries, Members: g.members.size,
 	})
 	g.wireServers()
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -15,6 +15,8 @@
 const (
 	// healthy candidates are used first.
 	healthy tier = iota
+	// outside candidates are not in the node's Subset.
+	outside
 	// connectionsFull candidates have this node's share of their connections in
 	// use: a call more waits or is refused there.
 	connectionsFull
@@ -80,6 +82,8 @@
 	MaxInflight int
 	// InputBytes is how many bytes of results the call reads from each data centre.
 	InputBytes map[string]int64
+	// Subset limits the targets of plain calls.
+	Subset Subset
 }
 
 // tier returns the tier of a candidate in a state, of which this node may use
--- a/internal/gateway/placement/leastloaded.go
+++ b/internal/gateway/placement/leastloaded.go
@@ -34,14 +34,19 @@
 // given is chosen. A wrong answer costs the difference of two targets' waiting
 // times, and an attempt when the target fails. See docs/decisions/0011.
 func (t *TargetTable) LeastLoaded(now time.Time, targets []directory.Target, q Query) (directory.Target, bool) {
-	i, found := best(now, targets, q.Exclude, func(_ int, c *directory.Target) assessment {
+	subset := q.Subset.contains(targets, q.DataCentre)
+	i, found := best(now, targets, q.Exclude, func(i int, c *directory.Target) assessment {
 		s := t.of(c.ID)
 		latency := max(s.latency*remainingWeight(now, s.learntAt), minLatency)
 		cost := latency * (1 + s.outstanding(now)/s.slots(c.Slots)) * (1 + failurePenalty*s.failing)
 		if c.DataCentre != q.DataCentre {
 			cost += otherDataCentreCost
 		}
-		return assessment{tier: s.tier(now, c.State, q.MaxInflight), cost: cost}
+		level := s.tier(now, c.State, q.MaxInflight)
+		if subset != nil && !subset[i] {
+			level = max(level, outside)
+		}
+		return assessment{tier: level, cost: cost}
 	})
 	return targetAt(targets, i, found)
 }
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -17,6 +17,8 @@
 type chooser struct {
 	*resolved
 	dataCentre string
+	// node is this node's own name.
+	node string
 	// view returns the newest view: it may know that a target leaves, while the
 	// request's own view still governs its route.
 	view    func() *view.View
@@ -31,7 +33,7 @@
 
 func (s *Server) chooser(r *resolved) *chooser {
 	return &chooser{
-		resolved: r, dataCentre: s.cfg.DataCentre, view: s.cfg.View, placer: s.cfg.Placer, targets: s.targets,
+		resolved: r, dataCentre: s.cfg.DataCentre, node: s.cfg.Node, view: s.cfg.View, placer: s.cfg.Placer, targets: s.targets,
 		now: s.cfg.Now, members: s.cfg.Members,
 	}
 }
@@ -83,7 +85,9 @@
 		q.SharedTokens += part.Tokens
 	}
 	if c.service.MaxConnections > 0 {
-		q.MaxInflight = rules.ConnectionShare(c.service.MaxConnections, c.members())
+		nodes := c.members()
+		q.MaxInflight = rules.ConnectionShare(c.service.MaxConnections, nodes)
+		q.Subset = placement.Subset{Node: c.node, Size: rules.TargetsPerNode(c.service.MaxConnections, nodes, len(list))}
 	}
 	return c.targets.choose(c.service.Engine, list, q)
 }
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -32,6 +32,8 @@
 // Config holds what a Server is made of.
 type Config struct {
 	DataCentre string
+	// Node is this node's own name; no other node has it.
+	Node string
 	// View returns the newest view.
 	View func() *view.View
 	// AwaitCatalog waits until the first configuration is there, when that may come
