--- a/internal/harness/demo/demo.go
+++ b/internal/harness/demo/demo.go
@@ -30,7 +30,7 @@
 	// within the demonstration.
 	stall = 400 * time.Millisecond
 	// engineBase is the time before an engine's first token, engineToken that between
-	// tokens; not measured.
+	// tokens.
 	engineBase  = 5 * time.Millisecond
 	engineToken = time.Millisecond
 	// mixRate in requests a second, mixTime and seed give each user's mix of requests.
--- a/internal/harness/experiment/workload.go
+++ b/internal/harness/experiment/workload.go
@@ -26,8 +26,7 @@
 // Conditions lists them in the order of the tables.
 var Conditions = []string{ConditionCalm, ConditionBurst, ConditionSlow, ConditionFail, ConditionLag, ConditionLong}
 
-// The figures of the comparison, as docs/MEASUREMENTS.md describes its conditions;
-// not measured.
+// The figures of the comparison, as docs/MEASUREMENTS.md describes its conditions.
 const (
 	policyNodes = 3
 	// policySlots is how many calls each stand-in works on at once.
--- a/internal/harness/lab/lab.go
+++ b/internal/harness/lab/lab.go
@@ -28,7 +28,7 @@
 const (
 	loopback = "127.0.0.1:0"
 	approver = "lab"
-	// readyPoll is how often Poll looks; not measured.
+	// readyPoll is how often Poll looks.
 	readyPoll = 5 * time.Millisecond
 )
 
--- a/internal/harness/lab/options.go
+++ b/internal/harness/lab/options.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// defaultNodes is not measured.
+	// defaultNodes is enough for a majority to outlive one.
 	defaultNodes = 3
 	// plenty is a limit of an organisation, in calls at once and requests a second,
 	// and plentyTokens one in tokens a second, that no load of the harnesses
@@ -86,7 +86,7 @@
 	return cfg
 }
 
-// defaultSpeeds are short, so that tests are quick; not measured.
+// defaultSpeeds are short, so that tests are quick.
 func defaultSpeeds() map[bundle.Kind]standin.Speed {
 	return map[bundle.Kind]standin.Speed{
 		bundle.KindEncoder:   {Base: time.Millisecond},
--- a/internal/harness/load/load.go
+++ b/internal/harness/load/load.go
@@ -22,11 +22,10 @@
 )
 
 const (
-	// maxRequests and maxDuration bound one run; not measured.
+	// maxRequests and maxDuration bound one run.
 	maxRequests = 1_000_000
 	maxDuration = 10 * time.Minute
-	// idlePerNode is how many idle connections to a node are kept for the next
-	// calls; not measured.
+	// idlePerNode is how many idle connections to a node are kept for the next calls.
 	idlePerNode = 1024
 	// leastBurstRest is the least factor of the rate outside bursts, so that a burst
 	// that takes the whole mean does not stop the arrivals for good.
--- a/internal/harness/matrix/matrix.go
+++ b/internal/harness/matrix/matrix.go
@@ -51,10 +51,10 @@
 	everyAttempt = 8
 	// pauseLength is longer than every deadline of the matrix.
 	pauseLength = time.Hour
-	// deadlineMs is the deadline of every pipeline, in milliseconds; short, since
-	// calls to silent targets may wait for it. Not measured.
+	// deadlineMs is the deadline of every pipeline, in milliseconds; short, since calls to
+	// silent targets may wait for it.
 	deadlineMs = 900
-	// cellLimit bounds one cell; not measured.
+	// cellLimit bounds one cell.
 	cellLimit = 20 * time.Second
 	// Limits of an organisation that the cells, one at a time, never reach.
 	manyCalls    = 1000
--- a/internal/harness/standin/loadlog.go
+++ b/internal/harness/standin/loadlog.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// keptLoads bounds the loads that are kept; not measured.
+// keptLoads bounds the loads that are kept.
 const keptLoads = 1024
 
 // loadLog remembers the load so that reports can lag.
--- a/internal/harness/standin/platform.go
+++ b/internal/harness/standin/platform.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// maxWatch is how long a watch of the configuration service waits for a change;
-	// not measured.
+	// maxWatch is how long a watch of the configuration service waits for a change.
 	maxWatch = 30 * time.Second
 	// tagBytes is how much of the value's digest is its entity tag.
 	tagBytes = 8
--- a/internal/harness/standin/serve.go
+++ b/internal/harness/standin/serve.go
@@ -20,16 +20,15 @@
 )
 
 const (
-	// defaultCeiling is the most tokens of an answer whose request names no ceiling;
-	// not measured.
+	// defaultCeiling is the most tokens of an answer whose request names no ceiling.
 	defaultCeiling = 64
 	bytesPerKB     = 1024
 	// foreignIdentity is the identity that crossed answers carry.
 	foreignIdentity = "somebody-else"
-	// cacheEntries bounds an engine's prefix cache, in prompts; not measured.
+	// cacheEntries bounds an engine's prefix cache, in prompts.
 	cacheEntries = 64
-	// cacheShare is the share of the time before the first token that a cached
-	// prefix costs; not measured.
+	// cacheShare is the share of the time before the first token that a cached prefix
+	// costs.
 	cacheShare = 0.1
 )
 
--- a/internal/native/admission/eject.go
+++ b/internal/native/admission/eject.go
@@ -23,17 +23,14 @@
 // Why so: docs/decisions/0007-routing.md. A target ejected without need takes slots
 // from the pool; one that is not ejected costs each attempt sent to it a retry.
 const (
-	// failuresToEject is how many failures in a row eject a target. Set with the
-	// first whole path (307e17d); not measured.
+	// failuresToEject is how many failures in a row eject a target.
 	failuresToEject = 3
-	// maxEjectedShare is the largest share of a pool's targets in use that may be
-	// ejected, so that failures of the node's own side do not close the whole pool.
-	// Set with the first whole path (307e17d); not measured.
+	// maxEjectedShare is the largest share of a pool's targets in use that may be ejected,
+	// so that failures of the node's own side do not close the whole pool.
 	maxEjectedShare = 0.5
 )
 
-// ejectionBackoff gives the length of an ejection by the ejections before it. Both
-// figures were set with the first whole path (307e17d); not measured.
+// ejectionBackoff gives the length of an ejection by the ejections before it.
 var ejectionBackoff = backoff.Doubling{First: 500 * time.Millisecond, Max: 30 * time.Second}
 
 // health is what this node's attempts say of a target. It is immutable.
--- a/internal/native/admission/estimate.go
+++ b/internal/native/admission/estimate.go
@@ -24,7 +24,6 @@
 // that fit.
 const (
 	// learnRate is the weight of a new observation in the moving means, a share.
-	// Set with the first whole path (307e17d); not measured.
 	learnRate = 0.1
 	// sizeClasses is how many classes of work size there are: one for each power of
 	// two up to 4 GiB, derived from the bits of a size.
--- a/internal/native/admission/fit.go
+++ b/internal/native/admission/fit.go
@@ -25,8 +25,7 @@
 // of a target and the caller's wait; a wrong "it does not" refuses a request that
 // would have ended in time.
 const (
-	// maxHeld bounds the attempts held for one pool. Set with the first whole path
-	// (307e17d) to bound memory; not measured.
+	// maxHeld bounds the attempts held for one pool. It bounds memory.
 	maxHeld = 4096
 )
 
--- a/internal/native/admission/hold.go
+++ b/internal/native/admission/hold.go
@@ -22,15 +22,13 @@
 // ends work late that could have waited no longer, or lets one organisation's burst
 // delay all others.
 const (
-	// fairAllowance is how much more work an organisation with a weight of 1 may
-	// have been served than the least served one and still go first, in attempts of
-	// the mean size held. Set by 62b8a4e: attainment 98.5 / 88.2 / 65.1 % at 0.9 /
-	// 1.2 / 2.0 load, before 98.8 / 87.5 / 62.8 % (docs/MEASUREMENTS.md,
-	// rounds).
+	// fairAllowance is how much more work an organisation with a weight of 1 may have been
+	// served than the least served one and still go first, in attempts of the mean size
+	// held. With it attainment was 98.5, 88.2 and 65.1 % at 0.9, 1.2 and 2.0 load, without
+	// 98.8, 87.5 and 62.8 %.
 	fairAllowance = 4
-	// minimumCharge is the least expected time that a grant counts as, so that
-	// stages without a known time are not served for nothing. Set with the first
-	// whole path (307e17d); not measured.
+	// minimumCharge is the least expected time that a grant counts as, so that stages
+	// without a known time are not served for nothing.
 	minimumCharge = time.Millisecond
 )
 
--- a/internal/native/admission/organisation.go
+++ b/internal/native/admission/organisation.go
@@ -23,12 +23,10 @@
 // refuse work that there are slots for; limits that are too high leave the shares
 // to shedding alone. The limits are the operator's, in the bundle.
 const (
-	// concurrencyRetryAfter is when to retry after a limit of concurrency: nothing
-	// says when a request in flight will end. Set with the first whole path
-	// (307e17d); not measured.
+	// concurrencyRetryAfter is when to retry after a limit of concurrency: nothing says
+	// when a request in flight will end.
 	concurrencyRetryAfter = 200 * time.Millisecond
-	// burstSeconds is how many seconds' worth of a rate may be used at once. Set
-	// with the first whole path (307e17d); not measured.
+	// burstSeconds is how many seconds' worth of a rate may be used at once.
 	burstSeconds = 1
 )
 
--- a/internal/native/admission/read.go
+++ b/internal/native/admission/read.go
@@ -16,16 +16,14 @@
 // may be leaving.
 //
 // Why so: reading all reports took 47,853 bytes a second a node of the 4,096 allowed
-// (98de79e; docs/decisions/0007-routing.md). A wrong order leaves routing with old
-// reports of busy pools, and leaving or restarted targets unnoticed.
+// (docs/decisions/0007-routing.md). A wrong order leaves routing with old reports of
+// busy pools, and leaving or restarted targets unnoticed.
 const (
-	// idleWeight is the weight of an idle pool beside 1 for a pool whose slots are
-	// all taken. Set by 522fbae with the square of the load: attainment in bursts at
-	// 0.9 load from 89.4 to 93.2 % (docs/MEASUREMENTS.md, rounds); measured together
-	// with the square, not alone.
+	// idleWeight is the weight of an idle pool beside 1 for a pool whose slots are all
+	// taken. With it and the square of the load attainment in bursts rose from 89.4 to
+	// 93.2 % at 0.9 load.
 	idleWeight = 0.02
 	// ejectedWeight is the weight of an ejected target, about that of a full pool.
-	// Set by 522fbae; not measured alone.
 	ejectedWeight = 1
 )
 
--- a/internal/native/admission/refusal.go
+++ b/internal/native/admission/refusal.go
@@ -15,15 +15,12 @@
 // (docs/decisions/0008-holding-and-refusing.md). A time that is too short brings
 // retries that are refused again; one that is too long leaves slots free.
 const (
-	// minimumRetryAfter is the shortest time after which to retry. Set with the
-	// first whole path (307e17d); not measured.
+	// minimumRetryAfter is the shortest time after which to retry.
 	minimumRetryAfter = 50 * time.Millisecond
-	// unknownRetryAfter is the time after which to retry when no ejected target
-	// will be probed: all are leaving. Set with the first whole path (307e17d);
-	// not measured.
+	// unknownRetryAfter is the time after which to retry when no ejected target will be
+	// probed: all are leaving.
 	unknownRetryAfter = time.Second
-	// retryJitter lengthens a retry time by up to this share of it. Set with the
-	// first whole path (307e17d); not measured.
+	// retryJitter lengthens a retry time by up to this share of it.
 	retryJitter = 0.5
 )
 
--- a/internal/native/admission/retrybudget.go
+++ b/internal/native/admission/retrybudget.go
@@ -11,26 +11,23 @@
 // node's calls take now. A pool with no slot in service counts as fully loaded.
 // The budgets start full and are not reset by a bundle.
 //
-// Why so: a pool that fails as a whole must not get more load from retries; and
-// targets that refuse because they leave must not use up the budget for losses, as
-// the others can take what they refuse (dfb29a7;
-// docs/decisions/0008-holding-and-refusing.md). A budget that is too small fails
-// requests that a second target would have served; one that is too large
-// multiplies the load of a failing pool.
+// Why so: a pool that fails as a whole must not get more load from retries; and targets
+// that refuse because they leave must not use up the budget for losses, as the others
+// can take what they refuse (docs/decisions/0008-holding-and-refusing.md). A budget
+// that is too small fails requests that a second target would have served; one that is
+// too large multiplies the load of a failing pool.
 const (
-	// earnedPerAttempt is how many retries a first attempt pays for when the pool
-	// is idle; it falls to 0 as the pool fills. Set with the first whole path
-	// (307e17d); not measured.
+	// earnedPerAttempt is how many retries a first attempt pays for when the pool is idle;
+	// it falls to 0 as the pool fills.
 	earnedPerAttempt = 0.2
-	// budgetLimit is the most retries saved up, and what a budget starts with. Set
-	// with the first whole path (307e17d); not measured.
+	// budgetLimit is the most retries saved up, and what a budget starts with.
 	budgetLimit = 10
 	// priceAfterLoss is what a retry after a possible run takes: the unit of the
 	// budgets.
 	priceAfterLoss = 1.0
-	// priceAfterProof is what a retry after a proof of not-run takes, which cost
-	// its target next to nothing. Set by dfb29a7, when the fault matrix showed
-	// leaving targets that used up the budget; other prices were not measured.
+	// priceAfterProof is what a retry after a proof of not-run takes, which cost its
+	// target next to nothing. With the full price leaving targets used up the budget in
+	// the fault matrix.
 	priceAfterProof = 0.2
 )
 
--- a/internal/native/admission/shed.go
+++ b/internal/native/admission/shed.go
@@ -29,30 +29,25 @@
 // give attainment with and without). Shedding too much leaves slots free; shedding
 // too little admits work that is then held until it is late.
 const (
-	// rateWindow is the time over which arrival rates are averaged. Set by d0486dc;
-	// not measured alone.
+	// rateWindow is the time over which arrival rates are averaged.
 	rateWindow = 2 * time.Second
-	// minimumAge keeps the first arrivals of a class from looking like a flood. Set
-	// by 62b8a4e with the correction of rates for the age of a class (attainment 96.3
-	// / 80.3 % at 1.2 / 2.0 load, before 94.2 / 77.4 %); the figure was not measured
-	// alone.
+	// minimumAge keeps the first arrivals of a class from looking like a flood. With the
+	// correction of rates for the age of a class attainment was 96.3 and 80.3 % at 1.2 and
+	// 2.0 load, without 94.2 and 77.4 %.
 	minimumAge = 200 * time.Millisecond
-	// replanInterval is how often the shares of the classes are worked out. Set by
-	// d0486dc; not measured alone. A shed request may be retried after it.
+	// replanInterval is how often the shares of the classes are worked out. A shed request
+	// may be retried after it.
 	replanInterval = 100 * time.Millisecond
-	// shedFor is how long requests are shed after work was last held. Without it
-	// every pause of the queue would admit the whole load. Set by 62b8a4e: no gain
-	// alone, kept with the correction of rates.
+	// shedFor is how long requests are shed after work was last held. Without it every
+	// pause of the queue would admit the whole load. It brings nothing by itself.
 	shedFor = time.Second
-	// headroom is the part of a congested pool's slots that is planned for. Set by
-	// 7c01f0c: Floraria 98.1 / 91.6 / 79.6 % at 0.9 / 1.2 / 2.0 load, with 0.95 97.1
-	// / 91.2 / 79.7 %.
+	// headroom is the part of a congested pool's slots that is planned for. Attainment was
+	// 98.1, 91.6 and 79.6 % at 0.9, 1.2 and 2.0 load, with 0.95 97.1, 91.2 and 79.7 %.
 	headroom = 1.1
-	// forgetRate is the rate, in requests a second, below which a class is
-	// forgotten. Set by d0486dc to bound memory; not measured.
+	// forgetRate is the rate, in requests a second, below which a class is forgotten. It
+	// bounds memory.
 	forgetRate = 0.01
-	// maxCredit is the most requests that a class saves up. Set by d0486dc; not
-	// measured.
+	// maxCredit is the most requests that a class saves up.
 	maxCredit = 2
 )
 
--- a/internal/native/admission/subset.go
+++ b/internal/native/admission/subset.go
@@ -19,12 +19,12 @@
 // not grow with the pool (docs/decisions/0007-routing.md). Too few targets put a
 // node's load on some; too many cost connections and bytes of reports.
 const (
-	// subset is how many targets of a pool a node uses while they are in service.
-	// Set by d9659be: 3.6 µs a decision at 3,000 targets in place of 313 µs, and 50
-	// nodes use more than 600 of 1,000 targets; other sizes were not measured.
+	// subset is how many targets of a pool a node uses while they are in service. A
+	// decision takes 3.6 µs among 3,000 targets in place of 313 µs, and 50 nodes use more
+	// than 600 of 1,000 targets.
 	subset = 32
-	// widenFactor is by how much the targets in use grow, and the part of subset
-	// (one over it) that must be in service. Set by d9659be; not measured.
+	// widenFactor is by how much the targets in use grow, and the part of subset (one over
+	// it) that must be in service.
 	widenFactor = 2
 	// localFirst is the bit of a preference that puts targets of the node's data
 	// centre before all others: the highest.
--- a/internal/native/membership/membership.go
+++ b/internal/native/membership/membership.go
@@ -32,31 +32,28 @@
 // to others in vain; a mark that is passed on too shortly leaves nodes to learn of a
 // leaving target by its refusal.
 const (
-	// liveFor is how long after its last exchange a peer counts as live: five rounds
-	// of exchange. Set with the first whole path (307e17d); not measured.
+	// liveFor is how long after its last exchange a peer counts as live: five rounds of
+	// exchange.
 	liveFor = 5 * time.Second
-	// forgetAfter is how long a peer that never answers stays known. Set with the
-	// first whole path (307e17d); not measured.
+	// forgetAfter is how long a peer that never answers stays known.
 	forgetAfter = 10 * time.Minute
-	// countedFor is how long after its last exchange a peer counts for the size of
-	// the fleet. Set by 98de79e; not measured alone.
+	// countedFor is how long after its last exchange a peer counts for the size of the
+	// fleet.
 	countedFor = time.Minute
-	// maxPeersNamed bounds the peers that one exchange names. Set by 98de79e with the
-	// other bounds of control traffic: 3,656 to 3,844 bytes a second a node at 5 to 30
-	// nodes, in place of 47,853.
+	// maxPeersNamed bounds the peers that one exchange names. With the other bounds of
+	// control traffic a node sends 3,656 to 3,844 bytes a second at 5 to 30 nodes, in
+	// place of 47,853.
 	maxPeersNamed = 4
-	// maxMarksNamed bounds the leaving marks that one exchange names. Set by 98de79e,
-	// as maxPeersNamed.
+	// maxMarksNamed bounds the leaving marks that one exchange names. See maxPeersNamed.
 	maxMarksNamed = 32
 	// passMarkFor is how long a leaving mark is passed on after it became known. The
-	// exchange spreads it to all nodes in a few rounds; a node that starts later has
-	// the target's own report. Set by 98de79e; not measured alone.
+	// exchange spreads it to all nodes in a few rounds; a node that starts later has the
+	// target's own report.
 	passMarkFor = 30 * time.Second
-	// MaxMarks bounds the leaving marks held; the oldest go first. Set with the first
-	// whole path (307e17d) to bound memory; not measured.
+	// MaxMarks bounds the leaving marks held; the oldest go first. It bounds memory.
 	MaxMarks = 4096
 	// nearRatio makes one in nearRatio samples of peers come from the node's own data
-	// centre alone. Set by 98de79e; not measured alone.
+	// centre alone.
 	nearRatio = 2
 )
 
--- a/internal/native/membership/readers.go
+++ b/internal/native/membership/readers.go
@@ -23,20 +23,17 @@
 // (docs/decisions/0006-membership.md). Too few readers delay a bundle by the time
 // until others step in; too many only cost the service reads.
 const (
-	// wantedReaders is how many nodes of a data centre read the configuration
-	// service. Set by 98de79e: 1 to 4 readers of a data centre of 1 to 200 nodes,
-	// replaced when they die (TestReaders).
+	// wantedReaders is how many nodes of a data centre read the configuration service.
+	// With it there are 1 to 4 readers of a data centre of 1 to 200 nodes, replaced when
+	// they die (TestReaders).
 	wantedReaders = 2
-	// readerFor is how long a reader counts after it was last known to read: some
-	// rounds of exchange, since it becomes known from node to node. Set by 98de79e;
-	// not measured alone.
+	// readerFor is how long a reader counts after it was last known to read: some rounds
+	// of exchange, since it becomes known from node to node.
 	readerFor = 15 * time.Second
-	// readerDelay is the unit of the delay after which a node becomes a reader, so
-	// that a few do and the rest learn of those first. Set by 98de79e; not measured
-	// alone.
+	// readerDelay is the unit of the delay after which a node becomes a reader, so that a
+	// few do and the rest learn of those first.
 	readerDelay = 500 * time.Millisecond
-	// readerDelays is how many different delays there are: 0 to 7.5 s. Set by
-	// 98de79e; not measured alone.
+	// readerDelays is how many different delays there are: 0 to 7.5 s.
 	readerDelays = 16
 )
 
--- a/internal/native/node/actorref.go
+++ b/internal/native/node/actorref.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 )
 
-// askTimeout bounds the wait for an actor's answer; not measured. Actors do no
-// input or output, so only an overloaded or stopping process is this slow.
+// askTimeout bounds the wait for an actor's answer. Actors do no input or output, so
+// only an overloaded or stopping process is this slow.
 const askTimeout = 2 * time.Second
 
 // actorRef is the address of an actor. It is empty until spawn.
--- a/internal/native/node/attempt.go
+++ b/internal/native/node/attempt.go
@@ -15,8 +15,8 @@
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
-// prefixBytes is how much of the input decides which engine is likely to hold
-// its prefix in its cache; not measured.
+// prefixBytes is how much of the input decides which engine is likely to hold its
+// prefix in its cache.
 const prefixBytes = 1024
 
 // attempt is one attempt of one stage: it waits for a target, calls it and sends
--- a/internal/native/node/body.go
+++ b/internal/native/node/body.go
@@ -14,7 +14,7 @@
 
 const (
 	bearerPrefix = "Bearer "
-	// readTimeout bounds the time that a caller takes to send a body; not measured.
+	// readTimeout bounds the time that a caller takes to send a body.
 	readTimeout = 30 * time.Second
 )
 
--- a/internal/native/node/control.go
+++ b/internal/native/node/control.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// gossipInterval is how often a node exchanges updates with a peer. Commit
-	// 98de79e measured the bytes that it costs with updateFanOut.
+	// gossipInterval is how often a node exchanges updates with a peer. Half of it doubles
+	// the bytes of control.
 	gossipInterval = time.Second
-	// reportInterval is how often one load report is read; admission names the
-	// target whose report is worth most. Commit 071f13f set it, so that control
-	// traffic stays under 4,096 bytes a second a node.
+	// reportInterval is how often one load report is read; admission names the target
+	// whose report is worth most. It keeps control traffic under 4,096 bytes a second a
+	// node.
 	reportInterval = 250 * time.Millisecond
 )
 
--- a/internal/native/node/controlclient.go
+++ b/internal/native/node/controlclient.go
@@ -12,11 +12,10 @@
 )
 
 const (
-	// controlIdleTimeout is how long an unused connection to a peer, the platform
-	// or a target's load report stays open; not measured.
+	// controlIdleTimeout is how long an unused connection to a peer, the platform or a
+	// target's load report stays open.
 	controlIdleTimeout = 60 * time.Second
-	// controlIdlePerHost is how many unused connections stay open to each of them;
-	// not measured.
+	// controlIdlePerHost is how many unused connections stay open to each of them.
 	controlIdlePerHost = 4
 )
 
--- a/internal/native/node/drain.go
+++ b/internal/native/node/drain.go
@@ -8,12 +8,11 @@
 )
 
 const (
-	// drainPoll is how often a stopping node looks for work in flight; not
-	// measured.
+	// drainPoll is how often a stopping node looks for work in flight.
 	drainPoll = 20 * time.Millisecond
-	// drainQuiet is how long nothing must be in flight before a stopping node
-	// closes its connections. A caller whose answer has just ended may be sending
-	// its next request; it is to be refused, not cut. Commit 5873407 set it.
+	// drainQuiet is how long nothing must be in flight before a stopping node closes its
+	// connections. A caller whose answer has just ended may be sending its next request;
+	// it is to be refused, not cut.
 	drainQuiet = 250 * time.Millisecond
 )
 
--- a/internal/native/node/gate.go
+++ b/internal/native/node/gate.go
@@ -11,7 +11,7 @@
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
-// minimumTick is the shortest time between two ticks of the core; not measured.
+// minimumTick is the shortest time between two ticks of the core.
 const minimumTick = time.Millisecond
 
 // gate owns the admission core and carries out its effects: it wakes those who
--- a/internal/native/node/identities.go
+++ b/internal/native/node/identities.go
@@ -9,8 +9,7 @@
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
-// maxIdentity bounds the identity that a caller may give its request, in bytes;
-// not measured.
+// maxIdentity bounds the identity that a caller may give its request, in bytes.
 const maxIdentity = 128
 
 // identities gives requests and jobs identities that no other of the fleet has.
--- a/internal/native/node/incarnation.go
+++ b/internal/native/node/incarnation.go
@@ -24,8 +24,7 @@
 	return [...]string{"starting", "serving", "leaving"}[p]
 }
 
-// notReadyRetryAfter is when a caller that a starting node refused may retry;
-// not measured.
+// notReadyRetryAfter is when a caller that a starting node refused may retry.
 const notReadyRetryAfter = time.Second
 
 // incarnation is one life of the node: its identity, its address, its clock, its
--- a/internal/native/node/instancelist.go
+++ b/internal/native/node/instancelist.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// listInterval is how often the platform's list is read; not measured.
+	// listInterval is how often the platform's list is read.
 	listInterval = 5 * time.Second
-	// listTimeout bounds one read of it; not measured.
+	// listTimeout bounds one read of it.
 	listTimeout = 2 * time.Second
 )
 
--- a/internal/native/node/loads.go
+++ b/internal/native/node/loads.go
@@ -49,7 +49,7 @@
 	}()
 }
 
-// reportTimeout bounds the read of a load report; not measured.
+// reportTimeout bounds the read of a load report.
 const reportTimeout = time.Second
 
 // reportReader reads load reports of targets and passes them to admission.
--- a/internal/native/node/members.go
+++ b/internal/native/node/members.go
@@ -37,9 +37,9 @@
 	return view, errors.Wrap(err, "ask for the peers")
 }
 
-// updateFanOut is to how many peers a node passes an update at once; with nothing
-// new it exchanges with one at each gossipInterval. Commit 98de79e measured the
-// bytes that it costs; see docs/decisions/0006-membership.md.
+// updateFanOut is to how many peers a node passes an update at once; with nothing new
+// it exchanges with one at each gossipInterval. See docs/decisions/0006-membership.md
+// for the bytes that it costs.
 const updateFanOut = 3
 
 // memberActor owns the node's membership.View and starts its exchanges.
--- a/internal/native/node/metrics.go
+++ b/internal/native/node/metrics.go
@@ -13,7 +13,7 @@
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
-// metricsInterval is how often counts reach the handler; not measured.
+// metricsInterval is how often counts reach the handler.
 const metricsInterval = time.Second
 
 // metrics counts what the node does, in the exposition format of Prometheus.
--- a/internal/native/node/refusal.go
+++ b/internal/native/node/refusal.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// minimumRetry is the shortest time after which a refused caller may retry;
-	// not measured.
+	// minimumRetry is the shortest time after which a refused caller may retry.
 	minimumRetry = 200 * time.Millisecond
 	// headerShouldRetry is a header of OpenAI's clients.
 	headerShouldRetry = "X-Should-Retry"
--- a/internal/native/node/reply.go
+++ b/internal/native/node/reply.go
@@ -15,9 +15,9 @@
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
-// maxRecorded bounds the answer that a ticket's home remembers, in bytes; it is
-// that of docs/decisions/0004-at-most-once.md and was not measured. A longer one is
-// not kept, and a later use of the ticket gets only its verdict.
+// maxRecorded bounds the answer that a ticket's home remembers, in bytes; it is that of
+// docs/decisions/0004-at-most-once.md. A longer one is not kept, and a later use of the
+// ticket gets only its verdict.
 const maxRecorded = 64 << 10
 
 // reply writes one answer to one caller: the whole answer, or an explicit error.
--- a/internal/native/node/servicewatcher.go
+++ b/internal/native/node/servicewatcher.go
@@ -14,11 +14,10 @@
 )
 
 const (
-	// watchTimeout bounds a read that waits at the service for a change; not
-	// measured.
+	// watchTimeout bounds a read that waits at the service for a change.
 	watchTimeout = 40 * time.Second
-	// serviceRetry is the pause after a failed read of the service, and between two
-	// looks at whether this node reads it; not measured.
+	// serviceRetry is the pause after a failed read of the service, and between two looks
+	// at whether this node reads it.
 	serviceRetry = 500 * time.Millisecond
 	// signedBytes bounds a signed bundle: the text as a JSON string, twice its
 	// size at worst, and 64 KiB for its signatures.
--- a/internal/native/node/tickets.go
+++ b/internal/native/node/tickets.go
@@ -10,8 +10,8 @@
 
 // Both figures are those of docs/decisions/0004-at-most-once.md.
 const (
-	// ticketLife is how long a ticket can be spent, and how long its outcome is
-	// known at its home; not measured.
+	// ticketLife is how long a ticket can be spent, and how long its outcome is known at
+	// its home.
 	ticketLife = 10 * time.Minute
 	// bookCapacity bounds the spent tickets that have not expired: 35 MB by the
 	// memory of a ticket in docs/CAPACITY.md.
--- a/internal/native/request/retry.go
+++ b/internal/native/request/retry.go
@@ -20,10 +20,9 @@
 // wrong retry runs a stage twice that must run once, or sends text twice; a wrong
 // refusal fails a request that another target would have served.
 const (
-	// maxAttempts bounds the attempts of a stage, those included that provably did
-	// not run, as after a failed dial or a target's refusal. Set by dfb29a7, from 4:
-	// targets that refuse while they leave had used up the attempts in the fault
-	// matrix; other figures were not measured.
+	// maxAttempts bounds the attempts of a stage, those included that provably did not
+	// run, as after a failed dial or a target's refusal. With 4, targets that refuse while
+	// they leave used up the attempts in the fault matrix.
 	maxAttempts = 6
 )
 
--- a/internal/native/routing/balanced.go
+++ b/internal/native/routing/balanced.go
@@ -17,18 +17,14 @@
 // would send all nodes to one on the same old report; leaving the prefix's target
 // costs the engine its prefix cache; leaving the data centre costs the distance.
 const (
-	// affinityBound is how far above the average load the preferred target of a
-	// prefix may be before the attempt goes elsewhere. Set with the first whole path
-	// (307e17d); not measured.
+	// affinityBound is how far above the average load the preferred target of a prefix may
+	// be before the attempt goes elsewhere.
 	affinityBound = 1.25
-	// localSpill is the load of the local data centre, as a share of its slots, from
-	// which other data centres are considered too. Set with the first whole path
-	// (307e17d); half the load instead gave no gain (Floraria, docs/MEASUREMENTS.md,
-	// rounds).
+	// localSpill is the load of the local data centre, as a share of its slots, from which
+	// other data centres are considered too. Half the load instead gave no gain.
 	localSpill = 0.9
-	// minimumSlowness keeps a target whose times were far below the expected ones
-	// from getting everything. Set with the first whole path (307e17d); not
-	// measured.
+	// minimumSlowness keeps a target whose times were far below the expected ones from
+	// getting everything.
 	minimumSlowness = 0.1
 )
 
--- a/internal/native/routing/baselines.go
+++ b/internal/native/routing/baselines.go
@@ -2,9 +2,8 @@
 
 import "math/rand/v2"
 
-// samples is how many candidates a sampling policy compares: the two random choices
-// of the literature. Set with the first whole path (307e17d); other counts were not
-// measured.
+// samples is how many candidates a sampling policy compares: the two random choices of
+// the literature.
 const samples = 2
 
 // Random takes any free candidate. It is a baseline.
--- a/internal/native/routing/routing.go
+++ b/internal/native/routing/routing.go
@@ -24,16 +24,14 @@
 // its age, because many nodes that act on one old report would all choose one
 // target.
 const (
-	// reportHalfLife is the age at which a report's foreign load counts half. Set
-	// with the first whole path (307e17d); not measured.
+	// reportHalfLife is the age at which a report's foreign load counts half.
 	reportHalfLife = 2 * time.Second
 	// reportExpiry is the age past which a report counts nothing: its foreign load
 	// counts 3 % by then. Derived from reportHalfLife.
 	reportExpiry = 10 * time.Second
-	// probeAfter is how long a node leaves a target alone that others seem to fill
-	// before it tries the target all the same. Set by 62b8a4e: attainment 98.8 /
-	// 87.5 / 62.8 % at 0.9 / 1.2 / 2.0 load, before 97.6 / 89.5 / 63.9 %, which is
-	// within the spread (docs/MEASUREMENTS.md, rounds).
+	// probeAfter is how long a node leaves a target alone that others seem to fill before
+	// it tries the target all the same. Attainment with and without it differs by less
+	// than the spread.
 	probeAfter = time.Second
 )
 
--- a/internal/native/ticket/book.go
+++ b/internal/native/ticket/book.go
@@ -33,15 +33,13 @@
 }
 
 const (
-	// minimumSweep is the number of entries from which expired ones are dropped, so
-	// that a small book is not swept at each use. Set with the first whole path
-	// (307e17d); not measured.
+	// minimumSweep is the number of entries from which expired ones are dropped, so that a
+	// small book is not swept at each use.
 	minimumSweep = 64
 	// sweepGrowth is by how much the book grows between two sweeps, which keeps the
 	// cost of sweeping per entry constant.
 	sweepGrowth = 2
-	// fullRetryAfter is when to use a ticket again that a full book could not
-	// record. Set with the first whole path (307e17d); not measured.
+	// fullRetryAfter is when to use a ticket again that a full book could not record.
 	fullRetryAfter = time.Second
 )
 
--- a/internal/native/ticket/ticket.go
+++ b/internal/native/ticket/ticket.go
@@ -30,8 +30,7 @@
 	serialBytes = 16
 	// keyBytes is the length of the deployment's ticket key: that of AES-256.
 	keyBytes = 32
-	// maxTokenLength bounds, in bytes, what is decoded of a caller's text. A token
-	// of the longest names that the bundle allows was not measured against it.
+	// maxTokenLength bounds, in bytes, what is decoded of a caller's text.
 	maxTokenLength = 2048
 )
 
--- a/internal/tools/defects/main.go
+++ b/internal/tools/defects/main.go
@@ -24,7 +24,7 @@
 
 const (
 	listFile = "internal/tools/defects/defects.hujson"
-	// parallel is how many defects are tried at a time; not measured.
+	// parallel is how many defects are tried at a time: each is a build and a test run of its own.
 	parallel = 4
 )
 
--- a/pkg/bundle/plan.go
+++ b/pkg/bundle/plan.go
@@ -6,7 +6,7 @@
 )
 
 // defaultAttempts is the most attempts of a repeatable stage whose bundle names none:
-// the first and one more. Set with the first whole path (307e17d); not measured.
+// the first and one more.
 const defaultAttempts = 2
 
 // Plan is a checked bundle with its indexes. It is immutable.
--- a/pkg/bundle/step.go
+++ b/pkg/bundle/step.go
@@ -9,9 +9,8 @@
 	// maxApplyBytes bounds the earlier text and the new lines of a step together, so
 	// that a peer cannot make a node build more than two texts of the largest size.
 	maxApplyBytes = 2 * MaxBytes
-	// stepGain is how many times smaller than the whole text the new lines of a step
-	// must be for the step to be sent. Set by 522fbae, whose steps take 1,428 bytes a
-	// change at any size of bundle; the figure itself was not measured.
+	// stepGain is how many times smaller than the whole text the new lines of a step must
+	// be for the step to be sent. Steps take 1,428 bytes a change at any size of bundle.
 	stepGain = 2
 )
 
@@ -91,8 +90,7 @@
 }
 
 // historyLength is how many texts a History keeps: enough for nodes that are a few
-// changes behind. Set by 522fbae; at most 8 MB (docs/CAPACITY.md), other lengths were
-// not measured.
+// changes behind. They take 8 MB at most.
 const historyLength = 8
 
 // History holds the newest texts, the newest last. It is immutable.
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -21,8 +21,8 @@
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
 )
 
-// maxLine bounds one line of a log, in bytes; a file is read up to a longer one.
-// Nodes write lines of some hundred bytes. Not measured.
+// maxLine bounds one line of a log, in bytes; a file is read up to a longer one. Nodes
+// write lines of some hundred bytes.
 const maxLine = 1 << 20
 
 // Options are the parts and flags of the verb.
--- a/pkg/cmd/node/gateway.go
+++ b/pkg/cmd/node/gateway.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// memoryShare is the part of the machine's memory that the garbage collector
-	// keeps the process below; not measured.
+	// memoryShare is the part of the machine's memory that the garbage collector keeps the
+	// process below.
 	memoryShare = 0.6
-	// logLines is how many lines wait for a slow standard output; when more are
-	// dropped, a line on standard error says so. Not measured.
+	// logLines is how many lines wait for a slow standard output; when more are dropped, a
+	// line on standard error says so.
 	logLines = 2000
 )
 
--- a/pkg/cmd/send/send.go
+++ b/pkg/cmd/send/send.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// maxAttempts is how often one request is sent at most; not measured.
+	// maxAttempts is how often one request is sent at most.
 	maxAttempts = 5
-	// minPause passes at least between two attempts; not measured.
+	// minPause passes at least between two attempts.
 	minPause = 100 * time.Millisecond
 )
 
--- a/pkg/cmd/state/state.go
+++ b/pkg/cmd/state/state.go
@@ -14,7 +14,7 @@
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
 )
 
-// timeout bounds the call; not measured.
+// timeout bounds the call.
 const timeout = 5 * time.Second
 
 // Options are the parts and flags of the verb.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -23,10 +23,8 @@
 // the same ones.
 const (
 	// defaultAnnounce is how long a stopping node waits for the balancer to notice.
-	// Set with the first whole path (307e17d); not measured.
 	defaultAnnounce = 3 * time.Second
-	// defaultStopLimit is the longest wait of a planned stop for work in flight. Set
-	// with the first whole path (307e17d); not measured.
+	// defaultStopLimit is the longest wait of a planned stop for work in flight.
 	defaultStopLimit = time.Hour
 )
 
