Do not lose a signal that comes while a node starts

Cause: the program's own handler takes SIGTERM from main's first line on, the daemon asked for it only after its gateway was built, and took no notice of what the first had seen. A signal between the two was lost: the process went on, took requests, and was killed at the end of its grace time with all of them in flight. SIGHUP ended the process until the daemon asked for it.

Change: the daemon's channels are there before the settings are read, and the end of the program's context counts as the first signal.

Before main a SIGHUP still ends the process, as for any Go program: 9 ms of a core.

--- a/pkg/cmd/node/gateway.go
+++ b/pkg/cmd/node/gateway.go
@@ -23,8 +23,9 @@
 	logLines = 2000
 )
 
-// runGateway runs a node that relays requests by a published configuration.
-func runGateway(ctx context.Context, opts *Options, cfg *settings.Settings) error {
+// runGateway runs a node that relays requests by a published configuration, until ctx
+// ends or a signal asks for it.
+func runGateway(ctx context.Context, opts *Options, cfg *settings.Settings, on signals) error {
 	out := newLogWriter(opts.Factory.Out)
 	defer func() { _ = out.Close() }() // waits for the last lines; there is nowhere to report a failure
 	log, err := gatewayLog(out, cfg)
@@ -38,13 +39,13 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	go func() {
-		<-stopSignals()
+		on.awaitStop(ctx)
 		stop()
 	}()
-	go reloads(ctx, opts, g, log)
+	go reloads(ctx, opts, g, log, on.reload)
 	return g.Run(ctx)
 }
 
@@ -71,13 +72,12 @@
 
 // reloads reads the settings again at each signal that asks for it. Settings
 // that do not read are refused whole.
-func reloads(ctx context.Context, opts *Options, g *gateway.Gateway, log zerolog.Logger) {
-	signals := reloadSignals()
+func reloads(ctx context.Context, opts *Options, g *gateway.Gateway, log zerolog.Logger, asked <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-asked:
 		}
 		text, err := opts.Factory.Read(opts.Settings)
 		if err != nil {
--- a/pkg/cmd/node/node.go
+++ b/pkg/cmd/node/node.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -52,27 +53,48 @@
 	return cmd
 }
 
-// stopSignals returns a channel of the signals that ask for a stop.
-func stopSignals() <-chan os.Signal {
-	ch := make(chan os.Signal, 2)
-	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
-	return ch
+// signals are those that the daemon acts on.
+type signals struct {
+	// stop asks for a planned stop, reload to read the settings again.
+	stop, reload chan os.Signal
 }
 
-// reloadSignals returns a channel of the signals that ask to read the settings again.
-func reloadSignals() <-chan os.Signal {
-	ch := make(chan os.Signal, 1)
-	signal.Notify(ch, syscall.SIGHUP)
-	return ch
+// notifySignals has the signals of this process come by channels from now on.
+func notifySignals() signals {
+	s := signals{stop: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
 }
 
+// awaitStop waits for the first signal to stop. That may have come before the channels
+// were there: then it has ended ctx, the program's own.
+func (s signals) awaitStop(ctx context.Context) {
+	select {
+	case <-s.stop:
+		return
+	case <-ctx.Done():
+	}
+	select {
+	case <-s.stop:
+	case <-time.After(sameSignal):
+	}
+}
+
+// sameSignal is how long a signal may take to come by the channel after it has ended
+// the program's context.
+const sameSignal = 100 * time.Millisecond
+
+// run runs the daemon. The signals' channels are there before the settings are read, so
+// that a signal which comes meanwhile is neither lost nor ends the process.
 func run(ctx context.Context, opts *Options) error {
+	on := notifySignals()
 	cfg, err := opts.Factory.ReadSettings(opts.Settings)
 	if err != nil || opts.Check {
 		return err
 	}
 	if cfg.Gateway != nil {
-		return runGateway(ctx, opts, cfg)
+		return runGateway(ctx, opts, cfg, on)
 	}
 	log, err := opts.Factory.Logger(cfg.LogLevelName(), cfg.TextLog())
 	if err != nil {
@@ -82,15 +104,12 @@
 	if err != nil {
 		return err
 	}
-	// The program's own context ends at the first signal; the node must
-	// distinguish the first from the second.
-	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	go func() {
-		signals := stopSignals()
-		<-signals
+		on.awaitStop(ctx)
 		stop()
-		<-signals
+		<-on.stop
 		n.Cut()
 	}()
 	return n.Run(ctx)
