--- a/internal/gateway/directory/edit_test.go
+++ b/internal/gateway/directory/edit_test.go
@@ -35,6 +35,7 @@
 			convey.So(e.All(), convey.ShouldHaveLength, 1)
 			convey.So(e.Directory().Service("s"), convey.ShouldResemble, []directory.Target{{ID: "b", Service: "s"}})
 			convey.So(d.Service("s"), convey.ShouldResemble, []directory.Target{{ID: "a", Service: "s"}})
+			convey.So(d.All(), convey.ShouldResemble, map[string]directory.Target{"a": {ID: "a", Service: "s"}})
 		})
 		convey.Convey("a target that is put and lapses has lapsed", func() {
 			until := time.Now()
