--- a/pkg/cmd/factory/factory.go
+++ b/pkg/cmd/factory/factory.go
@@ -55,6 +55,14 @@
 	return os.ReadFile(name)
 }
 
+// Open opens a file, or standard input for "-", to read it piece by piece.
+func (f *Factory) Open(name string) (io.ReadCloser, error) {
+	if name == "-" {
+		return io.NopCloser(f.In), nil
+	}
+	return os.Open(name)
+}
+
 // ReadBundle reads and checks a bundle.
 func (f *Factory) ReadBundle(file string) (*bundle.Plan, error) {
 	text, err := f.Read(file)
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -19,6 +19,7 @@
 	"github.com/honeydyke/honeydyke/pkg/cmd/factory"
 	"github.com/honeydyke/honeydyke/pkg/cmd/key"
 	"github.com/honeydyke/honeydyke/pkg/cmd/load"
+	"github.com/honeydyke/honeydyke/pkg/cmd/losses"
 	"github.com/honeydyke/honeydyke/pkg/cmd/node"
 	"github.com/honeydyke/honeydyke/pkg/cmd/send"
 	"github.com/honeydyke/honeydyke/pkg/cmd/standin"
@@ -73,6 +74,7 @@
 		experiment.NewCmdExperiment(f),
 		key.NewCmdKey(f),
 		load.NewCmdLoad(f, nil),
+		losses.NewCmdLosses(f, nil),
 		node.NewCmdNode(f, nil),
 		send.NewCmdSend(f, nil),
 		standin.NewCmdStandin(f),
