--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
@@ -64,6 +65,7 @@
 		Node: s.members.self, DataCentre: s.dataCentre, Phase: s.phase(),
 		Version: int(v.Version()), Revision: int(v.Revision), SourceAgeMs: s.health.ageMs(s.now()), InFlight: int(s.callers.inflight.Load()),
 		Targets: targetMessages(s.now(), v.Directory), Services: []message.BatchState{}, Members: s.members.list(),
+		Evacuations: evacuationStates(s.now(), v.Evacuations),
 	}
 	batches := s.coordinators.states(ctx)
 	for _, service := range slices.Sorted(maps.Keys(batches)) {
@@ -72,6 +74,17 @@
 	return state
 }
 
+// evacuationStates describes evacuations with what members are not told: when and from
+// whom this node heard of them.
+func evacuationStates(now time.Time, evacuations view.Evacuations) []message.ViewEvacuation {
+	known := evacuations.All()
+	list := evacuationMessages(known)
+	for i, e := range known {
+		list[i].From, list[i].AgeMs = e.From, int(now.Sub(e.Since).Milliseconds())
+	}
+	return list
+}
+
 func batchMessage(service string, b batching.State) message.BatchState {
 	return message.BatchState{
 		Service: service, Waiting: b.Waiting, Planned: b.Planned, Late: b.PastDue, Working: b.Busy, Targets: b.Targets,
--- a/internal/gateway/batching/core.go
+++ b/internal/gateway/batching/core.go
@@ -7,6 +7,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -32,11 +33,15 @@
 	targets []*target
 	byID    map[string]*target
 	// items are all that have no result yet, queue those of them that wait.
-	items     map[Token]*queuedItem
-	queue     []*queuedItem
-	plans     plans
-	running   map[BatchID]*batch
-	last      BatchID
+	items   map[Token]*queuedItem
+	queue   []*queuedItem
+	plans   plans
+	running map[BatchID]*batch
+	last    BatchID
+	// evacuated says that all targets are in evacuated data centres.
+	evacuated bool
+	// limits bound the calls to cold targets.
+	limits    *warmup.Limits
 	budget    *retrybudget.Budget
 	retention retention
 	effects   []Effect
@@ -55,6 +60,7 @@
 		items:   map[Token]*queuedItem{},
 		running: map[BatchID]*batch{},
 		plans:   plans{},
+		limits:  warmup.New(),
 		budget:  retrybudget.New(budget),
 	}
 }
@@ -121,6 +127,8 @@
 	if ev.Service != nil && ev.Service.Batch != nil {
 		c.spec = ev.Service.Batch
 	}
+	c.evacuated = ev.AllEvacuated
+	c.limits.SetBound(ev.WarmUp)
 	for _, t := range c.targets {
 		t.usable = false
 	}
@@ -145,7 +153,7 @@
 		c.targets = append(c.targets, t)
 	}
 	t.Target = listed
-	t.usable = t.State != directory.Draining
+	t.usable = t.Open()
 }
 
 func (c *Core) submit(now time.Time, ev Submit) {
@@ -197,6 +205,9 @@
 		t.memory.expire(now)
 	}
 	c.plans.expire(now)
+	if c.evacuated {
+		c.failUnservable()
+	}
 	for _, q := range slices.Clone(c.queue) {
 		if q.running == 0 && !canFinish(now, c.spec, q.Deadline) {
 			c.stats.Expired++
@@ -210,6 +221,16 @@
 	}
 }
 
+// failUnservable fails what waits while all targets are in evacuated data centres:
+// nobody knows when one is taken back, and the callers are told to retry later.
+func (c *Core) failUnservable() {
+	for _, q := range slices.Clone(c.queue) {
+		if q.running == 0 {
+			c.fail(q.Token, verdict.New(verdict.NotRun, verdict.ReasonEvacuated, "all data centres of the service are evacuated"))
+		}
+	}
+}
+
 // dropUnreachable fails the past-due items whose turn will not come in time.
 func (c *Core) dropUnreachable(now time.Time) {
 	if c.spec == nil {
@@ -235,10 +256,16 @@
 		if len(c.queue) == 0 {
 			return
 		}
-		c.start(now, t)
+		if c.limits.Allows(now, t.Target, coordinates) {
+			c.start(now, t)
+		}
 	}
 }
 
+// coordinates is why the core gives out the calls of cold targets: it assembles all
+// batches of its service.
+func coordinates() bool { return true }
+
 // start sends a target a batch of the first items of the queue that fit, if any.
 func (c *Core) start(now time.Time, t *target) {
 	taken, rest := newFilling(now, c.spec, t, c.targets).split(c.queue)
@@ -263,6 +290,7 @@
 	c.running[b.id] = b
 	t.running = b
 	t.memory.reserve(items)
+	c.limits.Sent(now, t.Target)
 	c.stats.Batches++
 	c.stats.Items += int64(n)
 	c.emit(Send{Batch: b.id, Target: t.Target, Items: items, Timeout: timeout(expected), TargetIdle: t.answered})
--- a/internal/gateway/batching/event.go
+++ b/internal/gateway/batching/event.go
@@ -38,6 +38,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -113,6 +114,10 @@
 type Configure struct {
 	Service *catalog.Service
 	Targets []directory.Target
+	// AllEvacuated says that the service has targets, and all in evacuated data centres.
+	AllEvacuated bool
+	// WarmUp bounds the calls to targets that are cold.
+	WarmUp warmup.Bound
 }
 
 // Plan announces items that will be submitted later. It ends when the first of them
--- a/internal/gateway/batching/target.go
+++ b/internal/gateway/batching/target.go
@@ -9,7 +9,7 @@
 // target is what is known of one target of the service.
 type target struct {
 	directory.Target
-	// usable targets are listed and do not drain.
+	// usable targets are listed, and neither drain nor are in an evacuated data centre.
 	usable bool
 	// running is the batch that was sent and has not ended; nil for none.
 	running *batch
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/settings"
 )
 
@@ -68,6 +69,17 @@
 	return p
 }
 
+// warmUpMargin is by how much the requests that a cold target gets may exceed what the
+// configuration says it bears; not at all where the settings do not say.
+func warmUpMargin(cfg *settings.Gateway) warmup.Margin {
+	margin := warmup.Margin{Overshoot: 1}
+	if w := cfg.WarmUp; w != nil {
+		margin.Tolerance = w.Tolerance
+		margin.Overshoot = max(w.Overshoot, 1)
+	}
+	return margin
+}
+
 // retrySharers decides how many nodes may share the extra of the retry budget.
 // Inputs: how long the node has run, and the most members that it ever knew to live
 // at once. A node that cannot know all members yet has no part. Too few let the nodes
--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -135,6 +135,16 @@
 	LinkBytesPerSecond float64
 }
 
+// WarmUp describes targets that start cold, or turn cold later. The zero value is for
+// targets that are never cold.
+type WarmUp struct {
+	// Time is how long a target stays cold after its start.
+	Time time.Duration
+	// PerSecond is how many requests a second a cold target bears, from all nodes
+	// together; 0 for no bound.
+	PerSecond float64
+}
+
 // Service is a set of targets that do the same work.
 type Service struct {
 	// Name is the service's name, also in logs and metrics.
@@ -146,6 +156,8 @@
 	// on items of stages. Plain services have neither.
 	Engine bool
 	Batch  *Batch
+	// WarmUp bounds what a target of the service takes while it is cold.
+	WarmUp WarmUp
 	// CopyTime is the time in which an engine copies a cached token from another in its
 	// data centre; 0 for unknown, or when engines do not copy.
 	CopyTime time.Duration
--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -108,10 +108,10 @@
 // takeDelta takes over what changed at a member, with a new configuration if there is
 // one.
 func (f *storeFollower) takeDelta(member string, s message.ViewSnapshot, catalog *view.CatalogChange) {
-	d := deltaOf(f.now(), s, catalog)
+	d := deltaOf(f.now(), member, s, catalog)
 	f.log.Info().Str("member", member).Int("since", s.Since).Int("revision", s.Revision).
 		Msg("view: changes reported by a member")
-	f.views.apply(d.Changes(), func(_ time.Time, v *view.View) *view.View { return v.WithDelta(d) })
+	f.views.apply(d.Changes(), func(now time.Time, v *view.View) *view.View { return v.WithDelta(now, d) })
 }
 
 // takeWhole takes over all that a member knows.
@@ -121,6 +121,14 @@
 	for _, t := range s.Targets {
 		ch.List = append(ch.List, view.TargetChange{Target: targetOf(now, t)})
 	}
+	evacuations := evacuationsOf(member, s.Evacuations)
+	if s.Evacuations == nil {
+		// A member of an earlier version knows of none, so that its list lifts none.
+		evacuations = f.views.load().Evacuations.All()
+	}
+	for _, e := range evacuations {
+		ch.List = append(ch.List, view.EvacuationChange{Evacuation: e})
+	}
 	f.log.Info().Str("member", member).Int64("version", catalog.Catalog.Version).Int("revision", s.Revision).
 		Msg("view: taken from a member")
 	// Without changes to log: the line above stands for all of them.
--- a/internal/gateway/coordinators.go
+++ b/internal/gateway/coordinators.go
@@ -14,6 +14,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -27,6 +28,8 @@
 	metrics *metrics
 	// retries bounds the retries of each service.
 	retries retrybudget.Policy
+	// margin widens what cold targets get.
+	margin warmup.Margin
 	// permit is called just before the first byte of a call to a target is written;
 	// an error forbids it.
 	permit func(target string) error
@@ -56,16 +59,19 @@
 	if pid == nil {
 		pid = c.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newCoordinator(c.coordinatorConfig, service) }))
 		c.services[service] = pid
-		c.system.Root.Send(pid, configureOf(c.views.load(), service))
+		c.system.Root.Send(pid, c.configureOf(c.views.load(), service))
 	}
 	return pid
 }
 
-func configureOf(v *view.View, service string) batching.Configure {
-	ev := batching.Configure{Targets: v.Directory.Service(service)}
+func (c *coordinators) configureOf(v *view.View, service string) batching.Configure {
+	ev := batching.Configure{Targets: v.Directory.Service(service), AllEvacuated: v.Directory.AllEvacuated(service)}
 	if v.Catalog != nil {
 		ev.Service = v.Catalog.Service(service)
 	}
+	if ev.Service != nil {
+		ev.WarmUp = c.margin.Bound(ev.Service.WarmUp)
+	}
 	return ev
 }
 
@@ -74,7 +80,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for service, pid := range c.services {
-		c.system.Root.Send(pid, configureOf(v, service))
+		c.system.Root.Send(pid, c.configureOf(v, service))
 	}
 }
 
--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -3,7 +3,8 @@
 //
 // The package owns the states of a target and the rule which of them takes new work
 // (Target.Usable). It relies on package view, which says what a change of the
-// platform's list means; without changes the targets stay as they are.
+// platform's list means and which data centres are evacuated; without changes the
+// targets stay as they are.
 package directory
 
 import (
@@ -12,8 +13,9 @@
 	"time"
 )
 
-// State says whether a target takes new work.
-type State int
+// State says whether a target takes new work. It is small so that a Target has 128 bytes:
+// maps store larger values by pointer, an allocation each.
+type State uint8
 
 // States of a target.
 const (
@@ -44,9 +46,16 @@
 	Slots int
 	// State is as listed, or Lapsed.
 	State State
+	// Evacuated says that the target's data centre takes no new work. The directory sets
+	// it (Edit.Evacuate); what a caller puts there does not count.
+	Evacuated bool
 	// LapsesAt is until when a lapsed target is used, by this node's clock; zero for
 	// others.
 	LapsesAt time.Time
+	// ColdUntil is until when the target is cold, by this node's clock: until then it
+	// bears a few requests a second and falls over at many (package warmup). Zero for
+	// never.
+	ColdUntil time.Time
 }
 
 // Directory is what is known of all targets.
@@ -55,6 +64,8 @@
 	// of their identities.
 	targets  map[string]Target
 	services map[string][]Target
+	// evacuated holds the data centres whose targets take no new work.
+	evacuated map[string]bool
 }
 
 // New returns a directory of the given targets.
@@ -68,7 +79,9 @@
 
 func (d *Directory) indexed() *Directory {
 	d.services = make(map[string][]Target)
-	for _, t := range d.targets {
+	for id, t := range d.targets {
+		t.Evacuated = d.evacuated[t.DataCentre]
+		d.targets[id] = t
 		d.services[t.Service] = append(d.services[t.Service], t)
 	}
 	for _, ts := range d.services {
@@ -122,9 +135,29 @@
 	return known && t.Usable(now)
 }
 
-// Usable says whether the target takes new work at the given time: when it is ready,
-// or lapsed and its time is not over. Whether this node leaves it unused for failing
+// Usable says whether the target takes new work at the given time: when it is Open and,
+// if it has lapsed, its time is not over. Whether this node leaves it unused for failing
 // is another question (placement.TargetTable.Ejected).
 func (t Target) Usable(now time.Time) bool {
-	return t.State == Ready || (t.State == Lapsed && now.Before(t.LapsesAt))
+	return t.Open() && (t.State != Lapsed || now.Before(t.LapsesAt))
+}
+
+// Open says whether the target takes new work for as long as it is listed or lapsed: it
+// does not drain, and its data centre is not evacuated.
+func (t Target) Open() bool { return t.State != Draining && !t.Evacuated }
+
+// Cold says whether the target is cold at the given time.
+func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
+// AllEvacuated says whether a service has no open target because of evacuations: one at
+// least would take new work if its data centre were taken back.
+func (d *Directory) AllEvacuated(service string) bool {
+	evacuated := false
+	for _, t := range d.services[service] {
+		if t.Open() {
+			return false
+		}
+		evacuated = evacuated || t.State != Draining
+	}
+	return evacuated
 }
--- a/internal/gateway/directory/edit.go
+++ b/internal/gateway/directory/edit.go
@@ -13,13 +13,20 @@
 	base *Directory
 	// targets are those after the changes so far; nil before the first.
 	targets map[string]Target
+	// evacuated are the data centres that take no new work after the changes so far.
+	evacuated map[string]bool
 }
 
 // Edit begins changes of the directory.
-func (d *Directory) Edit() *Edit { return &Edit{base: d} }
+func (d *Directory) Edit() *Edit { return &Edit{base: d, evacuated: d.evacuated} }
 
-// Put adds or changes a target.
-func (e *Edit) Put(t Target) { e.changed()[t.ID] = t }
+// Put adds or changes a target. One that was known to be cold for longer stays so.
+func (e *Edit) Put(t Target) {
+	if known, is := e.target(t.ID); is {
+		t.ColdUntil = later(t.ColdUntil, known.ColdUntil)
+	}
+	e.changed()[t.ID] = t
+}
 
 // Remove drops a target.
 func (e *Edit) Remove(id string) {
@@ -43,6 +50,37 @@
 	}
 }
 
+// Evacuate sets the data centres whose targets take no new work; the caller must not
+// change the set afterwards.
+func (e *Edit) Evacuate(dataCentres map[string]bool) {
+	if !maps.Equal(e.evacuated, dataCentres) {
+		e.evacuated = dataCentres
+		e.changed()
+	}
+}
+
+// WarmUp has the targets of a data centre that need so long to warm up count as cold
+// until then; warmsUpIn returns 0 for those that need no time.
+func (e *Edit) WarmUp(now time.Time, dataCentre string, warmsUpIn func(Target) time.Duration) {
+	for _, t := range maps.Clone(e.All()) {
+		if t.DataCentre != dataCentre {
+			continue
+		}
+		if d := warmsUpIn(t); d > 0 {
+			t.ColdUntil = later(t.ColdUntil, now.Add(d))
+			e.Put(t)
+		}
+	}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // All returns every target after the changes so far by identity; the caller must not
 // change them.
 func (e *Edit) All() map[string]Target {
@@ -57,7 +95,7 @@
 	if e.targets == nil {
 		return e.base
 	}
-	return (&Directory{targets: e.targets}).indexed()
+	return (&Directory{targets: e.targets, evacuated: e.evacuated}).indexed()
 }
 
 func (e *Edit) target(id string) (Target, bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,10 +108,11 @@
 	retries := retryPolicy(g.cfg.Gateway, func() int { return retrySharers(g.now().Sub(started), g.members.peakSize()) })
 	g.coordinators = &coordinators{views: g.views, services: map[string]*actor.PID{}, coordinatorConfig: coordinatorConfig{
 		now: g.now, log: g.log, system: actor.NewActorSystem(actor.WithLoggerFactory(quietLogger)), members: g.members,
-		targets: g.ports.Targets, metrics: g.metrics, retries: retries, permit: g.views.permit,
+		targets: g.ports.Targets, metrics: g.metrics, retries: retries, permit: g.views.permit, margin: warmUpMargin(g.cfg.Gateway),
 	}}
+	margin := warmUpMargin(g.cfg.Gateway)
 	g.prompts = &prompts{
-		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views,
+		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, margin: margin,
 		choosers: map[string]*placement.EngineChooser{},
 	}
 	batches := &batches{
@@ -121,6 +122,7 @@
 	g.relay = relay.New(relay.Config{
 		DataCentre: g.cfg.DataCentre, Node: g.PeerAddress(), View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries, Members: g.members.size,
+		WarmUp: margin, GivesOut: g.members.givesOut,
 	})
 	g.wireServers()
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -58,6 +58,23 @@
 	return placement.Coordinator(service, m.roster.Eligible(m.now()))
 }
 
+// coldRole begins the name under which the member is chosen that gives out the requests
+// of a cold target of a plain service.
+const coldRole = "cold/"
+
+// settled says whether this node gives out what is scarce (Roster.Settled).
+func (m *members) settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Settled(m.now())
+}
+
+// givesOut says whether this node is the member that gives out the requests of a cold
+// target of a plain service.
+func (m *members) givesOut(target string) bool {
+	return m.settled() && m.coordinator(coldRole+target) == m.self
+}
+
 // otherCoordinator returns the member that coordinates a service; empty when that
 // is this node, or when no member serves, so that each node does its own work.
 func (m *members) otherCoordinator(service string) string {
--- a/internal/gateway/membership/liveness.go
+++ b/internal/gateway/membership/liveness.go
@@ -32,6 +32,14 @@
 	// took longer than 10 s to reach one in 25 of them; a count that is too low has each
 	// node open more connections to a target than its share.
 	countedFor = 15 * time.Second
+	// settleFor is how long after its first contact with another member a member takes
+	// its roster for what others know too: 300 members agree on who is eligible within 3 s
+	// of a start of all (TestManyMembersAgree).
+	settleFor = 3 * time.Second
+	// settledShare is the part of the members that it ever knew which a settled member
+	// sees at least. Of 300 members that are calm one sees 0.47 of them at any moment, as an
+	// exchange does not name all; with a half those would count as cut off.
+	settledShare = 1.0 / 3
 )
 
 // live says whether a member gave a sign of life within liveFor, by this node's
@@ -85,6 +93,21 @@
 	return list
 }
 
+// Settled says whether this member knows the others well enough to give out what is
+// scarce, such as the requests of a cold target: it has known other members for settleFor
+// and sees settledShare of them, or knows that there are none. A wrong yes lets two sides
+// of a fleet that was cut apart give out the same thing; a wrong no leaves it unused for
+// some seconds.
+func (r *Roster) Settled(now time.Time) bool {
+	if r.firstContact.IsZero() {
+		return len(r.seeds) == 0
+	}
+	if now.Sub(r.firstContact) < settleFor {
+		return false
+	}
+	return float64(len(r.Serving(now))) >= settledShare*float64(r.PeakSize())
+}
+
 // Size returns how many members run, this one included: those that are live, and of
 // more than one exchange names those that gave a sign of life within countedFor.
 func (r *Roster) Size(now time.Time) int {
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -25,6 +25,8 @@
 	eligible eligibleMembers
 	// peak is the most members that Size ever counted at once.
 	peak int
+	// firstContact is when this member first heard from another; zero for never.
+	firstContact time.Time
 }
 
 // rosterEntry is what is known of one other member.
@@ -95,6 +97,9 @@
 // known is a sign of life, and ends a suspicion.
 func (r *Roster) Merge(now time.Time, g message.Gossip) {
 	r.changed()
+	if r.firstContact.IsZero() {
+		r.firstContact = now
+	}
 	for _, m := range g.Members {
 		if m.Address == r.self.Address {
 			r.refute(m)
--- /dev/null
+++ b/internal/gateway/membership/settled_test.go
@@ -0,0 +1,62 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/membership"
+)
+
+// settled counts the members of a fleet that are settled.
+func settled(f *fleet) int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.Settled(f.now) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestSettled(t *testing.T) {
+	const size = 60
+	convey.Convey("Of 60 members", t, func() {
+		f := startedFleet(size, 8)
+		convey.Convey("all are settled some seconds after a start", func() {
+			convey.So(settled(f), convey.ShouldEqual, size)
+		})
+		convey.Convey("none is just after a start of all, and all are later", func() {
+			f.restart(8)
+			f.run(2*time.Second, nil)
+			convey.So(settled(f), convey.ShouldEqual, 0)
+			f.run(3*time.Second, nil)
+			convey.So(settled(f), convey.ShouldEqual, size)
+		})
+		convey.Convey("one that is cut off is not, and is again once it is back", func() {
+			alone := f.nodes[5]
+			alone.cut = true
+			f.run(3*time.Second, nil)
+			convey.So(alone.Settled(f.now), convey.ShouldBeFalse)
+			alone.cut = false
+			f.run(3*time.Second, nil)
+			convey.So(alone.Settled(f.now), convey.ShouldBeTrue)
+		})
+		convey.Convey("all that are left are settled after the death of half", func() {
+			for i, n := range f.nodes {
+				n.down = i%2 == 0
+			}
+			f.run(4*time.Second, nil)
+			for i, n := range f.nodes {
+				if i%2 != 0 {
+					convey.So(n.Settled(f.now), convey.ShouldBeTrue)
+				}
+			}
+		})
+	})
+	convey.Convey("A member without seeds is settled, one that has reached none of its seeds is not", t, func() {
+		convey.So(membership.NewRoster("10.0.0.1:80", 1, []string{"10.0.0.1:80"}).Settled(rosterStart), convey.ShouldBeTrue)
+		convey.So(membership.NewRoster("10.0.0.1:80", 1, []string{"10.0.0.2:80"}).Settled(rosterStart), convey.ShouldBeFalse)
+	})
+}
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -172,6 +172,7 @@
 func snapshotMessage(now time.Time, v *view.View) message.ViewSnapshot {
 	return message.ViewSnapshot{
 		Revision: int(v.Revision), Document: base64.StdEncoding.EncodeToString(v.Document), Targets: targetMessages(now, v.Directory),
+		Evacuations: evacuationMessages(v.Evacuations.All()),
 	}
 }
 
@@ -180,7 +181,7 @@
 func deltaMessage(now time.Time, d view.Delta, document []byte) message.ViewSnapshot {
 	m := message.ViewSnapshot{
 		Since: int(d.Since), Revision: int(d.Revision), Targets: []message.ViewTarget{}, Gone: d.Gone,
-		Document: base64.StdEncoding.EncodeToString(document),
+		Document: base64.StdEncoding.EncodeToString(document), Evacuations: evacuationMessages(d.Evacuations),
 	}
 	for _, t := range d.Targets {
 		m.Targets = append(m.Targets, targetMessage(now, t))
@@ -191,16 +192,38 @@
 // isDelta says whether a member sent what changed instead of all that it knows.
 func isDelta(s message.ViewSnapshot) bool { return s.Since > 0 }
 
-// deltaOf reads what changed; catalog is the configuration that came with it, nil for
-// none.
-func deltaOf(now time.Time, s message.ViewSnapshot, catalog *view.CatalogChange) view.Delta {
-	d := view.Delta{Since: int64(s.Since), Revision: int64(s.Revision), Gone: s.Gone, Catalog: catalog}
+// deltaOf reads what a member said that changed; catalog is the configuration that came
+// with it, nil for none.
+func deltaOf(now time.Time, member string, s message.ViewSnapshot, catalog *view.CatalogChange) view.Delta {
+	d := view.Delta{
+		Since: int64(s.Since), Revision: int64(s.Revision), Gone: s.Gone, Catalog: catalog,
+		Evacuations: evacuationsOf(member, s.Evacuations),
+	}
 	for _, t := range s.Targets {
 		d.Targets = append(d.Targets, targetOf(now, t))
 	}
 	return d
 }
 
+// evacuationMessages tells members what is known of evacuations. The list is never nil:
+// without one a member counts as of an earlier version, which knows of none.
+func evacuationMessages(list []view.Evacuation) []message.ViewEvacuation {
+	out := make([]message.ViewEvacuation, len(list))
+	for i, e := range list {
+		out[i] = message.ViewEvacuation{DataCentre: e.DataCentre, Active: e.Active, Revision: int(e.Revision)}
+	}
+	return out
+}
+
+// evacuationsOf is what a member said of evacuations.
+func evacuationsOf(member string, list []message.ViewEvacuation) []view.Evacuation {
+	var out []view.Evacuation
+	for _, e := range list {
+		out = append(out, view.Evacuation{DataCentre: e.DataCentre, Active: e.Active, Revision: int64(e.Revision), From: member})
+	}
+	return out
+}
+
 // documentOf returns the text of the configuration that a member sent.
 func documentOf(s message.ViewSnapshot) ([]byte, error) {
 	document, err := base64.StdEncoding.DecodeString(s.Document)
@@ -226,6 +249,9 @@
 	if t.State == directory.Lapsed {
 		m.LapsesMs = max(millisUntil(now, t.LapsesAt), 1)
 	}
+	if t.Cold(now) {
+		m.ColdMs = max(millisUntil(now, t.ColdUntil), 1)
+	}
 	return m
 }
 
@@ -239,5 +265,8 @@
 		target.State = directory.Lapsed
 		target.LapsesAt = now.Add(millis(t.LapsesMs))
 	}
+	if t.ColdMs > 0 {
+		target.ColdUntil = now.Add(millis(t.ColdMs))
+	}
 	return target
 }
--- a/internal/gateway/peermessages_test.go
+++ b/internal/gateway/peermessages_test.go
@@ -81,7 +81,7 @@
 		d := view.Delta{Since: 3, Revision: 5, Targets: []directory.Target{{ID: "t"}}, Gone: []string{"gone"}}
 		m := deltaMessage(sent, d, nil)
 		convey.So(isDelta(m), convey.ShouldBeTrue)
-		convey.So(deltaOf(received, m, nil), convey.ShouldResemble, d)
+		convey.So(deltaOf(received, "", m, nil), convey.ShouldResemble, d)
 		whole := snapshotMessage(sent, view.New())
 		convey.So(isDelta(whole), convey.ShouldBeFalse)
 		convey.Convey("whose configuration is refused when it is not base64", func() {
@@ -101,7 +101,7 @@
 			m := deltaMessage(now, d, nil)
 			convey.So(isDelta(m), convey.ShouldBeTrue)
 			convey.So(m.Document, convey.ShouldBeEmpty)
-			convey.So(deltaOf(now, m, nil), convey.ShouldResemble, d)
+			convey.So(deltaOf(now, "", m, nil), convey.ShouldResemble, d)
 		})
 		convey.Convey("with one, which is in force once it is taken in", func() {
 			c := catalogChange(2)
@@ -110,7 +110,7 @@
 			convey.So(err, convey.ShouldBeNil)
 			convey.So(document, convey.ShouldResemble, c.Document)
 			behind := view.New().WithChanges(now, view.Changes{Revision: 3, List: []view.Change{catalogChange(1)}}, time.Time{})
-			caughtUp := behind.WithDelta(deltaOf(now, m, &c))
+			caughtUp := behind.WithDelta(now, deltaOf(now, "", m, &c))
 			convey.So(caughtUp.Version(), convey.ShouldEqual, 2)
 			convey.So(caughtUp.Revision, convey.ShouldEqual, 5)
 			convey.So(caughtUp.Document, convey.ShouldResemble, c.Document)
--- a/internal/gateway/placement/byprefill.go
+++ b/internal/gateway/placement/byprefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
@@ -50,6 +51,9 @@
 	// InputBytes is how many bytes of results the prompt reads from each data
 	// centre.
 	InputBytes map[string]int64
+	// GivesOut says whether this member gives out requests of cold engines. It is asked at
+	// most once, and only when there is one.
+	GivesOut func() bool
 }
 
 // key is that of the last shared part, the one that only prompts of the same session
@@ -94,7 +98,7 @@
 	mostCached := slices.Max(append(cached, 0))
 	ranks := rendezvousRanks(engines, q.key())
 	inputs := newTransfer(q.InputBytes)
-	chosen, found := best(now, engines, q.Exclude, func(i int, e *directory.Target) assessment {
+	chosen, found := best(now, engines, q.Exclude, p.allows(now, q), func(i int, e *directory.Target) assessment {
 		cost := p.promptCost(q, engineLoad{backlog: backlogs[e.ID], cached: cached[i], cachedElsewhere: mostCached - cached[i]})
 		cost += rankCost * float64(ranks[i])
 		cost += inputs.cost(e.DataCentre)
@@ -107,6 +111,7 @@
 		return Placement{}, false
 	}
 	engine := engines[chosen]
+	p.limits.Sent(now, engine)
 	placed := Placement{Target: engine}
 	held := cached[chosen]
 	if source, ok := p.copySource(now, engines, cached, chosen, q); ok {
@@ -117,6 +122,12 @@
 	return placed, true
 }
 
+// allows returns whether engines may get one more prompt by the limits of cold ones.
+func (p *EngineChooser) allows(now time.Time, q Prompt) allows {
+	givesOut := sync.OnceValue(q.GivesOut)
+	return func(e directory.Target) bool { return p.limits.Allows(now, e, givesOut) }
+}
+
 // engineLoad is what an engine has to do when a prompt comes, in tokens.
 type engineLoad struct {
 	// backlog is what the engine has to prefill before the prompt.
--- a/internal/gateway/placement/byprefill_test.go
+++ b/internal/gateway/placement/byprefill_test.go
@@ -153,7 +153,7 @@
 		p.Place(now, other, prompt("b", key))
 		p.Prefilled(now, "b", false)
 		if prune {
-			p.Prune(directory.New(other...))
+			p.Prune(now, directory.New(other...))
 		}
 		got, _ = p.Place(now.Add(after), engines(2), prompt("c", key))
 		return first, got
--- a/internal/gateway/placement/byprefix.go
+++ b/internal/gateway/placement/byprefix.go
@@ -58,7 +58,7 @@
 	ranks := rendezvousRanks(targets, q.Key)
 	inputs := newTransfer(q.InputBytes)
 	rankCost := max(rankTokensCost*float64(q.SharedTokens)/tokensPerUnit, minRankCost)
-	i, found := best(now, targets, q.Exclude, func(i int, c *directory.Target) assessment {
+	i, found := best(now, targets, q.Exclude, q.allows(now), func(i int, c *directory.Target) assessment {
 		s := t.of(c.ID)
 		cost := s.engineLoad(now, c.Slots)
 		cost += inputs.cost(c.DataCentre)
@@ -67,7 +67,8 @@
 		}
 		return assessment{tier: s.tier(now, c.State, q.MaxInflight), cost: cost}
 	})
-	return targetAt(targets, i, found)
+	target, found := targetAt(targets, i, found)
+	return q.sent(now, target, found)
 }
 
 // engineLoad is the cost of an engine's load and failures, in milliseconds.
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 )
 
 // tier says how well a candidate may be used at all. A candidate of a lower tier
@@ -42,15 +43,18 @@
 	return a.cost < b.cost
 }
 
+// allows says whether a candidate may get one more request now.
+type allows func(directory.Target) bool
+
 // best returns the candidate that goes before all others, among the usable targets
-// that are not excluded, by its index; of two alike the earlier one. It returns false
-// when there is none.
-func best(now time.Time, targets []directory.Target, exclude []string, assess func(i int, c *directory.Target) assessment) (int, bool) {
+// that are not excluded and may get a request, by its index; of two alike the earlier
+// one. It returns false when there is none.
+func best(now time.Time, targets []directory.Target, exclude []string, allowed allows, assess func(i int, c *directory.Target) assessment) (int, bool) {
 	chosen := -1
 	var least assessment
 	for i := range targets {
 		c := &targets[i]
-		if slices.Contains(exclude, c.ID) || !c.Usable(now) {
+		if slices.Contains(exclude, c.ID) || !c.Usable(now) || !allowed(*c) {
 			continue
 		}
 		if a := assess(i, c); chosen < 0 || a.before(least) {
@@ -84,6 +88,25 @@
 	InputBytes map[string]int64
 	// Subset limits the targets of plain calls.
 	Subset Subset
+	// Limits bound what cold targets get, and GivesOut says whether this node gives out
+	// the requests of one that is cold.
+	Limits   *warmup.Limits
+	GivesOut func(target string) bool
+}
+
+// allows returns whether targets may get one more request by the limits of cold ones.
+func (q Query) allows(now time.Time) allows {
+	return func(t directory.Target) bool {
+		return q.Limits.Allows(now, t, func() bool { return q.GivesOut(t.ID) })
+	}
+}
+
+// sent counts a request that a target gets now.
+func (q Query) sent(now time.Time, t directory.Target, found bool) (directory.Target, bool) {
+	if found {
+		q.Limits.Sent(now, t)
+	}
+	return t, found
 }
 
 // tier returns the tier of a candidate in a state, of which this node may use
--- a/internal/gateway/placement/chooser.go
+++ b/internal/gateway/placement/chooser.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 )
 
 // pendingFor is how long a prompt counts as pending when neither its first event nor
@@ -39,6 +40,8 @@
 	// copyTime is the time in which an engine copies a cached token from another, in
 	// milliseconds; 0 for unknown.
 	copyTime float64
+	// limits bound what cold engines get.
+	limits *warmup.Limits
 }
 
 // pendingPrompt is a prompt that waits for its prefill or is in it.
@@ -56,6 +59,7 @@
 func NewEngineChooser() *EngineChooser {
 	return &EngineChooser{
 		cache: newPrefixCache(), pending: map[string]pendingPrompt{}, prefillRate: firstPrefillRate,
+		limits: warmup.New(),
 	}
 }
 
@@ -65,6 +69,9 @@
 	p.copyTime = float64(perToken) / float64(time.Millisecond)
 }
 
+// SetWarmUp sets what a cold engine gets from all nodes together.
+func (p *EngineChooser) SetWarmUp(b warmup.Bound) { p.limits.SetBound(b) }
+
 // Prefilled reports that a prompt has its first event, or that its request has
 // ended. The prefill rate is learnt from whole prompts that an engine prefilled
 // alone. Unknown requests are ignored: they were placed by another member or have
@@ -81,8 +88,12 @@
 	}
 }
 
-// Prune forgets what engines have cached that are not in the directory.
-func (p *EngineChooser) Prune(d *directory.Directory) { p.cache.prune(d) }
+// Prune forgets what engines have cached that are not in the directory, and the limits of
+// those that are warm.
+func (p *EngineChooser) Prune(now time.Time, d *directory.Directory) {
+	p.cache.prune(d)
+	p.limits.Prune(now, d)
+}
 
 // add counts a prompt as pending at an engine, which prefills the given tokens of it,
 // and its shared parts as cached there from now on.
--- a/internal/gateway/placement/leastloaded.go
+++ b/internal/gateway/placement/leastloaded.go
@@ -36,7 +36,7 @@
 // times, and an attempt when the target fails. See docs/decisions/0011.
 func (t *TargetTable) LeastLoaded(now time.Time, targets []directory.Target, q Query) (directory.Target, bool) {
 	subset := q.Subset.contains(targets, q.DataCentre)
-	i, found := best(now, targets, q.Exclude, func(i int, c *directory.Target) assessment {
+	i, found := best(now, targets, q.Exclude, q.allows(now), func(i int, c *directory.Target) assessment {
 		s := t.of(c.ID)
 		latency := max(s.latency*remainingWeight(now, s.learntAt), minLatency)
 		cost := latency * (1 + s.outstanding(now)/s.slots(c.Slots)) * (1 + failurePenalty*s.failing)
@@ -49,5 +49,6 @@
 		}
 		return assessment{tier: level, cost: cost}
 	})
-	return targetAt(targets, i, found)
+	target, found := targetAt(targets, i, found)
+	return q.sent(now, target, found)
 }
--- a/internal/gateway/prompts.go
+++ b/internal/gateway/prompts.go
@@ -10,7 +10,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
-	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 )
 
 const (
@@ -33,6 +33,7 @@
 	members *members
 	peers   *peerClient
 	views   *viewKeeper
+	margin  warmup.Margin
 
 	mu       sync.Mutex
 	choosers map[string]*placement.EngineChooser
@@ -71,24 +72,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.chooser(service)
-	c.SetCopyTime(copyTime(v, service))
+	s := v.Service(service)
+	c.SetCopyTime(s.CopyTime)
+	c.SetWarmUp(p.margin.Bound(s.WarmUp))
+	q.GivesOut = p.members.settled
 	placed, ok := c.Place(p.now(), v.Directory.Service(service), q)
 	return relay.Placed{Engine: placed.ID, CopyFrom: placed.CopyFrom}, ok
 }
 
-// copyTime returns in which time the engines of a service copy a cached token from
-// each other; 0 for unknown.
-func copyTime(v *view.View, service string) time.Duration {
-	if v.Catalog == nil {
-		return 0
-	}
-	s := v.Catalog.Service(service)
-	if s == nil {
-		return 0
-	}
-	return s.CopyTime
-}
-
 // Prefilled implements relay.Placer. A report that is lost costs the engine's
 // backlog its accuracy until the prompt is forgotten.
 func (p *prompts) Prefilled(service, request string, whole bool) {
@@ -118,6 +109,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.choosers {
-		c.Prune(d)
+		c.Prune(p.now(), d)
 	}
 }
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -54,6 +54,28 @@
 		WithRetryAfter(retryAfter(r.times.Answer.Sub(s.cfg.Now())))
 }
 
+// refuseEvacuated refuses a request that needs a service whose targets are all in
+// evacuated data centres.
+func (s *Server) refuseEvacuated(r *resolved) *verdict.Error {
+	service, refused := rules.Evacuated(r.services(), s.cfg.View().Directory.AllEvacuated)
+	if !refused {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonEvacuated, "all data centres of %s are evacuated", service).
+		WithRetryAfter(retryAfter(r.times.Answer.Sub(s.cfg.Now())))
+}
+
+// services returns the services that the request needs, in the order of their use.
+func (r *resolved) services() []string {
+	var list []string
+	for i, stage := range r.stages {
+		if stage.Items > 0 {
+			list = append(list, r.route.Stages[i].Service)
+		}
+	}
+	return append(list, r.service.Name)
+}
+
 // plan returns what the request will ask for, in the order of its stages.
 func (r *resolved) plan() []PlannedStage {
 	var plan []PlannedStage
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -27,6 +27,8 @@
 	now     func() time.Time
 	// members returns how many nodes share the targets' connections.
 	members func() int
+	// givesOut says whether this node gives out the requests of a cold target.
+	givesOut func(target string) bool
 	// tried are the targets that had the request already.
 	tried []string
 }
@@ -34,7 +36,7 @@
 func (s *Server) chooser(r *resolved) *chooser {
 	return &chooser{
 		resolved: r, dataCentre: s.cfg.DataCentre, node: s.cfg.Node, view: s.cfg.View, placer: s.cfg.Placer, targets: s.targets,
-		now: s.cfg.Now, members: s.cfg.Members,
+		now: s.cfg.Now, members: s.cfg.Members, givesOut: s.cfg.GivesOut,
 	}
 }
 
@@ -79,7 +81,12 @@
 // own chooses a target by what this node knows alone.
 func (c *chooser) own(inputs map[string]int64) (directory.Target, bool) {
 	list := c.view().Directory.Service(c.service.Name)
-	q := placement.Query{DataCentre: c.dataCentre, Exclude: c.tried, InputBytes: inputs}
+	q := placement.Query{DataCentre: c.dataCentre, Exclude: c.tried, InputBytes: inputs, GivesOut: c.givesOut}
+	if c.service.Engine {
+		// Nodes that choose on their own at one moment are many, as after the loss of the
+		// Placer, and do not know of each other's prompts.
+		q.GivesOut = func(string) bool { return false }
+	}
 	for _, part := range sharedParts(c.req.Parts) {
 		q.Key = part.Key
 		q.SharedTokens += part.Tokens
@@ -89,7 +96,7 @@
 		q.MaxInflight = rules.ConnectionShare(c.service.MaxConnections, nodes)
 		q.Subset = placement.Subset{Node: c.node, Size: rules.TargetsPerNode(c.service.MaxConnections, nodes, len(list))}
 	}
-	return c.targets.choose(c.service.Engine, list, q)
+	return c.targets.choose(c.service, list, q)
 }
 
 // sharedParts returns the parts of a prompt that other requests may share: all but
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -26,6 +26,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -49,6 +50,11 @@
 	RetryPolicy retrybudget.Policy
 	// Members returns how many nodes share the targets' connections.
 	Members func() int
+	// WarmUp widens what cold targets get.
+	WarmUp warmup.Margin
+	// GivesOut says whether this node gives out the requests of a cold target of a plain
+	// service. Those of cold engines only the Placer does.
+	GivesOut func(target string) bool
 }
 
 // Server relays requests. Create it with New.
@@ -72,7 +78,7 @@
 	stopping, stop := context.WithCancel(context.Background())
 	return &Server{
 		cfg: cfg, stopping: stopping, stop: stop,
-		targets: newTargets(cfg.Now), budgets: newRetryBudgets(cfg.RetryPolicy, cfg.Now),
+		targets: newTargets(cfg.Now, cfg.WarmUp), budgets: newRetryBudgets(cfg.RetryPolicy, cfg.Now),
 		timeouts: newClientTimeouts(), prefills: newPrefillRates(), inputsGone: newInputsGone(),
 	}
 }
@@ -104,6 +110,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.times.Answer.Sub(s.cfg.Now()))
 	defer cancel()
+	if err := s.refuseEvacuated(r); err != nil {
+		return err
+	}
 	if outcome.Planned, err = s.admit(ctx, r); err != nil {
 		return err
 	}
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -125,7 +125,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the time is over")
 	}
 	if !s.view().Directory.Usable(id, now) {
-		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target leaves")
+		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target, or its data centre, takes no new work")
 	}
 	return nil
 }
--- a/internal/gateway/relay/targets.go
+++ b/internal/gateway/relay/targets.go
@@ -4,29 +4,46 @@
 	"sync"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 )
 
 // targets is what this node has measured of targets, safe for concurrent use.
 type targets struct {
-	now func() time.Time
+	now    func() time.Time
+	margin warmup.Margin
 
 	mu    sync.Mutex
 	table *placement.TargetTable
+	// limits bound what cold targets get, by service.
+	limits map[string]*warmup.Limits
 }
 
-func newTargets(now func() time.Time) *targets {
-	return &targets{now: now, table: placement.NewTargetTable()}
+func newTargets(now func() time.Time, margin warmup.Margin) *targets {
+	return &targets{now: now, margin: margin, table: placement.NewTargetTable(), limits: make(map[string]*warmup.Limits)}
+}
+
+// limitsOf returns the limits of a service; the caller holds the lock.
+func (t *targets) limitsOf(service *catalog.Service) *warmup.Limits {
+	limits := t.limits[service.Name]
+	if limits == nil {
+		limits = warmup.New()
+		t.limits[service.Name] = limits
+	}
+	limits.SetBound(t.margin.Bound(service.WarmUp))
+	return limits
 }
 
 // choose chooses an engine by the shared parts of a prompt, or a target for a request
 // without one.
-func (t *targets) choose(engine bool, list []directory.Target, q placement.Query) (directory.Target, bool) {
+func (t *targets) choose(service *catalog.Service, list []directory.Target, q placement.Query) (directory.Target, bool) {
 	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if engine {
+	q.Limits = t.limitsOf(service)
+	if service.Engine {
 		return t.table.ByPrefix(now, list, q)
 	}
 	return t.table.LeastLoaded(now, list, q)
@@ -74,4 +91,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.table.Prune(d)
+	for _, limits := range t.limits {
+		limits.Prune(t.now(), d)
+	}
 }
--- a/internal/gateway/relay/world_test.go
+++ b/internal/gateway/relay/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -177,13 +178,18 @@
 // setupLinked returns a server for one route whose stages' results are fetched at so
 // many bytes a second.
 func setupLinked(r *catalog.Route, engine bool, bytesPerSecond float64) (*world, *relay.Server) {
+	return setupView(r, engine, bytesPerSecond, func(v *view.View) *view.View { return v })
+}
+
+// setupView returns such a server with a changed view.
+func setupView(r *catalog.Route, engine bool, bytesPerSecond float64, change func(*view.View) *view.View) (*world, *relay.Server) {
 	w := &world{held: map[string]bool{}, body: "whole"}
 	if r.Kind == catalog.Stream {
 		w.body = events(1, 9)
 	}
 	r.Host, r.Prefix, r.Split = "h", "/", []catalog.Share{{Service: "s", Weight: 1}}
 	r.Timeout, r.Objective, r.PauseLimit = 10*time.Second, 2*time.Second, 400*time.Millisecond
-	services := []*catalog.Service{{Name: "s"}}
+	services := []*catalog.Service{{Name: "s", WarmUp: catalog.WarmUp{Time: 3 * time.Second, PerSecond: 10}}}
 	if engine {
 		services[0].Engine = true
 	}
@@ -198,10 +204,11 @@
 	for i := range 4 {
 		targets = append(targets, directory.Target{ID: fmt.Sprintf("t%d", i), Service: "s", DataCentre: "d", Slots: 4})
 	}
-	v := &view.View{Revision: 1, Catalog: c, Directory: directory.New(targets...)}
+	v := change(&view.View{Revision: 1, Catalog: c, Directory: directory.New(targets...)})
 	return w, relay.New(relay.Config{
 		DataCentre: "d", View: func() *view.View { return v }, Upstream: w, Batcher: w, Placer: w, Observer: w, Now: time.Now,
 		RetryPolicy: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, Members: func() int { return 1 },
+		WarmUp: warmup.Margin{Overshoot: 1.5, Tolerance: 5}, GivesOut: func(string) bool { return true },
 	})
 }
 
--- /dev/null
+++ b/internal/gateway/view/evacuation_test.go
@@ -0,0 +1,169 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	_ "github.com/honeydyke/honeydyke/internal/fixedseed"
+	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
+)
+
+// never is the last outage of a source that never failed.
+var never time.Time
+
+// warmUp is how long the targets of the service of these tests stay cold.
+const warmUp = 3 * time.Second
+
+func evacuation(dataCentre string, active bool, revision int64) view.EvacuationChange {
+	return view.EvacuationChange{Evacuation: view.Evacuation{DataCentre: dataCentre, Active: active, Revision: revision}}
+}
+
+func targetIn(id, dataCentre string) view.TargetChange {
+	return view.TargetChange{Target: directory.Target{ID: id, Service: "s", DataCentre: dataCentre}}
+}
+
+// coldCatalog is a configuration whose targets turn cold.
+func coldCatalog() view.CatalogChange {
+	s := &catalog.Service{Name: "s", WarmUp: catalog.WarmUp{Time: warmUp, PerSecond: 10}}
+	c, err := catalog.New(1, nil, []*catalog.Service{s}, nil, catalog.Limits{})
+	if err != nil {
+		panic(err)
+	}
+	return view.CatalogChange{Catalog: c}
+}
+
+// twoDataCentres is a view of a target in each of two data centres.
+func twoDataCentres() *view.View {
+	return view.New().WithSnapshot(now, view.Changes{Revision: 5, List: []view.Change{
+		coldCatalog(), targetIn("a", "d1"), targetIn("b", "d2"),
+	}}, never)
+}
+
+func after(v *view.View, revision int64, list ...view.Change) *view.View {
+	return v.WithChanges(now, view.Changes{Revision: revision, List: list}, never)
+}
+
+func shouldUse(v *view.View, target string) {
+	convey.So(v.Directory.Usable(target, now), convey.ShouldBeTrue)
+}
+
+func shouldNotUse(v *view.View, target string) {
+	convey.So(v.Directory.Usable(target, now), convey.ShouldBeFalse)
+}
+
+func TestEvacuation(t *testing.T) {
+	convey.Convey("The targets of an evacuated data centre take no new work, others do", t, func() {
+		v := after(twoDataCentres(), 6, evacuation("d1", true, 6))
+		shouldNotUse(v, "a")
+		shouldUse(v, "b")
+		convey.Convey("nor do those that are listed there later", func() {
+			shouldNotUse(after(v, 7, targetIn("c", "d1")), "c")
+			shouldNotUse(after(v, 7, targetIn("a", "d1")), "a")
+		})
+		convey.Convey("until it is taken back", func() {
+			shouldUse(after(v, 7, evacuation("d1", false, 7)), "a")
+		})
+		convey.Convey("when it is taken back and evacuated again at once", func() {
+			shouldNotUse(after(v, 8, evacuation("d1", false, 7), evacuation("d1", true, 8)), "a")
+			shouldUse(after(v, 9, evacuation("d1", false, 7), evacuation("d1", true, 8), evacuation("d1", false, 9)), "a")
+		})
+		convey.Convey("nor those that lapsed during an outage of the source", func() {
+			v = v.WithChanges(now, view.Changes{Revision: 7, List: []view.Change{view.TargetGone{ID: "a"}}}, now)
+			shouldNotUse(v, "a")
+		})
+	})
+	convey.Convey("Older news than what is known changes nothing", t, func() {
+		v := after(twoDataCentres(), 9, evacuation("d1", true, 6), evacuation("d1", false, 9))
+		shouldUse(after(v, 9, evacuation("d1", true, 6)), "a")
+		v = after(v, 10, evacuation("d1", true, 10))
+		shouldNotUse(after(v, 10, evacuation("d1", false, 9)), "a")
+	})
+	convey.Convey("A whole list takes back what it does not name", t, func() {
+		v := after(twoDataCentres(), 6, evacuation("d1", true, 6), evacuation("d2", true, 6))
+		v = v.WithSnapshot(now, view.Changes{Revision: 8, List: []view.Change{
+			targetIn("a", "d1"), targetIn("b", "d2"), evacuation("d2", true, 6),
+		}}, never)
+		shouldUse(v, "a")
+		shouldNotUse(v, "b")
+		convey.Convey("but not what was set after the list was read", func() {
+			v = after(v, 12, evacuation("d1", true, 12))
+			shouldNotUse(v.WithSnapshot(now, view.Changes{Revision: 11}, never), "a")
+		})
+	})
+	convey.Convey("A node that starts knows an evacuation with its first list", t, func() {
+		v := view.New().WithSnapshot(now, view.Changes{Revision: 5, List: []view.Change{
+			coldCatalog(), evacuation("d1", true, 3), targetIn("a", "d1"),
+		}}, never)
+		shouldNotUse(v, "a")
+	})
+	convey.Convey("A member hands evacuations on with what changed, also when no target did", t, func() {
+		ahead := after(twoDataCentres(), 6, evacuation("d1", true, 6))
+		d, known := ahead.DeltaSince(5)
+		convey.So(known, convey.ShouldBeTrue)
+		shouldNotUse(twoDataCentres().WithDelta(now, d), "a")
+	})
+	convey.Convey("All data centres of a service are evacuated only when no target takes work", t, func() {
+		v := after(twoDataCentres(), 6, evacuation("d1", true, 6))
+		convey.So(v.Directory.AllEvacuated("s"), convey.ShouldBeFalse)
+		v = after(v, 7, evacuation("d2", true, 7))
+		convey.So(v.Directory.AllEvacuated("s"), convey.ShouldBeTrue)
+		convey.So(v.Directory.AllEvacuated("unknown"), convey.ShouldBeFalse)
+	})
+}
+
+// TestEvacuationsInAnyOrder holds that nodes which hear the same news in any order, any
+// number of times, end with the newest for each data centre.
+func TestEvacuationsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		centres := []string{"d1", "d2"}
+		var news []view.EvacuationChange
+		newest := map[string]bool{}
+		for i := range rapid.IntRange(1, 8).Draw(t, "changes") {
+			dc := rapid.SampledFrom(centres).Draw(t, "data centre")
+			newest[dc] = rapid.Bool().Draw(t, "active")
+			news = append(news, evacuation(dc, newest[dc], int64(6+i)))
+		}
+		heard := rapid.Permutation(append(news, news...)).Draw(t, "heard")
+		v := twoDataCentres()
+		for _, n := range heard {
+			v = after(v, n.Revision, n)
+		}
+		for target, dc := range map[string]string{"a": "d1", "b": "d2"} {
+			if v.Directory.Usable(target, now) == newest[dc] {
+				t.Fatalf("%s: evacuated %v is wrong after %v", dc, !newest[dc], heard)
+			}
+		}
+	})
+}
+
+func TestCold(t *testing.T) {
+	coldUntil := func(v *view.View, id string) time.Time {
+		target, _ := v.Directory.Target(id)
+		return target.ColdUntil
+	}
+	convey.Convey("A target is cold for as long as it says", t, func() {
+		c := targetIn("a", "d1")
+		c.ColdFor = time.Second
+		v := after(twoDataCentres(), 6, c)
+		convey.So(coldUntil(v, "a"), convey.ShouldEqual, now.Add(time.Second))
+		convey.Convey("also when it is listed again as warm", func() {
+			convey.So(coldUntil(after(v, 7, targetIn("a", "d1")), "a"), convey.ShouldEqual, now.Add(time.Second))
+		})
+	})
+	convey.Convey("A data centre that is taken back counts as cold for the warm-up of its targets", t, func() {
+		v := after(twoDataCentres(), 6, evacuation("d1", true, 6))
+		convey.So(coldUntil(v, "a"), convey.ShouldBeZeroValue)
+		v = after(v, 7, evacuation("d1", false, 7))
+		convey.So(coldUntil(v, "a"), convey.ShouldEqual, now.Add(warmUp))
+		convey.So(coldUntil(v, "b"), convey.ShouldBeZeroValue)
+		convey.Convey("also when a whole list shows it", func() {
+			v := after(twoDataCentres(), 6, evacuation("d1", true, 6)).WithSnapshot(now, view.Changes{Revision: 8, List: []view.Change{targetIn("a", "d1")}}, never)
+			convey.So(coldUntil(v, "a"), convey.ShouldEqual, now.Add(warmUp))
+		})
+	})
+}
--- a/internal/gateway/view/history.go
+++ b/internal/gateway/view/history.go
@@ -45,7 +45,7 @@
 			report.ids = append(report.ids, c.Target.ID)
 		case TargetGone:
 			report.ids = append(report.ids, c.ID)
-		case CatalogChange, Rejected:
+		case CatalogChange, EvacuationChange, Rejected:
 		}
 	}
 	if len(report.ids) == 0 {
@@ -86,6 +86,9 @@
 	Gone    []string
 	// Catalog is a configuration that came between them; nil for none.
 	Catalog *CatalogChange
+	// Evacuations are all that the member knows, whatever changed: they are few, and who
+	// knows them already drops them.
+	Evacuations []Evacuation
 }
 
 // DeltaSince returns what changed after a revision; false when that is not
@@ -95,7 +98,7 @@
 	if !known {
 		return Delta{}, false
 	}
-	d := Delta{Since: revision, Revision: v.Revision}
+	d := Delta{Since: revision, Revision: v.Revision, Evacuations: v.Evacuations.All()}
 	for _, id := range ids {
 		if t, listed := v.Directory.Target(id); listed {
 			d.Targets = append(d.Targets, t)
@@ -108,13 +111,13 @@
 
 // WithDelta returns the view with a member's delta taken in. A view that has another
 // revision than the delta is for stays as it is.
-func (v *View) WithDelta(d Delta) *View {
+func (v *View) WithDelta(now time.Time, d Delta) *View {
 	if d.Since != v.Revision || d.Revision <= v.Revision {
 		return v
 	}
 	ch := d.Changes()
 	// The member has decided which targets lapse, so that the others have gone here too.
-	return v.WithChanges(time.Time{}, ch, time.Time{})
+	return v.WithChanges(now, ch, time.Time{})
 }
 
 // Changes lists what changed, for the log.
@@ -123,6 +126,9 @@
 	if d.Catalog != nil {
 		ch.List = append(ch.List, *d.Catalog)
 	}
+	for _, e := range d.Evacuations {
+		ch.List = append(ch.List, EvacuationChange{Evacuation: e})
+	}
 	for _, t := range d.Targets {
 		ch.List = append(ch.List, TargetChange{Target: t})
 	}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -1,5 +1,5 @@
-// Package view holds what a node knows of the deployment: the catalog in force and
-// the directory of targets, up to a revision of the source. It decides what a change
+// Package view holds what a node knows of the deployment: the catalog in force, the
+// directory of targets and the evacuated data centres, up to a revision of the source. It decides what a change
 // means and what changed since a revision. It does no input or output and reads no
 // clock; views are immutable and need no lock.
 //
@@ -40,7 +40,22 @@
 }
 
 // TargetChange is a target that was added or changed.
-type TargetChange struct{ Target directory.Target }
+type TargetChange struct {
+	Target directory.Target
+	// ColdFor is how much longer the target says that it stays cold; 0 for not cold. It
+	// counts from when the change is taken in, which is later than the target said it: the
+	// target is warm by then at the latest.
+	ColdFor time.Duration
+}
+
+// target returns the target as of now.
+func (c TargetChange) target(now time.Time) directory.Target {
+	t := c.Target
+	if c.ColdFor > 0 {
+		t.ColdUntil = now.Add(c.ColdFor)
+	}
+	return t
+}
 
 // TargetGone is a target that vanished.
 type TargetGone struct{ ID string }
@@ -71,6 +86,8 @@
 	Document []byte
 	// Directory is the targets; never nil.
 	Directory *directory.Directory
+	// Evacuations are the data centres that are, or were, evacuated.
+	Evacuations Evacuations
 	// history is what changed lately, up to Revision.
 	history History
 }
@@ -86,6 +103,17 @@
 	return v.Catalog.Version
 }
 
+// Service returns what the catalog says of a service; one of which it says nothing has
+// its name alone.
+func (v *View) Service(name string) *catalog.Service {
+	if v.Catalog != nil {
+		if s := v.Catalog.Service(name); s != nil {
+			return s
+		}
+	}
+	return &catalog.Service{Name: name}
+}
+
 // WithChanges returns the view with changes taken in. An older catalog than the one
 // in force is dropped. lastOutage is when the source last failed; zero for never. A
 // target that vanishes within LapseGrace of it counts as lapsed.
@@ -100,6 +128,7 @@
 // in an edit.
 func (v *View) withChanges(targets *directory.Edit, now time.Time, ch Changes, lastOutage time.Time) *View {
 	next := *v
+	evacuations := v.Evacuations
 	for _, c := range ch.List {
 		switch c := c.(type) {
 		case CatalogChange:
@@ -107,12 +136,16 @@
 				next.Catalog, next.Document = c.Catalog, c.Document
 			}
 		case TargetChange:
-			targets.Put(c.Target)
+			targets.Put(c.target(now))
 		case TargetGone:
 			removeTarget(targets, now, c.ID, lastOutage)
+		case EvacuationChange:
+			c.Since = now
+			evacuations = evacuations.With(c.Evacuation)
 		case Rejected:
 		}
 	}
+	next.withEvacuations(targets, now, evacuations)
 	next.Revision = max(next.Revision, ch.Revision)
 	next.history = next.history.With(ch)
 	return &next
@@ -133,6 +166,7 @@
 	}
 	targets := v.Directory.Edit()
 	next := v.withChanges(targets, now, ch, lastOutage)
+	next.withEvacuations(targets, now, next.Evacuations.withListed(now, ch))
 	for _, id := range slices.Collect(maps.Keys(targets.All())) {
 		if !listed[id] {
 			removeTarget(targets, now, id, lastOutage)
--- a/internal/gateway/view/view_test.go
+++ b/internal/gateway/view/view_test.go
@@ -75,19 +75,19 @@
 		convey.So(ok, convey.ShouldBeTrue)
 		convey.So(d.Gone, convey.ShouldResemble, []string{"a"})
 		convey.So(d.Targets, convey.ShouldHaveLength, 1)
-		caughtUp := behind.WithDelta(d)
+		caughtUp := behind.WithDelta(now, d)
 		convey.So(caughtUp.Revision, convey.ShouldEqual, 9)
 		convey.So(caughtUp.Directory.All(), convey.ShouldResemble, ahead.Directory.All())
 		convey.Convey("and can send it to others in turn", func() {
 			again, ok := caughtUp.DeltaSince(5)
 			convey.So(ok, convey.ShouldBeTrue)
-			convey.So(known().WithDelta(again).Directory.All(), convey.ShouldResemble, ahead.Directory.All())
+			convey.So(known().WithDelta(now, again).Directory.All(), convey.ShouldResemble, ahead.Directory.All())
 		})
 	})
 	convey.Convey("A delta for another revision than the view's is not taken", t, func() {
 		d, _ := known().WithChanges(now, leaving, time.Time{}).DeltaSince(5)
 		later := known().WithChanges(now, view.Changes{Revision: 6, List: []view.Change{view.TargetGone{ID: "b"}}}, time.Time{})
-		convey.So(later.WithDelta(d), convey.ShouldEqual, later)
+		convey.So(later.WithDelta(now, d), convey.ShouldEqual, later)
 	})
 	convey.Convey("Changes without targets leave nothing out", t, func() {
 		v := known().WithChanges(now, leaving, time.Time{}).WithChanges(now, view.Changes{Revision: 8}, time.Time{})
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -45,7 +45,7 @@
 	if k.load().Directory.Usable(target, k.now()) {
 		return nil
 	}
-	return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target is leaving")
+	return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target, or its data centre, takes no new work")
 }
 
 // apply replaces the current view by what change returns for it. ch is what the log
@@ -82,6 +82,7 @@
 		k.log.Info().Int64("version", next.Version()).Int64("was", old.Version()).Int64("revision", next.Revision).
 			Int("routes", next.Catalog.RouteCount()).Msg("view: configuration in force")
 	}
+	k.logEvacuations(old, next)
 	if old.Catalog == nil && next.Catalog != nil {
 		// One line for all: a line each costs a weak node that starts with hundreds of
 		// targets more time than to read them. The state dump lists them.
@@ -97,7 +98,23 @@
 			k.log.Info().Str("target", c.ID).Int64("revision", ch.Revision).Msg("view: target gone")
 		case view.Rejected:
 			k.log.Error().Str("key", c.Key).Str("why", c.Reason).Msg("view: entry refused")
-		case view.CatalogChange:
+		case view.CatalogChange, view.EvacuationChange:
 		}
 	}
 }
+
+// logEvacuations logs which data centres are evacuated from now on, and which were
+// taken back. It compares views and not changes, as a list of all keys takes back what
+// is missing there.
+func (k *viewKeeper) logEvacuations(old, next *view.View) {
+	for _, e := range next.Evacuations.All() {
+		if e.Active == old.Evacuations.Of(e.DataCentre).Active {
+			continue
+		}
+		text := "view: data centre taken back"
+		if e.Active {
+			text = "view: data centre evacuated"
+		}
+		k.log.Info().Str("dataCentre", e.DataCentre).Int64("revision", e.Revision).Str("from", e.From).Msg(text)
+	}
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -85,6 +85,9 @@
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre"`
 
+	// Data centres that are, or were, evacuated.
+	Evacuations []ViewEvacuation `json:"evacuations"`
+
 	// InFlight corresponds to the JSON schema field "inFlight".
 	InFlight int `json:"inFlight"`
 
@@ -724,6 +727,24 @@
 	Spent int `json:"spent"`
 }
 
+// ViewEvacuation is what is known of a data centre that is or was evacuated.
+type ViewEvacuation struct {
+	// Whether its targets take no new work.
+	Active bool `json:"active"`
+
+	// Time since the node heard it, in a state dump, in milliseconds.
+	AgeMs int `json:"ageMs,omitempty,omitzero"`
+
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre"`
+
+	// Peer address of the member that said so, in a state dump; empty for the source.
+	From string `json:"from,omitempty,omitzero"`
+
+	// Revision of the source at which that was set or lifted.
+	Revision int `json:"revision"`
+}
+
 // ViewSnapshot is what one node knows of the deployment, or what of it changed
 // since a revision.
 type ViewSnapshot struct {
@@ -731,6 +752,10 @@
 	// are told.
 	Document string `json:"document"`
 
+	// All data centres that are known to be, or to have been, evacuated, whatever
+	// changed; a member of an earlier version leaves it out.
+	Evacuations []ViewEvacuation `json:"evacuations"`
+
 	// Targets that have gone since.
 	Gone []string `json:"gone,omitempty,omitzero"`
 
@@ -749,6 +774,10 @@
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
 
+	// Time for which the target may stay cold, in milliseconds; 0 for one that is
+	// warm.
+	ColdMs int `json:"coldMs,omitempty,omitzero"`
+
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre,omitempty,omitzero"`
 
--- a/pkg/settings/settings_gen.go
+++ b/pkg/settings/settings_gen.go
@@ -40,6 +40,9 @@
 
 	// Address of the store.
 	Store string `json:"store"`
+
+	// WarmUp corresponds to the JSON schema field "warmUp".
+	WarmUp *WarmUp `json:"warmUp,omitempty,omitzero"`
 }
 
 // Keys holds the secrets that all nodes share.
@@ -170,3 +173,13 @@
 	// Signatures needed.
 	Required int `json:"required"`
 }
+
+// WarmUp says by how much the requests that a cold target gets in a second may
+// exceed what the configuration says it bears, over all nodes.
+type WarmUp struct {
+	// What the configured rate is multiplied by.
+	Overshoot float64 `json:"overshoot,omitempty,omitzero"`
+
+	// Requests a second beyond that.
+	Tolerance float64 `json:"tolerance,omitempty,omitzero"`
+}
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -111,6 +111,8 @@
 const (
 	// ReasonLeaving means that the node or target is in its planned stop.
 	ReasonLeaving Reason = "leaving"
+	// ReasonEvacuated means that all data centres with targets for the work are evacuated.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonMoved means that another node coordinates the service now.
 	ReasonMoved Reason = "moved"
 	// ReasonNotReady means that the node has no configuration yet, or was paused and
