--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 	g.coordinators.configure(v)
 	g.relay.Prune(v.Directory)
 	g.prompts.prune(v.Directory)
+	g.metrics.viewChanged(g.now(), v)
 	g.gossip.publishStatus()
 	g.gossip.trigger()
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/telemetry"
 )
 
@@ -26,6 +27,9 @@
 	handler        http.Handler
 	sourceCalls    tally.Counter
 	sourceFailures tally.Counter
+	// evacuated is how many data centres this node takes for evacuated, cold how many
+	// targets it took for cold when the view last changed.
+	evacuated, cold tally.Gauge
 }
 
 func newMetrics() *metrics {
@@ -33,6 +37,7 @@
 	return &metrics{
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
+		evacuated: scope.Gauge("evacuated_data_centres"), cold: scope.Gauge("cold_targets"),
 	}
 }
 
@@ -56,6 +61,18 @@
 	}
 }
 
+// viewChanged counts what of a view takes no new work, or little.
+func (m *metrics) viewChanged(now time.Time, v *view.View) {
+	cold := 0
+	for _, t := range v.Directory.All() {
+		if t.Cold(now) {
+			cold++
+		}
+	}
+	m.evacuated.Update(float64(v.Evacuations.ActiveCount()))
+	m.cold.Update(float64(cold))
+}
+
 func (m *metrics) batch(service string, items int) {
 	m.scope.Tagged(map[string]string{"service": label(service)}).Histogram("call_items", batchBuckets).RecordValue(float64(items))
 }
--- a/internal/gateway/view/evacuation.go
+++ b/internal/gateway/view/evacuation.go
@@ -59,6 +59,9 @@
 	return slices.SortedFunc(maps.Values(e.byDataCentre), func(a, b Evacuation) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
 }
 
+// ActiveCount returns how many data centres are evacuated.
+func (e Evacuations) ActiveCount() int { return len(e.active()) }
+
 // active returns the data centres whose targets take no new work.
 func (e Evacuations) active() map[string]bool {
 	list := make(map[string]bool)
