Members gossip in a compact form

Change: a protocol buffer of the same fields, written by protowire. A member says that it reads the form; others get JSON, and a request in JSON that accepts the form is answered in it, so that versions mix.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -96,7 +96,7 @@
 func (g *gossip) exchange(ctx context.Context, member string) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	in, err := g.peers.gossipAtMember(ctx, member, g.members.gossip())
+	in, err := g.peers.gossipAtMember(ctx, member, g.members.gossip(), g.members.readsCompact(member))
 	if err != nil {
 		return false
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -151,6 +151,13 @@
 	return m.roster.Gossip(m.now())
 }
 
+// readsCompact says whether a member is known to read the compact form of gossip.
+func (m *members) readsCompact(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.ReadsCompact(address)
+}
+
 // mergeFrom merges the answer of a member that was called, which is a sign of life.
 func (m *members) mergeFrom(address string, in message.Gossip) {
 	m.mu.Lock()
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -46,7 +46,7 @@
 // the member.
 func NewRoster(self string, incarnation int64, seeds []string) *Roster {
 	r := &Roster{
-		self:  message.GossipMember{Address: self, Incarnation: int(incarnation)},
+		self:  message.GossipMember{Address: self, Incarnation: int(incarnation), Compact: true},
 		known: map[string]rosterEntry{}, ownWeight: weightOf(self),
 	}
 	r.SetSeeds(seeds)
@@ -134,6 +134,9 @@
 // VersionOf returns the version of the catalog that a member knows; 0 for unknown.
 func (r *Roster) VersionOf(address string) int { return r.known[address].Version }
 
+// ReadsCompact says whether a member reads the compact form of gossip.
+func (r *Roster) ReadsCompact(address string) bool { return r.known[address].Compact }
+
 // Members returns all that is known, this member first, for the state dump.
 func (r *Roster) Members() []message.GossipMember {
 	list := []message.GossipMember{r.self}
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -51,11 +51,28 @@
 }
 
 // gossipAtMember sends a member what is known of all members and returns what it
-// knows.
-func (c *peerClient) gossipAtMember(ctx context.Context, member string, in message.Gossip) (message.Gossip, error) {
-	var out message.Gossip
-	err := c.call(ctx, http.MethodPost, member, wire.PathGossip, in, &out)
-	return out, err
+// knows. compact says that the member reads the compact form.
+func (c *peerClient) gossipAtMember(ctx context.Context, member string, in message.Gossip, compact bool) (message.Gossip, error) {
+	body, kind, err := gossipBody(in, compact)
+	if err != nil {
+		return message.Gossip{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+member+wire.PathGossip, bytes.NewReader(body))
+	if err != nil {
+		return message.Gossip{}, err
+	}
+	req.Header.Set("Content-Type", kind)
+	req.Header.Set("Accept", compactType)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return message.Gossip{}, err
+	}
+	// Its error cannot matter: what was to be read has been read.
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return message.Gossip{}, errors.Errorf("member %s answered with status %d", member, resp.StatusCode)
+	}
+	return readGossipBody(io.LimitReader(resp.Body, wire.MaxAnswerBytes), resp.Header.Get("Content-Type"))
 }
 
 // runAtMember has a member run the items of a group. It calls inputsRead when the
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -50,11 +50,19 @@
 }
 
 func (s *peerServer) serveGossip(w http.ResponseWriter, r *http.Request) {
-	var in message.Gossip
-	if !readMessage(w, r, &in) {
+	in, err := readGossipBody(http.MaxBytesReader(w, r.Body, wire.MaxAnswerBytes), r.Header.Get("Content-Type"))
+	if err != nil {
+		http.Error(w, "the message does not read", http.StatusBadRequest)
 		return
 	}
-	writeMessage(w, s.gossip.members.exchange(in))
+	body, kind, err := gossipBody(s.gossip.members.exchange(in), r.Header.Get("Accept") == compactType)
+	if err != nil {
+		http.Error(w, "the answer cannot be written", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", kind)
+	// As with writeMessage, an error means that the connection is gone.
+	_, _ = w.Write(body)
 	s.gossip.answered()
 }
 
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -141,6 +141,10 @@
 	// core; 0 for unknown.
 	Capacity int `json:"capacity,omitempty,omitzero"`
 
+	// Whether the member reads the compact form of gossip; members of an earlier
+	// version do not.
+	Compact bool `json:"compact,omitempty,omitzero"`
+
 	// Whether the member has heard the source lately.
 	Hears bool `json:"hears,omitempty,omitzero"`
 
