--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -74,8 +74,8 @@
 	return state
 }
 
-// evacuationStates describes evacuations with what members are not told: when and from
-// whom this node heard of them.
+// evacuationStates describes evacuations with what members are not sent: when this node
+// learnt of them and from whom.
 func evacuationStates(now time.Time, evacuations view.Evacuations) []message.ViewEvacuation {
 	known := evacuations.All()
 	list := evacuationMessages(known)
--- a/internal/gateway/batching/core.go
+++ b/internal/gateway/batching/core.go
@@ -222,7 +222,7 @@
 }
 
 // failUnservable fails what waits while all targets are in evacuated data centres:
-// nobody knows when one is taken back, and the callers are told to retry later.
+// nobody knows when one is taken back, and the callers get a time to retry after.
 func (c *Core) failUnservable() {
 	for _, q := range slices.Clone(c.queue) {
 		if q.running == 0 {
--- a/internal/gateway/gossipcodec.go
+++ b/internal/gateway/gossipcodec.go
@@ -31,18 +31,25 @@
 	// fieldMember holds one member in a message.
 	fieldMember protowire.Number = 1
 	// fieldHost is the member's address as bytes, an IP number and a port.
-	fieldHost        protowire.Number = 1
+	fieldHost protowire.Number = 1
+	// fieldIncarnation and the others up to fieldCapacity are the numbers of
+	// message.GossipMember of those names, as varints; 0 is left out.
 	fieldIncarnation protowire.Number = 2
-	fieldBeat        protowire.Number = 3
-	fieldVersion     protowire.Number = 4
-	fieldRevision    protowire.Number = 5
-	fieldCapacity    protowire.Number = 6
+	// fieldBeat: see fieldIncarnation.
+	fieldBeat protowire.Number = 3
+	// fieldVersion: see fieldIncarnation.
+	fieldVersion protowire.Number = 4
+	// fieldRevision: see fieldIncarnation.
+	fieldRevision protowire.Number = 5
+	// fieldCapacity: see fieldIncarnation.
+	fieldCapacity protowire.Number = 6
 	// fieldFlags is a sum of the flags below.
 	fieldFlags protowire.Number = 7
 )
 
-// Flags of a member in the compact form.
+// Flags of a member in the compact form, bits of fieldFlags.
 const (
+	// flagLeaving and the others are the booleans of message.GossipMember of those names.
 	flagLeaving = 1 << iota
 	flagServing
 	flagHears
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -205,7 +205,7 @@
 	return d
 }
 
-// evacuationMessages tells members what is known of evacuations. The list is never nil:
+// evacuationMessages is what members are sent of evacuations. The list is never nil:
 // without one a member counts as of an earlier version, which knows of none.
 func evacuationMessages(list []view.Evacuation) []message.ViewEvacuation {
 	out := make([]message.ViewEvacuation, len(list))
--- a/internal/gateway/relay/rules/admission.go
+++ b/internal/gateway/relay/rules/admission.go
@@ -70,7 +70,7 @@
 // that would just fit. What is not admitted is refused at once.
 //
 // The load that it answers: a route of chained stages at 2.4 times its usual rate for
-// seconds, whose refused clients come back once. A returning request that waited for its
+// seconds, whose refused clients retry once. A returning request that waited for its
 // turn, for up to half of its time, was refused in the end more often than not, after 2.5 s
 // where 1.0 s was the middle: its client learnt late what was known at once, and its
 // plans stood in the way of others each 250 ms. To refuse it at once raised worth by 0.009
--- a/internal/gateway/relay/rules/evacuated.go
+++ b/internal/gateway/relay/rules/evacuated.go
@@ -8,7 +8,7 @@
 // The load that it answers: an operator who evacuates the last data centre of a service
 // while requests of all routes come. Without the rule the stages before that service run
 // for results that nobody can use, and callers wait for as long as items are kept, which
-// is most of their time; with it they hear at once that nothing ran and when to come back.
+// is most of their time; with it they hear at once that nothing ran and when to retry.
 // Nobody knows when a data centre is taken back, so that the client's own time decides
 // when to retry, as after every refusal (RetryAfter).
 //
--- a/internal/gateway/view/evacuation.go
+++ b/internal/gateway/view/evacuation.go
@@ -30,9 +30,9 @@
 // Evacuations are what is known of the data centres that are, or were, evacuated. It
 // is immutable; the zero value knows of none.
 //
-// A data centre that was taken back stays known with the revision of that, so that
-// older news, which may come later over another member, does not evacuate it again:
-// in whatever order news arrive, all nodes end with the newest. There are as many
+// A data centre that was taken back stays known with the revision of that, so that an
+// older report, which may come later over another member, does not evacuate it again:
+// in whatever order reports arrive, all nodes end with the newest. There are as many
 // entries as data centres were ever evacuated.
 type Evacuations struct{ byDataCentre map[string]Evacuation }
 
