losses ends with an error when a log could not be read

Change: the sums are printed as before, then the verb ends with an error that counts the logs which were not read to their end. The test that held the good end is replaced by one that asks for the error.

--- a/pkg/cmd/losses/losses.go
+++ b/pkg/cmd/losses/losses.go
@@ -98,14 +98,17 @@
 		sum.Add(q)
 		timeline.Add(q)
 	}, timeline.AddMark)
-	opts.read(r)
+	unread := opts.read(r)
 	if opts.SVG != "" {
 		if err := draw(opts.SVG, timeline); err != nil {
 			return err
 		}
 	}
 	out := report{Lines: r.Lines(), Total: sum.Total(), Rows: sum.Rows()}
-	return opts.Factory.Print(opts.JSON, out, out.write)
+	if err := opts.Factory.Print(opts.JSON, out, out.write); err != nil {
+		return err
+	}
+	return unread
 }
 
 // filter reads the bounds.
@@ -131,18 +134,24 @@
 }
 
 // read reads all files. One that does not read is reported on standard error, and the
-// others count.
-func (o *Options) read(r *losses.Reader) {
+// others count; the error says that the sums are not of all that was asked for.
+func (o *Options) read(r *losses.Reader) error {
 	files := o.Files
 	if len(files) == 0 {
 		files = []string{"-"}
 	}
+	unread := 0
 	for _, name := range files {
 		if err := o.readFile(r, name); err != nil {
+			unread++
 			// A failure to write to standard error leaves nothing to report it with.
 			fmt.Fprintf(o.Factory.Err, "the rest of a log is left out: %v\n", err)
 		}
 	}
+	if unread > 0 {
+		return errors.Errorf("%d of %d logs were not read to their end: the sums are of the rest", unread, len(files))
+	}
+	return nil
 }
 
 func (o *Options) readFile(r *losses.Reader, name string) error {
--- a/pkg/cmd/losses/losses_test.go
+++ b/pkg/cmd/losses/losses_test.go
@@ -70,9 +70,10 @@
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(string(svg), convey.ShouldContainSubstring, "late: stages")
 	})
-	convey.Convey("A file that is not there is told, and the others count", t, func() {
+	convey.Convey("A file that is not there is reported, the others count, and the end is an error", t, func() {
 		out, errs, err := execute("missing.log", "-")
-		convey.So(err, convey.ShouldBeNil)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "1 of 2 logs")
+		convey.So(factory.ExitCode(err), convey.ShouldNotEqual, 0)
 		convey.So(errs, convey.ShouldContainSubstring, "missing.log")
 		convey.So(out, convey.ShouldContainSubstring, "3 of requests")
 	})
