Native node: an actor's address is known to whoever answers it

Change: actorRef holds a lock while it spawns; senders wait for it.

Measured: a test that makes the order certain panicked before and passes now; the node's and the matrix's tests with the race detector pass.

Conclusion: kept. The gateway spawns its coordinators under a lock of their own and was not affected.

--- a/internal/native/node/actorref.go
+++ b/internal/native/node/actorref.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -14,23 +15,39 @@
 
 // actorRef is the address of an actor. It is empty until spawn.
 type actorRef struct {
+	// mu is held while the actor is being spawned: it runs before its address is known
+	// here, and what it begins may answer to it meanwhile.
+	mu   sync.RWMutex
 	root *actor.RootContext
 	pid  *actor.PID
 }
 
 func (r *actorRef) spawn(system *actor.ActorSystem, producer actor.Producer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.root = system.Root
 	r.pid = r.root.Spawn(actor.PropsFromProducer(producer))
 }
 
+// address returns the actor's address, once it has been spawned.
+func (r *actorRef) address() (*actor.RootContext, *actor.PID) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.root, r.pid
+}
+
 // send puts a message into the actor's mailbox.
-func (r *actorRef) send(msg any) { r.root.Send(r.pid, msg) }
+func (r *actorRef) send(msg any) {
+	root, pid := r.address()
+	root.Send(pid, msg)
+}
 
 // ask sends a message and waits for the answer. It fails when the actor gives
 // none of type T within askTimeout.
 func ask[T any](r *actorRef, msg any) (T, error) {
 	var none T
-	answer, err := r.root.RequestFuture(r.pid, msg, askTimeout).Result()
+	root, pid := r.address()
+	answer, err := root.RequestFuture(pid, msg, askTimeout).Result()
 	if err != nil {
 		return none, err
 	}
