Log what a failed request asks for, and when its target ended

Cause: the logs of the incident could not tell whether two tries ask for the same, nor whether a target ended or only its connection.

After a connection broke, one more is opened to the target: refused means that its process has ended, which is logged and counted (honeydyke_target_ends). Nothing decides by it.

Tests of the gateway, of the adapter and of the delivery pass.

Conclusion: enough to reproduce the incident and to tell its hypotheses apart.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -26,8 +26,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/tcpconn"
 	"github.com/honeydyke/honeydyke/internal/wire"
@@ -177,6 +180,18 @@
 	return &answer, nil
 }
 
+// Refuses says whether an instance refuses connections to an address: it runs, and no
+// process listens there. It sends nothing; a connection that is taken is closed.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	conn, err := tcpconn.Dialer(c.dial).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// Nothing was sent on it, so that the error of its end says nothing.
+	_ = conn.Close()
+	return false
+}
+
 // Permit is asked just before the first byte of a request is written.
 type Permit func() error
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,8 @@
 	handler        http.Handler
 	sourceCalls    tally.Counter
 	sourceFailures tally.Counter
+	// targetEnds counts attempts whose target ended meanwhile.
+	targetEnds tally.Counter
 	// evacuated is how many data centres this node takes for evacuated, cold how many
 	// targets it took for cold when the view last changed.
 	evacuated, cold tally.Gauge
@@ -37,7 +39,8 @@
 	return &metrics{
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
-		evacuated: scope.Gauge("evacuated_data_centres"), cold: scope.Gauge("cold_targets"),
+		targetEnds: scope.Counter("target_ends"),
+		evacuated:  scope.Gauge("evacuated_data_centres"), cold: scope.Gauge("cold_targets"),
 	}
 }
 
@@ -73,6 +76,8 @@
 	m.cold.Update(float64(cold))
 }
 
+func (m *metrics) targetEnded() { m.targetEnds.Inc(1) }
+
 func (m *metrics) batch(service string, items int) {
 	m.scope.Tagged(map[string]string{"service": label(service)}).Histogram("call_items", batchBuckets).RecordValue(float64(items))
 }
--- a/internal/gateway/relay/outcome.go
+++ b/internal/gateway/relay/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -17,7 +18,7 @@
 	Ended(o *Outcome)
 }
 
-// Decision is Refused, StageDone, StageFailed or AttemptFailed.
+// Decision is Refused, StageDone, StageFailed, AttemptFailed or TargetEnded.
 type Decision interface{ isDecision() }
 
 // Refused is a request that is not admitted because its stages would take too long
@@ -70,10 +71,22 @@
 	Next rules.NextAttempt
 }
 
+// TargetEnded is a target whose process ended while it had the request.
+type TargetEnded struct {
+	Target string
+	// Digest is what the request asks for.
+	Digest quarantine.Digest
+	// Events is how many events of the answer had come from this target.
+	Events int
+	// Took is the time from the request's sending until its connection broke.
+	Took time.Duration
+}
+
 func (Refused) isDecision()       {}
 func (StageDone) isDecision()     {}
 func (StageFailed) isDecision()   {}
 func (AttemptFailed) isDecision() {}
+func (TargetEnded) isDecision()   {}
 
 // Outcome is what became of one request.
 type Outcome struct {
@@ -83,6 +96,8 @@
 	Route        *catalog.Route
 	Service      string
 	Organisation string
+	// Digest is what the request asks for; 0 when it was not resolved.
+	Digest quarantine.Digest
 	// Version and Revision are those of the view that governed the request.
 	Version  int64
 	Revision int64
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -39,6 +39,9 @@
 	Source string
 	// LastEvent is the event after which the client goes on; empty for the start.
 	LastEvent string
+	// Content is the hash of method, path, query and body: of all that the request asks
+	// for. It is the same when the client asks again.
+	Content uint64
 	// Payload is the adapter's own form of what is passed through.
 	Payload any
 }
@@ -86,6 +89,10 @@
 	// Send returns once the head of the answer is there. The error says whether the
 	// target may have run the call; without proof it may have.
 	Send(ctx context.Context, c Call) (*Reply, *verdict.Error)
+	// HasEnded says whether the process of a target has provably ended: its instance
+	// answers and nothing listens there. One that does not answer at all may live behind a
+	// path that is cut.
+	HasEnded(ctx context.Context, target directory.Target) bool
 }
 
 // Responder answers a caller. Begin is called once, before any Write; an error
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -16,6 +17,8 @@
 	service *catalog.Service
 	// org is the holder of the caller's key; the zero value for none.
 	org catalog.Organisation
+	// digest is what the request asks for.
+	digest quarantine.Digest
 	// stages has one entry for each stage of the route.
 	stages rules.Stages
 	times  rules.Times
@@ -44,6 +47,8 @@
 		r.org = *org
 		outcome.Organisation = org.Name
 	}
+	r.digest = quarantine.DigestOf(r.org.Name, req.Content)
+	outcome.Digest = r.digest
 	r.service = serviceOf(c, r.route, req.ID)
 	outcome.Service = r.service.Name
 	r.stages = stagesOf(c, r.route, req.Items)
--- a/internal/gateway/relay/rules/retry.go
+++ b/internal/gateway/relay/rules/retry.go
@@ -145,3 +145,10 @@
 	}
 	return true
 }
+
+// ConnectionBroke says whether a failed attempt ended with its connection after the
+// request may have reached the target: the target may have ended, or only the connection.
+// A wrong yes costs one connection to ask; a wrong no leaves the end of a target unseen.
+func ConnectionBroke(v verdict.Verdict, reason verdict.Reason) bool {
+	return v == verdict.MayHaveRun && (reason == verdict.ReasonConnection || reason == verdict.ReasonCut)
+}
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -34,6 +34,9 @@
 	work       *stageWork
 	answer     *answer
 	outcome    *Outcome
+	// stopping ends when the server stops.
+	stopping context.Context
+	decided  func(Decision)
 }
 
 // send is one attempt. sends counts those before it that may have run.
@@ -45,6 +48,7 @@
 	timer := s.startTimer(cancel, sends)
 	defer timer.stop()
 	tried := Attempt{Target: target.ID}
+	events := s.outcome.Events
 	answered := time.Duration(0)
 	call := s.call(target)
 	defer s.releaseInputs()()
@@ -69,9 +73,28 @@
 	}
 	s.noteEnd(target.Target, reply, err, answered)
 	s.noteInputsGone(err)
+	if err != nil && rules.ConnectionBroke(err.Verdict(), err.Reason()) {
+		go s.checkEnded(target.Target, TargetEnded{
+			Target: target.ID, Digest: s.digest, Events: s.outcome.Events - events, Took: tried.Took,
+		})
+	}
 	return err
 }
 
+// endedTimeout bounds the question whether a target has ended: its instance refuses a
+// connection within a round trip.
+const endedTimeout = 300 * time.Millisecond
+
+// checkEnded asks whether the target of a request whose connection broke has ended, and
+// reports that. It runs beside the request, which does not wait for it.
+func (s *sender) checkEnded(target directory.Target, ended TargetEnded) {
+	ctx, cancel := context.WithTimeout(s.stopping, endedTimeout)
+	defer cancel()
+	if s.upstream.HasEnded(ctx, target) {
+		s.decided(ended)
+	}
+}
+
 // attemptTimer ends an attempt that was silent for too long. The zero value never
 // does.
 type attemptTimer struct {
--- a/internal/gateway/relay/world_test.go
+++ b/internal/gateway/relay/world_test.go
@@ -47,6 +47,10 @@
 	wait      time.Duration
 	// planned counts stages that were planned and not cancelled.
 	planned int
+	// ended are the targets that have ended.
+	ended map[string]bool
+	// ends are the targets that were reported as ended.
+	ends []relay.TargetEnded
 	// body is what targets answer unless answers says otherwise.
 	body    string
 	outcome *relay.Outcome
@@ -86,6 +90,13 @@
 	return &relay.Reply{Status: a.status, Succeeded: a.status < 300, Body: io.NopCloser(body)}, nil
 }
 
+// HasEnded says that a target has ended when the test says so.
+func (w *world) HasEnded(_ context.Context, target directory.Target) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ended[target.ID]
+}
+
 type broken struct{}
 
 func (broken) Read([]byte) (int, error) { return 0, errors.New("reset") }
@@ -146,7 +157,13 @@
 
 func (w *world) Prefilled(string, string, bool) {}
 
-func (w *world) Decided(string, relay.Decision) {}
+func (w *world) Decided(_ string, d relay.Decision) {
+	if ended, ok := d.(relay.TargetEnded); ok {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.ends = append(w.ends, ended)
+	}
+}
 
 func (w *world) Ended(o *relay.Outcome) { w.outcome = o }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -71,6 +71,10 @@
 		logError(l.log.Warn(), d.Attempt.Err).Str("request", request).Str("target", d.Attempt.Target).Int("status", d.Attempt.Status).
 			Dur("took", d.Attempt.Took).Int("events", d.Events).Str("lastEvent", d.LastEvent).Dur("left", d.Left).Bool("again", d.WillRetry).
 			Str("next", nextText(d.Next)).Msg("request: attempt failed")
+	case relay.TargetEnded:
+		l.metrics.targetEnded()
+		l.log.Warn().Str("request", request).Str("target", d.Target).Str("digest", d.Digest.String()).Int("events", d.Events).
+			Dur("took", d.Took).Msg("request: target ended while it had the request")
 	}
 }
 
@@ -147,6 +151,9 @@
 	}
 	ev.Str("attempts", attemptsText(o.Attempts))
 	if o.Err != nil {
+		if o.Digest != 0 {
+			ev.Str("digest", o.Digest.String())
+		}
 		logError(ev, o.Err).Dur("retryAfter", o.Err.RetryAfter())
 	}
 	ev.Msg("request: ended")
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -30,6 +30,8 @@
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "none")
 }
 
+func (noTargets) HasEnded(context.Context, directory.Target) bool { return false }
+
 func (noTargets) RunBatch(context.Context, BatchCall) ([]batching.Outcome, *verdict.Error) {
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "none")
 }
