Keep items of stages that end their targets apart, and fail them at the second

Cause: the same as of requests, found by looking for it elsewhere: what a failed batch had was sent on, up to four times, in batches with items of other requests. An item that ends its targets ended four in each try of its request, and took the items beside it along.

Change: the coordinator asks whether a batch's target has ended when its connection broke. Items that were in such a batch are suspected: those of two requests do not share a batch, those of one run in one batch at a time; the second end fails the group, as not run. Each item of a stage has a digest, told to all members, so that the request is refused at admission when it comes again. Digests are of a request at a service: a stage that is computed does not clear the request at its engine.

--- a/internal/gateway/batching/core.go
+++ b/internal/gateway/batching/core.go
@@ -21,6 +21,8 @@
 	running int
 	// queued says that the item is in the queue.
 	queued bool
+	// ends counts the targets that ended with the item.
+	ends int
 }
 
 // Core assembles the batches of one service: it owns the queue, the running batches
@@ -158,7 +160,7 @@
 
 func (c *Core) submit(now time.Time, ev Submit) {
 	for _, item := range ev.Items {
-		q := &queuedItem{Item: item, queued: true}
+		q := &queuedItem{Item: item, queued: true, ends: endsBefore(item)}
 		c.items[item.Token] = q
 		c.queue = append(c.queue, q)
 		c.plans.remove(item.Request, item.Stage)
@@ -268,7 +270,9 @@
 
 // start sends a target a batch of the first items of the queue that fit, if any.
 func (c *Core) start(now time.Time, t *target) {
-	taken, rest := newFilling(now, c.spec, t, c.targets).split(c.queue)
+	filling := newFilling(now, c.spec, t, c.targets)
+	filling.suspects.running = c.running
+	taken, rest := filling.split(c.queue)
 	if len(taken) == 0 {
 		return
 	}
--- a/internal/gateway/batching/event.go
+++ b/internal/gateway/batching/event.go
@@ -20,6 +20,7 @@
 //   - inspection.go: what others left at a target
 //   - deadline.go: which items are dropped
 //   - stuck.go, retry.go and targetbackoff.go: what happens after a failure
+//   - suspects.go: which items may share a batch after their target ended
 //   - slowdown.go: how fast a target is
 //   - estimate.go and plans.go: what a service can carry, for admission
 //
@@ -38,6 +39,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -69,6 +71,11 @@
 	Priority int
 	// DataCentre is where the inputs are or the result will be used; empty for anywhere.
 	DataCentre string
+	// Digest is what the item asks for, as the shell reports ends of targets; 0 for
+	// unknown.
+	Digest quarantine.Digest
+	// Suspect says that a target ended with such an item before, of an earlier request.
+	Suspect bool
 }
 
 // Result is a finished item.
@@ -149,6 +156,8 @@
 	// counts as a failure. They do not count when there is an error.
 	Outcomes []Outcome
 	Err      *verdict.Error
+	// Ended says that the target's process ended while it had the batch.
+	Ended bool
 }
 
 // Release ends the use of results that have been read or are not needed.
--- a/internal/gateway/batching/fill.go
+++ b/internal/gateway/batching/fill.go
@@ -30,6 +30,7 @@
 	items int
 	// available is the result memory in bytes that is left.
 	available int64
+	suspects  suspects
 }
 
 func newFilling(now time.Time, spec *catalog.Batch, t *target, targets []*target) *filling {
@@ -99,7 +100,7 @@
 			whole = f.fits(q, groups[q.group()])
 			fits[q.group()] = whole
 			if whole {
-				f.take(groups[q.group()])
+				f.take(q, groups[q.group()])
 			}
 		}
 		if whole {
@@ -116,12 +117,14 @@
 		if chosen[q] || !f.fits(q, one) {
 			continue
 		}
-		f.take(one)
+		f.take(q, one)
 		chosen[q] = true
 	}
 }
 
-func (f *filling) take(a amount) {
+// take adds an amount of an item's group.
+func (f *filling) take(q *queuedItem, a amount) {
+	f.suspects.take(q)
 	f.items += a.items
 	f.available -= a.bytes
 }
@@ -131,8 +134,8 @@
 //
 // Its inputs are, in the order in which they count: the number of items taken and
 // the most that the catalog allows; the target's available result memory and the
-// results' size, both estimates in bytes; whether the item is past due; and the
-// nearness of other targets (waitsForNear). What does not fit stays in the queue, and
+// results' size, both estimates in bytes; whether the item is past due; whether another
+// request in the batch is suspected; and the nearness of other targets (waitsForNear). What does not fit stays in the queue, and
 // smaller or nearer ones behind it may be taken. The batch is sent at
 // once, full or not: a target that waits for more items does nothing meanwhile.
 //
@@ -147,7 +150,7 @@
 	if q.pastDue(f.earliest) {
 		need += int64(keptForOnTime * float64(f.spec.MemoryBytes))
 	}
-	if f.items+a.items > f.spec.MaxItems || need > f.available {
+	if f.items+a.items > f.spec.MaxItems || need > f.available || !f.suspects.allows(q) {
 		return false
 	}
 	return !waitsForNear(f.now, f.spec, q, f.target, f.targets)
--- a/internal/gateway/batching/finish.go
+++ b/internal/gateway/batching/finish.go
@@ -1,6 +1,9 @@
 package batching
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -19,12 +22,16 @@
 	t.memory.endReservation()
 	if ev.Err != nil || len(ev.Outcomes) != len(done.items) {
 		t.failed(now)
+		if ev.Ended {
+			c.countEnd(done)
+		}
 		c.retryItems(now, done, ev.Err)
 		return
 	}
 	t.backoff.answered()
 	t.answered = true
 	t.slowdown.learn(now, now.Sub(done.started), done.planned)
+	c.clear(done)
 	var unused []string
 	for i, out := range ev.Outcomes {
 		if !c.settle(now, done, done.items[i], out) && out.Handle != "" {
@@ -75,6 +82,41 @@
 	c.emit(Resolve{Token: token, Err: err})
 }
 
+// countEnd notes that the target of a batch ended with its items, also of one that got
+// stuck before. A group fails as a whole with an item that ends its targets: what of it
+// waits is not sent first.
+func (c *Core) countEnd(ended *batch) {
+	for _, item := range ended.items {
+		q := c.items[item.Token]
+		if q == nil {
+			continue
+		}
+		q.ends++
+		if q.endsTargets() {
+			c.failGroup(q.group())
+		}
+	}
+}
+
+// failGroup fails the items of a group because they end their targets.
+func (c *Core) failGroup(group groupKey) {
+	for _, q := range slices.SortedFunc(maps.Values(c.items), func(a, b *queuedItem) int { return cmp.Compare(a.Token, b.Token) }) {
+		if q.group() == group {
+			c.stats.Refused++
+			c.fail(q.Token, errEndsTargets())
+		}
+	}
+}
+
+// clear notes that the target of a batch outlived its items.
+func (c *Core) clear(answered *batch) {
+	for _, item := range answered.items {
+		if q := c.items[item.Token]; q != nil {
+			q.ends = 0
+		}
+	}
+}
+
 // retryItems takes the items of a batch that failed or is stuck out of it, and retries
 // them; those of a batch that got stuck before have been.
 func (c *Core) retryItems(now time.Time, failed *batch, err *verdict.Error) {
--- /dev/null
+++ b/internal/gateway/batching/suspects.go
@@ -0,0 +1,74 @@
+package batching
+
+import (
+	"slices"
+
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// maxEnds is how many targets may end with an item: the second one ends it. Targets end
+// for other reasons too, so that one may be chance; each further one costs a target and
+// a batch of other requests' items.
+const maxEnds = 2
+
+// endsBefore is how many targets an item counts as having ended when it is submitted.
+func endsBefore(item Item) int {
+	if item.Suspect {
+		return maxEnds - 1
+	}
+	return 0
+}
+
+// suspect says whether a target ended with the item.
+func (q *queuedItem) suspect() bool { return q.ends > 0 }
+
+// endsTargets decides whether an item fails because targets ended with it.
+//
+// Its input is the number of targets that ended while they had the item, with the one of
+// an earlier request that asked for the same. A batch has items of many requests, and its
+// target ends with all of them; those of two requests that are suspected never share a
+// batch again (suspects.allows), so that the second end speaks against one request alone.
+//
+// A wrong yes fails a request that another target could have served; a wrong no costs one
+// more target, and one more attempt of up to a whole batch of others.
+func (q *queuedItem) endsTargets() bool { return q.ends >= maxEnds }
+
+// errEndsTargets is the failure of an item that ends its targets.
+func errEndsTargets() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d targets ended when they had the item", maxEnds)
+}
+
+// suspects decides which suspected items one batch takes.
+type suspects struct {
+	// request is that whose suspected items the batch has; empty for none.
+	request string
+	// running are the batches that have not ended.
+	running map[BatchID]*batch
+}
+
+// allows says whether an item may go into the batch. A suspected one may not where another
+// request's are, nor while another batch has items of its request: of fourteen items of
+// four requests, one of them bad, all were part of up to four batches that failed, and
+// four targets ended for each of the bad one's items.
+func (s suspects) allows(q *queuedItem) bool {
+	if !q.suspect() {
+		return true
+	}
+	return (s.request == "" || s.request == q.Request) && !s.isRunning(q.Request)
+}
+
+func (s suspects) isRunning(request string) bool {
+	for _, b := range s.running {
+		if !b.stuck && slices.ContainsFunc(b.items, func(i Item) bool { return i.Request == request }) {
+			return true
+		}
+	}
+	return false
+}
+
+// take notes an item that goes into the batch.
+func (s *suspects) take(q *queuedItem) {
+	if q.suspect() {
+		s.request = q.Request
+	}
+}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
+	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -201,5 +204,52 @@
 		c.log.Warn().Str("service", c.service).Str("target", e.Target.ID).Int("items", len(e.Items)).
 			Dur("took", c.now().Sub(now)).Err(err).Msg("items: call failed")
 	}
-	return batching.Finished{Batch: e.Batch, Outcomes: outcomes, Err: err}
+	return batching.Finished{Batch: e.Batch, Outcomes: outcomes, Err: err, Ended: c.noteEnd(e, now, err)}
+}
+
+// noteEnd reports what the end of a batch, sent at the given time, says of what its items
+// ask for, and says whether its target's process ended. Like call it runs beside the
+// actor.
+func (c *coordinator) noteEnd(e batching.Send, began time.Time, err *verdict.Error) (ended bool) {
+	switch {
+	case rules.Outlived(err):
+		for _, item := range e.Items {
+			if item.Digest != 0 {
+				c.quarantine.Answered(item.Digest)
+			}
+		}
+		return false
+	case !rules.ConnectionBroke(err):
+		return false
+	}
+	broke := c.now()
+	ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+	defer cancel()
+	if !c.targets.HasEnded(ctx, e.Target) {
+		return false
+	}
+	c.metrics.targetEnded()
+	c.log.Warn().Str("service", c.service).Str("target", e.Target.ID).Strs("digests", digestsOf(e.Items)).
+		Msg("items: target ended while it had the batch")
+	for _, item := range e.Items {
+		if item.Digest != 0 {
+			c.quarantine.TargetEnded(item.Digest, quarantine.Crash{Target: e.Target.ID, Began: began, At: broke, Silent: true})
+		}
+	}
+	return true
+}
+
+// endedTimeout bounds the question whether a target has ended, which its batch's items
+// wait for: its instance refuses a connection within a round trip.
+const endedTimeout = 200 * time.Millisecond
+
+// digestsOf lists what the items of a batch ask for, each once.
+func digestsOf(items []batching.Item) []string {
+	var list []string
+	for _, item := range items {
+		if text := item.Digest.String(); !slices.Contains(list, text) {
+			list = append(list, text)
+		}
+	}
+	return list
 }
--- a/internal/gateway/coordinators.go
+++ b/internal/gateway/coordinators.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
@@ -30,6 +31,8 @@
 	retries retrybudget.Policy
 	// margin widens what cold targets get.
 	margin warmup.Margin
+	// quarantine hears of the items that targets ended with.
+	quarantine *quarantine.Keeper
 	// permit is called just before the first byte of a call to a target is written;
 	// an error forbids it.
 	permit func(target string) error
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,7 @@
 	retries := retryPolicy(g.cfg.Gateway, func() int { return retrySharers(g.now().Sub(started), g.members.peakSize()) })
 	g.coordinators = &coordinators{views: g.views, services: map[string]*actor.PID{}, coordinatorConfig: coordinatorConfig{
 		now: g.now, log: g.log, system: actor.NewActorSystem(actor.WithLoggerFactory(quietLogger)), members: g.members,
-		targets: g.ports.Targets, metrics: g.metrics, retries: retries, permit: g.views.permit, margin: warmUpMargin(g.cfg.Gateway),
+		targets: g.ports.Targets, metrics: g.metrics, retries: retries, permit: g.views.permit, margin: warmUpMargin(g.cfg.Gateway), quarantine: g.quarantine,
 	}}
 	margin := warmUpMargin(g.cfg.Gateway)
 	g.prompts = &prompts{
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -11,7 +11,7 @@
 		c.closeGroup(g, errLeaving())
 		return
 	}
-	items := g.items(c.last)
+	items := g.items(c.last, c.quarantine.Suspected)
 	c.last += batching.Token(len(items))
 	g.pending, g.unread = len(items), len(items)
 	g.results = make([]batching.Result, len(items))
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -12,6 +12,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
@@ -44,7 +45,7 @@
 		Service: service, Request: g.Request, Stage: g.Stage, Count: g.Count,
 		Source: g.Source, Inputs: g.Inputs, ReadMs: int(g.ReadTime.Milliseconds()), Bytes: int(g.Bytes),
 		DueMs: millisUntil(now, g.Due), DeadlineMs: millisUntil(now, g.Deadline),
-		Priority: g.Priority, DataCentre: g.DataCentre,
+		Priority: g.Priority, DataCentre: g.DataCentre, Digest: g.Digest.String(),
 	}
 }
 
@@ -54,9 +55,11 @@
 		// A member of an earlier version does not say.
 		readTime = rules.InputsReadTime(rules.Transfer{})
 	}
+	// A member of an earlier version does not say what the items ask for.
+	digest, _ := quarantine.ParseDigest(in.Digest)
 	return relay.Group{
-		ReadTime: readTime,
-		Request:  in.Request, Stage: in.Stage, Count: in.Count, Source: in.Source, Inputs: in.Inputs, Bytes: int64(in.Bytes),
+		ReadTime: readTime, Digest: digest,
+		Request: in.Request, Stage: in.Stage, Count: in.Count, Source: in.Source, Inputs: in.Inputs, Bytes: int64(in.Bytes),
 		Due: now.Add(millis(in.DueMs)), Deadline: now.Add(millis(in.DeadlineMs)),
 		Priority: in.Priority, DataCentre: in.DataCentre,
 	}
--- a/internal/gateway/pendinggroup.go
+++ b/internal/gateway/pendinggroup.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -62,8 +63,9 @@
 	return results
 }
 
-// items returns the group's items, with the tokens that follow last.
-func (g *pendingGroup) items(last batching.Token) []batching.Item {
+// items returns the group's items, with the tokens that follow last. suspected says that a
+// target ended with one before.
+func (g *pendingGroup) items(last batching.Token, suspected func(quarantine.Digest) bool) []batching.Item {
 	items := make([]batching.Item, g.group.Count)
 	for i := range items {
 		token := last + 1 + batching.Token(i)
@@ -72,8 +74,9 @@
 			Token: token, Request: g.group.Request, Stage: g.group.Stage, Index: i,
 			Source: g.group.Source, Inputs: g.group.Inputs, Bytes: g.group.Bytes,
 			Due: g.group.Due, Deadline: g.group.Deadline, Priority: g.group.Priority,
-			DataCentre: g.group.DataCentre,
+			DataCentre: g.group.DataCentre, Digest: g.group.Digest.Item(i),
 		}
+		items[i].Suspect = suspected(items[i].Digest)
 	}
 	return items
 }
--- a/internal/gateway/quarantine/keeper.go
+++ b/internal/gateway/quarantine/keeper.go
@@ -61,6 +61,13 @@
 func (Trial) isAdmission()   {}
 func (Refused) isAdmission() {}
 
+// Idle says that no request is suspected.
+func (k *Keeper) Idle() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Len() == 0
+}
+
 // Admit decides about a request before any work for it begins.
 func (k *Keeper) Admit(d Digest) Admission {
 	k.mu.Lock()
--- a/internal/gateway/quarantine/keeper_test.go
+++ b/internal/gateway/quarantine/keeper_test.go
@@ -103,8 +103,8 @@
 
 func TestDigestOf(t *testing.T) {
 	convey.Convey("A digest differs with the content and with the organisation", t, func() {
-		convey.So(DigestOf("a", 1), convey.ShouldEqual, DigestOf("a", 1))
-		convey.So(DigestOf("a", 1), convey.ShouldNotEqual, DigestOf("b", 1))
-		convey.So(DigestOf("a", 1), convey.ShouldNotEqual, DigestOf("a", 2))
+		convey.So(DigestOf("a", "s", 1), convey.ShouldEqual, DigestOf("a", "s", 1))
+		convey.So(DigestOf("a", "s", 1), convey.ShouldNotEqual, DigestOf("b", "s", 1))
+		convey.So(DigestOf("a", "s", 1), convey.ShouldNotEqual, DigestOf("a", "s", 2))
 	})
 }
--- a/internal/gateway/quarantine/message.go
+++ b/internal/gateway/quarantine/message.go
@@ -1,15 +1,11 @@
 package quarantine
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
-// digestBits is the size of a digest in bits.
-const digestBits = 64
-
 // messagesOf describes entries to a member. Times are told as how long ago they were,
 // since members' clocks may differ.
 func messagesOf(now time.Time, entries []Entry) []message.SuspectRequest {
@@ -33,11 +29,11 @@
 func entriesFrom(now time.Time, list []message.SuspectRequest) []Entry {
 	var entries []Entry
 	for _, m := range list {
-		digest, err := strconv.ParseUint(m.Digest, digestBase, digestBits)
-		if err != nil || m.Cleared < 0 {
+		digest, reads := ParseDigest(m.Digest)
+		if !reads || m.Cleared < 0 {
 			continue
 		}
-		e := Entry{Digest: Digest(digest), Cleared: m.Cleared, Held: m.Held}
+		e := Entry{Digest: digest, Cleared: m.Cleared, Held: m.Held}
 		if m.Cleared > 0 {
 			e.ClearedAt = timeAgo(now, m.ClearedAgoMs)
 		}
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -82,11 +82,17 @@
 // under a new identity: without this rule one request ended fifteen engines in seventeen
 // seconds, at nodes that each took it for a new one.
 func (s *Server) refuseHeld(r *resolved) *verdict.Error {
-	switch a := s.cfg.Quarantine.Admit(r.digest).(type) {
-	case quarantine.Trial:
-		r.trial = true
-	case quarantine.Refused:
-		return errHeld(a.Hold, s.cfg.Now())
+	if s.cfg.Quarantine.Idle() {
+		return nil
+	}
+	for i, d := range r.digests() {
+		switch a := s.cfg.Quarantine.Admit(d).(type) {
+		case quarantine.Trial:
+			// That of a stage's items is the coordinator's, which knows them for suspects.
+			r.trial = r.trial || i == 0
+		case quarantine.Refused:
+			return errHeld(a.Hold, s.cfg.Now())
+		}
 	}
 	return nil
 }
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -120,9 +121,22 @@
 // final completes the error that ends the request, with whether it may have run
 // and when the client should retry.
 func (d *delivery) final(err *verdict.Error) *verdict.Error {
+	if hold, held := d.hold(); held && err.Reason() == verdict.ReasonQuarantined {
+		err = errHeld(hold, d.now())
+	}
 	err = rules.FinalVerdict(err, d.sends, d.route.MayRepeat())
 	if err.Verdict() == verdict.NotRun && err.RetryAfter() == 0 {
 		err = err.WithRetryAfter(retryAfter(d.times.Answer.Sub(d.now())))
 	}
 	return err
 }
+
+// hold returns why the request is held, by itself or by the items of a stage.
+func (d *delivery) hold() (quarantine.Hold, bool) {
+	for _, digest := range d.digests() {
+		if hold, held := d.chooser.quarantine.Held(digest); held {
+			return hold, true
+		}
+	}
+	return quarantine.Hold{}, false
+}
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -110,6 +110,8 @@
 	// Request is the request's identity, Stage the index in its route.
 	Request string
 	Stage   int
+	// Digest is what the stage asks for; 0 for unknown.
+	Digest quarantine.Digest
 	// Count is the number of items.
 	Count int
 	// Source or Inputs are what the items are computed from: a key, or the handles of
@@ -148,6 +150,8 @@
 // Quarantine knows the requests that end the targets that run them; quarantine.Keeper
 // implements it. Its methods are called by many goroutines at once and must not block.
 type Quarantine interface {
+	// Idle says that no request is suspected, so that all others need not be asked about.
+	Idle() bool
 	// Admit decides about a request before any work for it begins.
 	Admit(d quarantine.Digest) quarantine.Admission
 	// Suspected says whether targets ended while they had a request, and none has
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -49,10 +49,10 @@
 		r.org = *org
 		outcome.Organisation = org.Name
 	}
-	r.digest = quarantine.DigestOf(r.org.Name, req.Content)
-	outcome.Digest = r.digest
 	r.service = serviceOf(c, r.route, req.ID)
 	outcome.Service = r.service.Name
+	r.digest = quarantine.DigestOf(r.org.Name, r.service.Name, req.Content)
+	outcome.Digest = r.digest
 	r.stages = stagesOf(c, r.route, req.Items)
 	r.times = rules.NewTimes(rules.TimesInput{
 		Arrived: req.Arrived, ClientTimeout: req.Timeout, RouteTimeout: r.route.Timeout, Objective: r.route.Objective,
@@ -89,6 +89,22 @@
 	return stages
 }
 
+// stageDigest is what one of the request's stages asks for.
+func (r *resolved) stageDigest(i int) quarantine.Digest {
+	return quarantine.StageDigestOf(r.org.Name, r.route.Stages[i].Service, i, r.req.Content)
+}
+
+// digests are what the request asks for: itself, and the items of its stages.
+func (r *resolved) digests() []quarantine.Digest {
+	list := []quarantine.Digest{r.digest}
+	for i, stage := range r.stages {
+		for item := range stage.Items {
+			list = append(list, r.stageDigest(i).Item(item))
+		}
+	}
+	return list
+}
+
 // priority returns the priority of the request's items and prompt at targets.
 func (r *resolved) priority() int {
 	return rules.EnginePriority(r.org.Priority, r.route.Priority)
--- a/internal/gateway/relay/stages.go
+++ b/internal/gateway/relay/stages.go
@@ -181,6 +181,7 @@
 	w := r.work
 	times := w.times.Stage(w.stages.Following(i))
 	g := Group{
+		Digest:  w.stageDigest(i),
 		Request: w.req.ID, Stage: i, Count: w.stages[i].Items, Bytes: w.route.Stages[i].ResultBytes,
 		Due: times.Due, Deadline: times.Deadline, Priority: w.priority(),
 	}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -196,6 +196,9 @@
 	// Time until the results are of no use.
 	DeadlineMs int `json:"deadlineMs"`
 
+	// What the stage asks for, in hexadecimal; empty for unknown.
+	Digest string `json:"digest,omitempty,omitzero"`
+
 	// Time until the results are due; negative when late.
 	DueMs int `json:"dueMs"`
 
