A target's life is its identity and its start; entries of other writers name no target

A replica may start again under its identity: what was believed of it, cached parts, results, ejection, went on. An entry of another writer was taken for a replica's when it had a service and an address; one that did not read left the target that stood there in use.

Change: what a gateway believes of a target is kept under its life, identity and start, and ends with it. The adapter decides each field of an entry; what is missing, of another type or out of its bounds names no target, here and at members that are told what changed. A count and a log line for each.

A restart that only reports and health answers say, while the store is away, is not noticed by them.

--- a/internal/gateway/batching/batching_test.go
+++ b/internal/gateway/batching/batching_test.go
@@ -43,7 +43,7 @@
 // reportIdle has targets report that they do and hold nothing.
 func reportIdle(c *batching.Core, list []directory.Target) {
 	for _, t := range list {
-		c.Handle(start, batching.Inspected{Target: t.ID, Report: batching.Report{FreeBytes: 1000}})
+		c.Handle(start, batching.Inspected{Target: t.Life(), Report: batching.Report{FreeBytes: 1000}})
 	}
 }
 
@@ -100,7 +100,7 @@
 		convey.So(s[0].Items, convey.ShouldHaveLength, 2)
 		convey.Convey("and the rest waits until a result is released", func() {
 			convey.So(sends(c.Handle(start.Add(300*time.Millisecond), answered(s[0]))), convey.ShouldBeEmpty)
-			released := c.Handle(start.Add(400*time.Millisecond), batching.Release{Target: "t0", Handles: []string{"h1-1"}})
+			released := c.Handle(start.Add(400*time.Millisecond), batching.Release{Target: directory.Life{ID: "t0"}, Handles: []string{"h1-1"}})
 			convey.So(sends(released), convey.ShouldHaveLength, 1)
 		})
 	})
@@ -288,7 +288,7 @@
 func (o *oracle) report(r batching.Report, err *verdict.Error) {
 	for id := range o.inspected {
 		delete(o.inspected, id)
-		o.handle(batching.Inspected{Target: id, Report: r, Err: err})
+		o.handle(batching.Inspected{Target: directory.Life{ID: id}, Report: r, Err: err})
 		return
 	}
 }
@@ -368,7 +368,7 @@
 			},
 			"release": func(*rapid.T) {
 				for h, target := range o.used {
-					o.handle(batching.Release{Target: target, Handles: []string{h}})
+					o.handle(batching.Release{Target: directory.ParseLife(target), Handles: []string{h}})
 					// The core may have forgotten the target; its results then expire there.
 					delete(o.used, h)
 					return
--- a/internal/gateway/batching/bench_test.go
+++ b/internal/gateway/batching/bench_test.go
@@ -51,7 +51,7 @@
 		running = append(running, sends(c.Handle(now, batching.Submit{Items: benchItems(now, token)}))...)
 		token += benchGroup
 		done := answered(running[0])
-		target := running[0].Target.ID
+		target := running[0].Target.Life()
 		running = append(running[1:], sends(c.Handle(now, done))...)
 		handles := make([]string, len(done.Outcomes))
 		for i, out := range done.Outcomes {
--- a/internal/gateway/batching/core.go
+++ b/internal/gateway/batching/core.go
@@ -33,7 +33,7 @@
 	spec *catalog.Batch
 	// targets are in the order in which they were first listed.
 	targets []*target
-	byID    map[string]*target
+	byLife  map[directory.Life]*target
 	// items are all that have no result yet, queue those of them that wait.
 	items   map[Token]*queuedItem
 	queue   []*queuedItem
@@ -58,7 +58,7 @@
 // New returns a core without targets.
 func New(budget retrybudget.Policy) *Core {
 	return &Core{
-		byID:    map[string]*target{},
+		byLife:  map[directory.Life]*target{},
 		items:   map[Token]*queuedItem{},
 		running: map[BatchID]*batch{},
 		plans:   plans{},
@@ -113,7 +113,7 @@
 }
 
 func (c *Core) inspected(now time.Time, ev Inspected) {
-	t := c.byID[ev.Target]
+	t := c.byLife[ev.Target]
 	switch {
 	case t == nil:
 	case ev.Err != nil:
@@ -141,23 +141,34 @@
 		if !t.forgettable() {
 			return false
 		}
-		delete(c.byID, t.ID)
+		delete(c.byLife, t.Life())
 		return true
 	})
 }
 
-// list takes in a target of the service's list.
+// list takes in a target of the service's list. One that started again under its identity
+// is another: the results of its earlier lives are gone.
 func (c *Core) list(listed directory.Target) {
-	t := c.byID[listed.ID]
+	t := c.byLife[listed.Life()]
 	if t == nil {
+		c.loseResults(listed.ID)
 		t = newTarget(listed)
-		c.byID[t.ID] = t
+		c.byLife[t.Life()] = t
 		c.targets = append(c.targets, t)
 	}
 	t.Target = listed
 	t.usable = t.Open()
 }
 
+// loseResults drops the results of a target's earlier lives.
+func (c *Core) loseResults(id string) {
+	for _, t := range c.targets {
+		if t.ID == id {
+			t.memory.lose()
+		}
+	}
+}
+
 func (c *Core) submit(now time.Time, ev Submit) {
 	for _, item := range ev.Items {
 		q := &queuedItem{Item: item, queued: true, ends: endsBefore(item)}
@@ -186,8 +197,8 @@
 	}
 }
 
-func (c *Core) release(now time.Time, id string, handles []string) {
-	t := c.byID[id]
+func (c *Core) release(now time.Time, life directory.Life, handles []string) {
+	t := c.byLife[life]
 	if t == nil || len(handles) == 0 {
 		return
 	}
--- a/internal/gateway/batching/event.go
+++ b/internal/gateway/batching/event.go
@@ -82,7 +82,7 @@
 type Result struct {
 	// Handle identifies the result at the target that stores it.
 	Handle string
-	// Target is the identity of that target.
+	// Target is that target's life, as directory.Life gives it.
 	Target string
 	// DataCentre is where that target is.
 	DataCentre string
@@ -162,15 +162,14 @@
 
 // Release ends the use of results that have been read or are not needed.
 type Release struct {
-	// Target is the identity of the target that stores them.
-	Target  string
+	// Target is the target that stores them. A result ends with its life.
+	Target  directory.Life
 	Handles []string
 }
 
 // Inspected reports what a target answered to Inspect. Without an answer Err is set.
 type Inspected struct {
-	// Target is the identity of the target.
-	Target string
+	Target directory.Life
 	Report Report
 	Err    *verdict.Error
 }
--- a/internal/gateway/batching/finish.go
+++ b/internal/gateway/batching/finish.go
@@ -59,7 +59,7 @@
 	case Done:
 		t.memory.store(out.Handle, storedResult{bytes: item.Bytes, since: done.started, expires: now.Add(c.spec.ResultTTL)})
 		c.forget(item.Token)
-		c.emit(Resolve{Token: item.Token, Result: Result{Handle: out.Handle, Target: t.ID, DataCentre: t.DataCentre}})
+		c.emit(Resolve{Token: item.Token, Result: Result{Handle: out.Handle, Target: t.Life().String(), DataCentre: t.DataCentre}})
 		return true
 	case InputGone:
 		c.fail(item.Token, verdict.New(verdict.NotRun, verdict.ReasonInputGone, "an input is gone at %s", t.ID))
--- a/internal/gateway/batching/large_bench_test.go
+++ b/internal/gateway/batching/large_bench_test.go
@@ -57,7 +57,7 @@
 			took := 240*time.Millisecond + time.Duration(len(e.Items))*4300*time.Microsecond
 			r.running[e.Batch] = endingBatch{Send: e, ends: r.now.Add(took)}
 		case batching.Inspect:
-			defer r.handle(batching.Inspected{Target: e.Target.ID, Report: batching.Report{FreeBytes: 530_000}})
+			defer r.handle(batching.Inspected{Target: e.Target.Life(), Report: batching.Report{FreeBytes: 530_000}})
 		}
 	}
 }
@@ -82,7 +82,7 @@
 		delete(r.running, id)
 		done := answered(b.Send)
 		r.handle(done)
-		release := batching.Release{Target: b.Target.ID}
+		release := batching.Release{Target: b.Target.Life()}
 		for _, out := range done.Outcomes {
 			release.Handles = append(release.Handles, out.Handle)
 		}
--- a/internal/gateway/batching/memory.go
+++ b/internal/gateway/batching/memory.go
@@ -72,6 +72,12 @@
 	m.storedBytes += r.bytes
 }
 
+// lose drops all results.
+func (m *resultMemory) lose() {
+	clear(m.stored)
+	m.storedBytes = 0
+}
+
 // release drops a result; it is not an error when none is stored, since it may
 // have expired.
 func (m *resultMemory) release(handle string) {
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -8,6 +8,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -73,7 +74,7 @@
 	return &coordinator{
 		coordinatorConfig: cfg, service: service, core: batching.New(cfg.retries),
 		items:    map[batching.Token]*pendingItem{},
-		discards: &discards{log: cfg.log, targets: cfg.targets, byTarget: map[string]*batching.Discard{}},
+		discards: &discards{log: cfg.log, targets: cfg.targets, byTarget: map[directory.Life]*batching.Discard{}},
 	}
 }
 
@@ -154,7 +155,7 @@
 
 // start sends a batch, after what is to be discarded at the same target.
 func (c *coordinator) start(now time.Time, e batching.Send) {
-	discard := c.discards.take(e.Target.ID)
+	discard := c.discards.take(e.Target.Life())
 	c.metrics.batch(c.service, len(e.Items))
 	c.noteStarted(e)
 	self := c.self
@@ -178,7 +179,7 @@
 		defer cancel()
 		report, err := c.targets.Inspect(ctx, e.Target)
 		c.logInspection(e, report, err)
-		c.system.Root.Send(self, batching.Inspected{Target: e.Target.ID, Report: report, Err: err})
+		c.system.Root.Send(self, batching.Inspected{Target: e.Target.Life(), Report: report, Err: err})
 	}()
 }
 
@@ -233,7 +234,7 @@
 		Msg("items: target ended while it had the batch")
 	for _, item := range e.Items {
 		if item.Digest != 0 {
-			c.quarantine.TargetEnded(item.Digest, quarantine.Crash{Target: e.Target.ID, Began: began, At: broke, Silent: true})
+			c.quarantine.TargetEnded(item.Digest, quarantine.Crash{Target: e.Target.Life().String(), Began: began, At: broke, Silent: true})
 		}
 	}
 	return true
--- a/internal/gateway/coordinators.go
+++ b/internal/gateway/coordinators.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
@@ -129,7 +130,7 @@
 		byTarget[r.Target] = append(byTarget[r.Target], r.Handle)
 	}
 	for target, handles := range byTarget {
-		system.Root.Send(pid, batching.Release{Target: target, Handles: handles})
+		system.Root.Send(pid, batching.Release{Target: directory.ParseLife(target), Handles: handles})
 	}
 }
 
--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -32,10 +32,12 @@
 // String gives the text used in logs.
 func (s State) String() string { return [...]string{"ready", "draining", "lapsed"}[s] }
 
-// Target is one start of one replica of a service.
+// Target is one replica of a service.
 type Target struct {
-	// ID is the identity of this start; another start of the replica has another.
+	// ID is its identity. Most replicas have another after a restart; some keep it (Life).
 	ID string
+	// Born is as in Life.
+	Born int64
 	// Service is the name of the target's service.
 	Service string
 	// Address is where calls are sent, as host and port.
@@ -43,7 +45,7 @@
 	// DataCentre is where the target runs.
 	DataCentre string
 	// Slots is how many calls the target works on at a time; 0 for unknown.
-	Slots int
+	Slots int32
 	// State is as listed, or Lapsed.
 	State State
 	// Evacuated says that the target's data centre takes no new work. The directory sets
--- a/internal/gateway/directory/edit.go
+++ b/internal/gateway/directory/edit.go
@@ -20,10 +20,17 @@
 // Edit begins changes of the directory.
 func (d *Directory) Edit() *Edit { return &Edit{base: d, evacuated: d.evacuated} }
 
-// Put adds or changes a target. One that was known to be cold for longer stays so.
+// Put adds or changes a target. One that was known to be cold for longer stays so, in one
+// life. A start that is not said is the one that is known: members of an earlier version
+// pass targets on without it.
 func (e *Edit) Put(t Target) {
 	if known, is := e.target(t.ID); is {
-		t.ColdUntil = later(t.ColdUntil, known.ColdUntil)
+		if t.Born == 0 {
+			t.Born = known.Born
+		}
+		if t.Born == known.Born || known.Born == 0 {
+			t.ColdUntil = later(t.ColdUntil, known.ColdUntil)
+		}
 	}
 	e.changed()[t.ID] = t
 }
--- a/internal/gateway/discards.go
+++ b/internal/gateway/discards.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 )
 
 const (
@@ -18,21 +19,21 @@
 	discardTimeout = time.Second
 )
 
-// discards gathers results to discard, by the identity of their target. Its coordinator owns it.
+// discards gathers results to discard, by the life of their target. Its coordinator owns it.
 type discards struct {
 	log      zerolog.Logger
 	targets  Targets
-	byTarget map[string]*batching.Discard
+	byTarget map[directory.Life]*batching.Discard
 	// scheduled says whether the coordinator is going to receive discardNow.
 	scheduled bool
 }
 
 // add gathers results, and says whether discardNow is to be scheduled.
 func (d *discards) add(e batching.Discard) (schedule bool) {
-	p := d.byTarget[e.Target.ID]
+	p := d.byTarget[e.Target.Life()]
 	if p == nil {
 		p = &batching.Discard{Target: e.Target}
-		d.byTarget[e.Target.ID] = p
+		d.byTarget[e.Target.Life()] = p
 	}
 	p.Handles = append(p.Handles, e.Handles...)
 	schedule = !d.scheduled
@@ -41,7 +42,7 @@
 }
 
 // take removes and returns what is gathered for a target; nil for nothing.
-func (d *discards) take(target string) *batching.Discard {
+func (d *discards) take(target directory.Life) *batching.Discard {
 	p := d.byTarget[target]
 	delete(d.byTarget, target)
 	return p
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,7 @@
 	g.sockets = sockets
 	g.members = newMembers(g.now, g.PeerAddress(), started.UnixNano(), cfg.Peers, capacityOf(cfg.Gateway))
 	g.views = newViewKeeper(g.now, g.log, g.viewChanged)
+	g.views.refused = g.metrics.entryRefused
 	g.wire(started)
 	return g, nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,8 @@
 	sourceFailures tally.Counter
 	// targetEnds counts attempts whose target ended meanwhile.
 	targetEnds tally.Counter
+	// refused counts entries of the source that did not read.
+	refused tally.Counter
 	// held is how many requests this node holds back because they end their targets.
 	held tally.Gauge
 	// evacuated is how many data centres this node takes for evacuated, cold how many
@@ -42,6 +44,7 @@
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
 		targetEnds: scope.Counter("target_ends"), held: scope.Gauge("held_requests"),
+		refused:   scope.Counter("source_entries_refused"),
 		evacuated: scope.Gauge("evacuated_data_centres"), cold: scope.Gauge("cold_targets"),
 	}
 }
@@ -78,6 +81,8 @@
 	m.cold.Update(float64(cold))
 }
 
+func (m *metrics) entryRefused() { m.refused.Inc(1) }
+
 func (m *metrics) targetEnded() { m.targetEnds.Inc(1) }
 
 func (m *metrics) batch(service string, items int) {
--- a/internal/gateway/placement/bench_test.go
+++ b/internal/gateway/placement/bench_test.go
@@ -16,11 +16,11 @@
 	table := placement.NewTargetTable()
 	for i, e := range engines(n) {
 		for range i % 5 {
-			table.Sent(e.ID)
+			table.Sent(e.Life())
 		}
-		table.Sent(e.ID)
-		table.Ended(now, e.ID, time.Duration(50+i)*time.Millisecond, i%7 == 0)
-		table.Report(now, e.ID, placement.Load{Running: i % 4, Waiting: i % 3, Slots: 8})
+		table.Sent(e.Life())
+		table.Ended(now, e.Life(), time.Duration(50+i)*time.Millisecond, i%7 == 0)
+		table.Report(now, e.Life(), placement.Load{Running: i % 4, Waiting: i % 3, Slots: 8})
 	}
 	return table
 }
--- a/internal/gateway/placement/byprefill.go
+++ b/internal/gateway/placement/byprefill.go
@@ -102,7 +102,7 @@
 	ranks := rendezvousRanks(engines, q.key())
 	inputs := newTransfer(q.InputBytes)
 	assess := func(i int, e *directory.Target) assessment {
-		cost := p.promptCost(q, engineLoad{backlog: backlogs[e.ID], cached: cached[i], cachedElsewhere: mostCached - cached[i]})
+		cost := p.promptCost(q, engineLoad{backlog: backlogs[e.Life()], cached: cached[i], cachedElsewhere: mostCached - cached[i]})
 		cost += rankCost * float64(ranks[i])
 		cost += inputs.cost(e.DataCentre)
 		if e.State == directory.Lapsed {
@@ -126,7 +126,7 @@
 		placed.CopyFrom = engines[source].Address
 		held = cached[source]
 	}
-	p.add(now, engine.ID, q, q.prefillTokens(held), backlogs[engine.ID] == 0)
+	p.add(now, engine, q, q.prefillTokens(held), backlogs[engine.Life()] == 0)
 	return placed, true
 }
 
@@ -136,7 +136,7 @@
 	var engines []string
 	for _, r := range p.pending {
 		if q.Suspect && r.suspect {
-			engines = append(engines, r.engine)
+			engines = append(engines, r.engine.ID)
 		}
 	}
 	return engines
--- a/internal/gateway/placement/byprefix.go
+++ b/internal/gateway/placement/byprefix.go
@@ -59,7 +59,7 @@
 	inputs := newTransfer(q.InputBytes)
 	rankCost := max(rankTokensCost*float64(q.SharedTokens)/tokensPerUnit, minRankCost)
 	i, found := best(now, targets, q.Exclude, q.allows(now), func(i int, c *directory.Target) assessment {
-		s := t.of(c.ID)
+		s := t.of(c.Life())
 		cost := s.engineLoad(now, c.Slots)
 		cost += inputs.cost(c.DataCentre)
 		if q.Key != 0 {
@@ -72,7 +72,7 @@
 }
 
 // engineLoad is the cost of an engine's load and failures, in milliseconds.
-func (s *stats) engineLoad(now time.Time, configuredSlots int) float64 {
+func (s *stats) engineLoad(now time.Time, configuredSlots int32) float64 {
 	outstanding, slots := s.outstanding(now), s.slots(configuredSlots)
 	cost := fullCost * outstanding / slots
 	cost += busyCost * max(outstanding-busyShare*slots, 0)
--- a/internal/gateway/placement/chooser.go
+++ b/internal/gateway/placement/chooser.go
@@ -46,7 +46,7 @@
 
 // pendingPrompt is a prompt that waits for its prefill or is in it.
 type pendingPrompt struct {
-	engine string
+	engine directory.Life
 	// tokens is how many tokens the engine has to prefill.
 	tokens int
 	placed time.Time
@@ -99,14 +99,14 @@
 
 // add counts a prompt as pending at an engine, which prefills the given tokens of it,
 // and its shared parts as cached there from now on.
-func (p *EngineChooser) add(now time.Time, engine string, q Prompt, tokens int, alone bool) {
-	p.pending[q.Request] = pendingPrompt{engine: engine, tokens: tokens, placed: now, alone: alone, suspect: q.Suspect}
-	p.cache.use(now, engine, q.Shared)
+func (p *EngineChooser) add(now time.Time, engine directory.Target, q Prompt, tokens int, alone bool) {
+	p.pending[q.Request] = pendingPrompt{engine: engine.Life(), tokens: tokens, placed: now, alone: alone, suspect: q.Suspect}
+	p.cache.use(now, engine.Life(), q.Shared)
 }
 
 // backlogs returns how many tokens each engine has to prefill.
-func (p *EngineChooser) backlogs() map[string]int {
-	tokens := make(map[string]int)
+func (p *EngineChooser) backlogs() map[directory.Life]int {
+	tokens := make(map[directory.Life]int)
 	for _, r := range p.pending {
 		tokens[r.engine] += r.tokens
 	}
--- a/internal/gateway/placement/outlier.go
+++ b/internal/gateway/placement/outlier.go
@@ -67,8 +67,8 @@
 }
 
 // Eject ejects a target at once, for a failure that proves that it is down.
-func (t *TargetTable) Eject(now time.Time, id string) {
-	s := t.of(id)
+func (t *TargetTable) Eject(now time.Time, l directory.Life) {
+	s := t.of(l)
 	s.failing = 1
 	s.learntAt = now
 	s.outlier.ended(now, true, s.failing)
@@ -78,7 +78,7 @@
 func (t *TargetTable) Ejected(now time.Time, targets []directory.Target) []string {
 	var list []string
 	for _, c := range targets {
-		if s, known := t.targets[c.ID]; known && s.outlier.ejected(now) {
+		if s, known := t.targets[c.Life()]; known && s.outlier.ejected(now) {
 			list = append(list, c.ID)
 		}
 	}
--- a/internal/gateway/placement/prefixcache.go
+++ b/internal/gateway/placement/prefixcache.go
@@ -29,20 +29,20 @@
 // so a part that an engine has dropped for want of memory still counts.
 type prefixCache struct {
 	// used says when each engine last used a part, by the part's key.
-	used map[uint64]map[string]time.Time
+	used map[uint64]map[directory.Life]time.Time
 	// forgotten is when parts that were too old were last looked for.
 	forgotten time.Time
 }
 
 func newPrefixCache() prefixCache {
-	return prefixCache{used: map[uint64]map[string]time.Time{}}
+	return prefixCache{used: map[uint64]map[directory.Life]time.Time{}}
 }
 
 // use notes that an engine prefills shared parts, or has them cached.
-func (c *prefixCache) use(now time.Time, engine string, parts []SharedPart) {
+func (c *prefixCache) use(now time.Time, engine directory.Life, parts []SharedPart) {
 	for _, part := range parts {
 		if c.used[part.Key] == nil {
-			c.used[part.Key] = map[string]time.Time{}
+			c.used[part.Key] = map[directory.Life]time.Time{}
 		}
 		c.used[part.Key][engine] = now
 	}
@@ -52,13 +52,13 @@
 // the order of the engines: a part counts only when all parts before it do.
 func (c *prefixCache) tokens(engines []directory.Target, parts []SharedPart) []int {
 	totals := make([]int, len(engines))
-	holders := make([]map[string]time.Time, len(parts))
+	holders := make([]map[directory.Life]time.Time, len(parts))
 	for k, part := range parts {
 		holders[k] = c.used[part.Key]
 	}
 	for i, e := range engines {
 		for k, part := range parts {
-			if _, cached := holders[k][e.ID]; !cached {
+			if _, cached := holders[k][e.Life()]; !cached {
 				break
 			}
 			totals[i] += part.Tokens
@@ -68,20 +68,17 @@
 }
 
 // lastUsed returns when an engine last used the last of the parts.
-func (c *prefixCache) lastUsed(engine string, parts []SharedPart) time.Time {
+func (c *prefixCache) lastUsed(engine directory.Life, parts []SharedPart) time.Time {
 	if len(parts) == 0 {
 		return time.Time{}
 	}
 	return c.used[parts[len(parts)-1].Key][engine]
 }
 
-// prune forgets engines that are not in the directory.
+// prune forgets engines that are gone or have started again, which leaves nothing cached.
 func (c *prefixCache) prune(d *directory.Directory) {
 	for _, engines := range c.used {
-		maps.DeleteFunc(engines, func(e string, _ time.Time) bool {
-			_, known := d.Target(e)
-			return !known
-		})
+		maps.DeleteFunc(engines, func(l directory.Life, _ time.Time) bool { return !d.Lives(l) })
 	}
 }
 
@@ -91,8 +88,8 @@
 		return
 	}
 	c.forgotten = now
-	maps.DeleteFunc(c.used, func(_ uint64, engines map[string]time.Time) bool {
-		maps.DeleteFunc(engines, func(_ string, used time.Time) bool { return now.Sub(used) > cachedFor })
+	maps.DeleteFunc(c.used, func(_ uint64, engines map[directory.Life]time.Time) bool {
+		maps.DeleteFunc(engines, func(_ directory.Life, used time.Time) bool { return now.Sub(used) > cachedFor })
 		return len(engines) == 0
 	})
 }
--- a/internal/gateway/placement/targets.go
+++ b/internal/gateway/placement/targets.go
@@ -40,9 +40,9 @@
 }
 
 // TargetTable is what a node learnt of all targets, by its own calls and by what
-// answers reported. It is not safe for concurrent use.
+// answers reported, by their lives. It is not safe for concurrent use.
 type TargetTable struct {
-	targets map[string]*stats
+	targets map[directory.Life]*stats
 }
 
 // stats is what a node learnt of one target.
@@ -64,20 +64,20 @@
 }
 
 // NewTargetTable returns an empty table.
-func NewTargetTable() *TargetTable { return &TargetTable{targets: map[string]*stats{}} }
+func NewTargetTable() *TargetTable { return &TargetTable{targets: map[directory.Life]*stats{}} }
 
-func (t *TargetTable) of(id string) *stats {
-	s := t.targets[id]
+func (t *TargetTable) of(l directory.Life) *stats {
+	s := t.targets[l]
 	if s == nil {
 		s = &stats{}
-		t.targets[id] = s
+		t.targets[l] = s
 	}
 	return s
 }
 
 // Sent counts a call that is being sent to a target.
-func (t *TargetTable) Sent(id string) {
-	s := t.of(id)
+func (t *TargetTable) Sent(l directory.Life) {
+	s := t.of(l)
 	s.inflight++
 	s.sentSinceLoad++
 	s.outlier.sent()
@@ -85,8 +85,8 @@
 
 // Ended counts the end of a call that took some time. A failure is the target's
 // own: no answer, a broken one, or one that says that the target is in trouble.
-func (t *TargetTable) Ended(now time.Time, id string, took time.Duration, failed bool) {
-	s := t.of(id)
+func (t *TargetTable) Ended(now time.Time, l directory.Life, took time.Duration, failed bool) {
+	s := t.of(l)
 	s.inflight--
 	s.failing *= remainingWeight(now, s.learntAt)
 	s.learntAt = now
@@ -103,18 +103,18 @@
 }
 
 // Report takes in the load that a target reported.
-func (t *TargetTable) Report(now time.Time, id string, load Load) {
-	s := t.of(id)
+func (t *TargetTable) Report(now time.Time, l directory.Life, load Load) {
+	s := t.of(l)
 	s.load = load
 	s.loadAt = now
 	s.sentSinceLoad = 0
 }
 
-// Prune forgets targets that are not in the directory and have no call.
+// Prune forgets lives that have ended, of which no call is left.
 func (t *TargetTable) Prune(d *directory.Directory) {
-	for id, s := range t.targets {
-		if _, known := d.Target(id); !known && s.inflight <= 0 {
-			delete(t.targets, id)
+	for l, s := range t.targets {
+		if !d.Lives(l) && s.inflight <= 0 {
+			delete(t.targets, l)
 		}
 	}
 }
@@ -140,7 +140,7 @@
 
 // slots returns how many calls the target works on at a time: as it last reported,
 // however long ago, else as configured, else defaultSlots.
-func (s *stats) slots(configured int) float64 {
+func (s *stats) slots(configured int32) float64 {
 	switch {
 	case s.load.Slots > 0:
 		return float64(s.load.Slots)
--- a/internal/gateway/quarantine/fleet_test.go
+++ b/internal/gateway/quarantine/fleet_test.go
@@ -34,7 +34,6 @@
 	// innocent counts tries of innocent requests, refused those that were held, and lost
 	// those whose target ended.
 	innocent, refused, lost int
-	problems                []string
 }
 
 // fleetConfig is what is simulated.
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -46,7 +46,7 @@
 // send is one attempt. sends counts those before it that may have run.
 func (s *sender) send(ctx context.Context, target destination, sends int) *verdict.Error {
 	start := s.now()
-	s.targets.sent(target.ID)
+	s.targets.sent(target.Life())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := s.startTimer(cancel, sends)
@@ -104,7 +104,7 @@
 	defer cancel()
 	if s.upstream.HasEnded(ctx, target) {
 		s.decided(ended)
-		s.quarantine.TargetEnded(ended.Digest, quarantine.Crash{Target: target.ID, Began: began, At: began.Add(ended.Took), Silent: ended.Events == 0})
+		s.quarantine.TargetEnded(ended.Digest, quarantine.Crash{Target: target.Life().String(), Began: began, At: began.Add(ended.Took), Silent: ended.Events == 0})
 	}
 }
 
@@ -198,7 +198,7 @@
 
 // noteEnd takes in how a target answered.
 func (s *sender) noteEnd(target directory.Target, reply *Reply, err *verdict.Error, took time.Duration) {
-	e := attemptEnd{target: target.ID, took: took}
+	e := attemptEnd{target: target.Life(), took: took}
 	if reply != nil {
 		e.load = reply.Load
 	}
--- a/internal/gateway/relay/targets.go
+++ b/internal/gateway/relay/targets.go
@@ -85,15 +85,15 @@
 	delete(t.isolated, id)
 }
 
-func (t *targets) sent(id string) {
+func (t *targets) sent(l directory.Life) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.table.Sent(id)
+	t.table.Sent(l)
 }
 
 // attemptEnd is how an attempt at a target ended.
 type attemptEnd struct {
-	target string
+	target directory.Life
 	// load is what the target reported of itself; nil for nothing.
 	load *placement.Load
 	// took is the time to the answer's head, or to the failure.
--- a/internal/gateway/view/history.go
+++ b/internal/gateway/view/history.go
@@ -45,7 +45,11 @@
 			report.ids = append(report.ids, c.Target.ID)
 		case TargetGone:
 			report.ids = append(report.ids, c.ID)
-		case CatalogChange, EvacuationChange, Rejected:
+		case Rejected:
+			if c.Target != "" {
+				report.ids = append(report.ids, c.Target)
+			}
+		case CatalogChange, EvacuationChange:
 		}
 	}
 	if len(report.ids) == 0 {
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -60,9 +60,15 @@
 // TargetGone is a target that vanished.
 type TargetGone struct{ ID string }
 
-// Rejected is an entry of the source that does not read and changes nothing; it is
-// logged.
-type Rejected struct{ Key, Reason string }
+// Rejected is an entry of the source that does not read; it is logged. A configuration
+// that does not read leaves the last one in force. A target's entry that does not read is
+// another writer's and names no target, so that the one which stood there is not used any
+// more.
+type Rejected struct {
+	Key, Reason string
+	// Target is the identity of the target whose entry it replaces; empty for other keys.
+	Target string
+}
 
 func (CatalogChange) isChange() {}
 func (TargetChange) isChange()  {}
@@ -143,6 +149,7 @@
 			c.Since = now
 			evacuations = evacuations.With(c.Evacuation)
 		case Rejected:
+			targets.Remove(c.Target)
 		}
 	}
 	next.withEvacuations(targets, now, evacuations)
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -21,6 +21,8 @@
 	// changed is called under the lock, in the order of the views, when the
 	// configuration or the targets have changed.
 	changed func(*view.View)
+	// refused counts an entry of the source that was refused.
+	refused func()
 
 	current atomic.Pointer[view.View]
 	// configured is closed when the first configuration is in force and those who
@@ -32,7 +34,7 @@
 
 // newViewKeeper returns a keeper of the empty view.
 func newViewKeeper(now func() time.Time, log zerolog.Logger, changed func(*view.View)) *viewKeeper {
-	k := &viewKeeper{now: now, log: log, changed: changed, configured: make(chan struct{})}
+	k := &viewKeeper{now: now, log: log, changed: changed, refused: func() {}, configured: make(chan struct{})}
 	k.current.Store(view.New())
 	return k
 }
@@ -97,6 +99,7 @@
 		case view.TargetGone:
 			k.log.Info().Str("target", c.ID).Int64("revision", ch.Revision).Msg("view: target gone")
 		case view.Rejected:
+			k.refused()
 			k.log.Error().Str("key", c.Key).Str("why", c.Reason).Msg("view: entry refused")
 		case view.CatalogChange, view.EvacuationChange:
 		}
--- a/internal/gateway/warmup/warmup.go
+++ b/internal/gateway/warmup/warmup.go
@@ -85,11 +85,11 @@
 // with New; a nil one bounds nothing. It is not safe for concurrent use.
 type Limits struct {
 	bound   Bound
-	buckets map[string]*rate.Limiter
+	buckets map[directory.Life]*rate.Limiter
 }
 
 // New returns limits without a bound.
-func New() *Limits { return &Limits{buckets: make(map[string]*rate.Limiter)} }
+func New() *Limits { return &Limits{buckets: make(map[directory.Life]*rate.Limiter)} }
 
 // SetBound sets the bound; another one than before begins with full buckets.
 func (l *Limits) SetBound(b Bound) {
@@ -107,7 +107,7 @@
 	if !l.bounds(now, t) {
 		return true
 	}
-	bucket := l.bucket(t.ID)
+	bucket := l.bucket(t.Life())
 	return bucket != nil && bucket.TokensAt(now) >= 1 && givesOut()
 }
 
@@ -116,16 +116,16 @@
 	if !l.bounds(now, t) {
 		return
 	}
-	if bucket := l.bucket(t.ID); bucket != nil {
+	if bucket := l.bucket(t.Life()); bucket != nil {
 		bucket.AllowN(now, 1)
 	}
 }
 
 // Prune forgets the buckets of targets that are not listed or warm.
 func (l *Limits) Prune(now time.Time, d *directory.Directory) {
-	for id := range l.buckets {
-		if t, known := d.Target(id); !known || !t.Cold(now) {
-			delete(l.buckets, id)
+	for life := range l.buckets {
+		if t, known := d.Target(life.ID); !known || t.Life() != life || !t.Cold(now) {
+			delete(l.buckets, life)
 		}
 	}
 }
@@ -136,11 +136,11 @@
 }
 
 // bucket returns the bucket of a target; nil when no member may send it any request.
-func (l *Limits) bucket(id string) *rate.Limiter {
-	bucket, known := l.buckets[id]
+func (l *Limits) bucket(life directory.Life) *rate.Limiter {
+	bucket, known := l.buckets[life]
 	if !known {
 		bucket = l.bound.limiter()
-		l.buckets[id] = bucket
+		l.buckets[life] = bucket
 	}
 	return bucket
 }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -840,6 +840,9 @@
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
 
+	// When its process started, in Unix milliseconds of its own clock; 0 for unknown.
+	Born int `json:"born,omitempty,omitzero"`
+
 	// Time for which the target may stay cold, in milliseconds; 0 for one that is
 	// warm.
 	ColdMs int `json:"coldMs,omitempty,omitzero"`
