One clock for all ages that goes on while the machine is suspended

The steady clock stands still while a machine is suspended; every age, lease and deadline of a gateway was measured by it.

Change: package boottime, the monotonic clock and the time suspended, for the gateway and its adapter.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/honeydyke/honeydyke/internal/boottime"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
@@ -70,14 +71,14 @@
 // WithLogger sets the log; it is silent by default.
 func WithLogger(log zerolog.Logger) Option { return func(g *Gateway) { g.log = log } }
 
-// WithClock sets the clock, which must be monotonic; time.Now by default.
+// WithClock sets the clock, which must be monotonic; that of package boottime by default.
 func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.now = now } }
 
 // New returns a gateway that listens but serves nothing until Run. The settings must
 // have a gateway section; a port 0 in them takes a free port.
 func New(cfg *settings.Settings, ports Ports, opts ...Option) (*Gateway, error) {
 	g := &Gateway{
-		cfg: cfg, ports: ports, log: zerolog.Nop(), now: time.Now,
+		cfg: cfg, ports: ports, log: zerolog.Nop(), now: boottime.New().Now,
 		health: newSourceHealth(), departure: &departure{}, metrics: newMetrics(),
 	}
 	for _, opt := range opts {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -102,7 +102,7 @@
 	g.servers.callers.SetKeepAlivesEnabled(false)
 	g.log.Info().Dur("grace", grace).Int64("inflight", g.callers.inflight.Load()).Msg("stop: leaving")
 	g.waitUntil(steps.closeListener, func() bool { return false })
-	ctx, cancel := context.WithDeadline(context.Background(), steps.end)
+	ctx, cancel := context.WithTimeout(context.Background(), steps.end.Sub(g.now()))
 	defer cancel()
 	giveUp := time.AfterFunc(steps.giveUp.Sub(g.now()), g.relay.Stop)
 	defer giveUp.Stop()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/honeydyke/honeydyke/internal/boottime"
 	"github.com/honeydyke/honeydyke/internal/gateway"
 	"github.com/honeydyke/honeydyke/pkg/settings"
 	"github.com/honeydyke/honeydyke/platform"
@@ -43,6 +44,8 @@
 		return nil, ErrNoGateway
 	}
 	var o options
+	// Both parts go by one clock.
+	WithClock(boottime.New().Now)(&o)
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -57,7 +60,11 @@
 	}
 }
 
-// WithClock sets the clock, which must be monotonic; time.Now by default.
+// WithClock sets the clock, which must be monotonic; by default one that goes on while the
+// machine is suspended.
 func WithClock(now func() time.Time) Option {
-	return func(o *options) { o.gateway = append(o.gateway, gateway.WithClock(now)) }
+	return func(o *options) {
+		o.gateway = append(o.gateway, gateway.WithClock(now))
+		o.adapter = append(o.adapter, platform.WithClock(now))
+	}
 }
