explain shows evacuations, and why a request is held back

Cause: a refusal as evacuated or quarantined is decided by lines that do not name the request.

Change: beside a request's lines stand, for each node, the evacuations in force at its end, and what was logged of its digest by any node until then.

Measured: a test of eight lines of which three are told. Recorded stories are printed as before.

--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -40,9 +40,10 @@
 		Use:   "explain <request> [<file>...]",
 		Short: "Tell one request's story from the nodes' logs",
 		Long: "Read log lines of nodes, from files or standard input, and print those of one\n" +
-			"request in the order of their times, with what decided it. Text before a line's\n" +
-			"JSON, such as a node's name that a log collector adds, is kept. Exits with 1 when\n" +
-			"no line names the request.",
+			"request in the order of their times, with what decided it. Beside them stand which\n" +
+			"data centres were evacuated then, and why such a request is held back. Text before a\n" +
+			"line's JSON, such as a node's name that a log collector adds, is kept. Exits with 1\n" +
+			"when no line names the request.",
 		Example: "  honeydyke explain 9c41d07be2a35f68 node-*.log\n" +
 			"  collect-logs | honeydyke explain 9c41d07be2a35f68 --json",
 		Args: cobra.MinimumNArgs(1),
@@ -73,7 +74,7 @@
 }
 
 func run(opts *Options) error {
-	var lines []line
+	var story story
 	if len(opts.Files) == 0 {
 		opts.Files = []string{"-"}
 	}
@@ -82,28 +83,26 @@
 		if err != nil {
 			return err
 		}
-		found, err := read(name, bytes.NewReader(text), opts.Request)
-		lines = append(lines, found...)
+		err = story.read(name, bytes.NewReader(text), opts.Request)
 		if err != nil {
 			// A failure to write to standard error leaves nothing to report it with.
 			fmt.Fprintf(opts.Factory.Err, "%s: the rest is left out: %v\n", name, err)
 		}
 	}
-	if len(lines) == 0 {
+	if len(story.own) == 0 {
 		return fmt.Errorf("no line names request %q", opts.Request)
 	}
-	slices.SortStableFunc(lines, func(a, b line) int { return a.at().Compare(b.at()) })
+	lines := story.lines()
 	var text strings.Builder
 	for _, l := range lines {
-		fmt.Fprintln(&text, l.text(lines[0].at()))
+		fmt.Fprintln(&text, l.text(story.own[0].at()))
 	}
 	return opts.Factory.Print(opts.JSON, lines, factory.Text(text.String()))
 }
 
-// read returns the lines that name the request; what is no JSON is passed over.
-// With an error, of a line that is too long, the lines before it are returned.
-func read(name string, r io.Reader, request string) ([]line, error) {
-	var lines []line
+// read adds the lines that name the request, and those of its background; what is no JSON
+// is passed over. With an error, of a line that is too long, the lines before it are there.
+func (s *story) read(name string, r io.Reader, request string) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
@@ -112,22 +111,22 @@
 			continue
 		}
 		l := line{From: strings.TrimSpace(before)}
-		if json.Unmarshal([]byte("{"+text), &l.Fields) != nil || l.Fields["request"] != request {
+		if json.Unmarshal([]byte("{"+text), &l.Fields) != nil {
 			continue
 		}
 		if l.From == "" && name != "-" {
 			l.From = name
 		}
-		lines = append(lines, l)
+		s.add(l, request)
 	}
-	return lines, scanner.Err()
+	return scanner.Err()
 }
 
-// text is the line for people: the time since the first, where it comes from,
+// text is the line for people: the time since the request's first, where it comes from,
 // what happened, what a refusal compared, and the other fields by name.
 func (l line) text(first time.Time) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "+%.3fs  %v", l.at().Sub(first).Seconds(), l.Fields["message"])
+	fmt.Fprintf(&b, "%+.3fs  %v", l.at().Sub(first).Seconds(), l.Fields["message"])
 	if l.From != "" {
 		fmt.Fprintf(&b, "  [%s]", l.From)
 	}
--- a/pkg/cmd/explain/explain_test.go
+++ b/pkg/cmd/explain/explain_test.go
@@ -44,6 +44,32 @@
 	})
 }
 
+const background = `node-a {"level":"info","dataCentre":"d1","from":"","time":100,"message":"view: data centre evacuated"}
+node-a {"level":"info","dataCentre":"d2","from":"","time":200,"message":"view: data centre evacuated"}
+node-a {"level":"info","dataCentre":"d2","from":"","time":300,"message":"view: data centre taken back"}
+node-a {"level":"info","dataCentre":"d3","from":"","time":9000,"message":"view: data centre evacuated"}
+node-b {"level":"warn","digest":"ab","targets":["t1","t2"],"held":60000,"from":"","time":900,"message":"quarantine: request held, targets ended with it"}
+node-b {"level":"warn","digest":"cd","targets":["t3","t4"],"held":60000,"from":"","time":950,"message":"quarantine: request held, targets ended with it"}
+node-b {"level":"info","digest":"ab","from":"","time":9000,"message":"quarantine: request released, a target answered it"}
+node-a {"level":"warn","request":"r9","verdict":"not-run","reason":"quarantined","digest":"ab","time":1000,"message":"request: ended"}
+`
+
+func TestExplainBackground(t *testing.T) {
+	convey.Convey("Beside a request stand what was evacuated then and why such requests were held, and nothing else", t, func() {
+		var s story
+		convey.So(s.read("-", strings.NewReader(background), "r9"), convey.ShouldBeNil)
+		var told []string
+		for _, l := range s.lines() {
+			told = append(told, strings.SplitN(l.text(s.own[0].at()), "\n", 2)[0])
+		}
+		convey.So(told, convey.ShouldResemble, []string{
+			"-0.900s  view: data centre evacuated  [node-a]",
+			"-0.100s  quarantine: request held, targets ended with it  [node-b]",
+			"+0.000s  request: ended  [node-a]",
+		})
+	})
+}
+
 func TestExplainRefusal(t *testing.T) {
 	convey.Convey("A refusal says in a sentence what was compared", t, func() {
 		shouldPrint := func(request, sentence string) {
@@ -70,9 +96,9 @@
 	})
 	convey.Convey("A file is read up to a line that is too long, and the rest reported", t, func() {
 		long := strings.Repeat("x", maxLine)
-		lines, err := read("-", strings.NewReader(recorded+long+"\n"+recorded), "r1")
-		convey.So(err, convey.ShouldNotBeNil)
-		convey.So(lines, convey.ShouldHaveLength, 3)
+		var s story
+		convey.So(s.read("-", strings.NewReader(recorded+long+"\n"+recorded), "r1"), convey.ShouldNotBeNil)
+		convey.So(s.own, convey.ShouldHaveLength, 3)
 	})
 	convey.Convey("A request that no line names is an error", t, func() {
 		_, err := execute("r3")
