--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -29,7 +29,7 @@
 	checkInterval = time.Second
 )
 
-// Clock tells the time. Create it with New; it is safe for concurrent use.
+// Clock gives the time. Create it with New; it is safe for concurrent use.
 type Clock struct {
 	// now reads the time of day and the monotonic clock, suspended how long the machine
 	// has been suspended since it started; false when the kernel does not say.
--- a/internal/gateway/directory/life.go
+++ b/internal/gateway/directory/life.go
@@ -12,7 +12,7 @@
 	// ID is the target's identity.
 	ID string
 	// Born is when its process started, in Unix milliseconds of its own clock; 0 for
-	// unknown. Lives are told apart by it, not ordered: the clock may have been set back.
+	// unknown. It distinguishes lives and does not order them: the clock may have been set back.
 	Born int64
 }
 
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -38,7 +38,7 @@
 	views     *viewKeeper
 	health    *sourceHealth
 	departure *departure
-	// quarantine knows the requests that end their targets; members tell each other.
+	// quarantine knows the requests that end their targets, which members report to each other.
 	quarantine *quarantine.Keeper
 	log        zerolog.Logger
 	// checkBehind catches up with a member that is ahead of this node.
@@ -123,7 +123,7 @@
 
 // withSuspects adds what this node knows of requests that end their targets.
 func (g *gossip) withSuspects(out message.Gossip) message.Gossip {
-	out.Suspects, out.HeldSum = g.quarantine.News()
+	out.Suspects, out.HeldSum = g.quarantine.Recent()
 	return out
 }
 
--- a/internal/gateway/gossipcodec.go
+++ b/internal/gateway/gossipcodec/gossipcodec.go
@@ -1,4 +1,13 @@
-package gateway
+// Package gossipcodec writes and reads what members exchange by gossip: in JSON, which
+// members of every version read, and in a compact form. Gossip was four fifths of the bytes
+// between 59 members, and in JSON most of it is names of fields. Of an exchange of 41
+// members the compact form has 1.4 KB where JSON has 6.3; to write takes 19 µs instead of
+// 32, to read 28 instead of 215 (BenchmarkGossip, on a busy machine).
+//
+// It owns both forms and no state. It relies on its caller to know which form a member
+// reads: a member says so by GossipMember.Compact, and by the media type that it accepts. A
+// message that does not read is an error; fields that it does not know are passed over.
+package gossipcodec
 
 import (
 	"encoding/binary"
@@ -12,18 +21,8 @@
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
-// This file writes gossip in a compact form, beside the JSON that members of earlier
-// versions speak. Gossip was four fifths of the bytes between 59 members, and in JSON
-// most of it is names of fields. Of an exchange of 41 members this form has 1.4 KB where
-// JSON has 6.3; to write takes 19 µs instead of 32, to read 28 instead of 215
-// (BenchmarkGossipCodec, on a busy machine).
-//
-// A member says by GossipMember.Compact that it reads the form, so that a node writes it
-// to those that do, and JSON to others; a request in JSON that accepts the form is
-// answered in it.
-
-// compactType is the media type of the compact form.
-const compactType = "application/vnd.honeydyke.gossip"
+// CompactType is the media type of the compact form.
+const CompactType = "application/vnd.honeydyke.gossip"
 
 // Fields of a member in the compact form, as of a protocol buffer. New ones get new
 // numbers; those that a reader does not know it passes over.
@@ -63,23 +62,24 @@
 // jsonType is the media type of the form that every member reads.
 const jsonType = "application/json"
 
-// gossipBody writes gossip in the compact form or in JSON, and returns the media type.
-func gossipBody(g message.Gossip, compact bool) (body []byte, mediaType string, err error) {
+// Encode writes gossip in the compact form or in JSON, and returns the media type. It fails
+// for an address that is not an IP number and a port.
+func Encode(g message.Gossip, compact bool) (body []byte, mediaType string, err error) {
 	if compact {
 		body, err = appendGossip(g)
-		return body, compactType, err
+		return body, CompactType, err
 	}
 	body, err = json.Marshal(g)
 	return body, jsonType, err
 }
 
-// readGossipBody reads gossip of a media type; JSON where there is none.
-func readGossipBody(r io.Reader, mediaType string) (message.Gossip, error) {
+// Decode reads gossip of a media type; JSON where there is none.
+func Decode(r io.Reader, mediaType string) (message.Gossip, error) {
 	body, err := io.ReadAll(r)
 	if err != nil {
 		return message.Gossip{}, err
 	}
-	if mediaType == compactType {
+	if mediaType == CompactType {
 		return readGossip(body)
 	}
 	var g message.Gossip
--- a/internal/gateway/gossipcodec_test.go
+++ b/internal/gateway/gossipcodec/gossipcodec_test.go
@@ -1,23 +1,15 @@
-package gateway
+package gossipcodec
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/rs/zerolog"
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
 	_ "github.com/honeydyke/honeydyke/internal/fixedseed"
-	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
-	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
@@ -48,25 +40,18 @@
 				Hears: rapid.Bool().Draw(t, "hears"), Compact: rapid.Bool().Draw(t, "compact"),
 			})
 		}
-		body, kind, err := gossipBody(g, true)
+		body, kind, err := Encode(g, true)
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := readGossipBody(bytes.NewReader(body), kind)
+		got, err := Decode(bytes.NewReader(body), kind)
 		if err != nil || fmt.Sprint(got) != fmt.Sprint(g) {
 			t.Fatalf("%v reads as %v: %v", g, got, err)
 		}
 	})
 }
 
-// newQuarantine returns a keeper that nobody hears of.
-func newQuarantine() *quarantine.Keeper {
-	return quarantine.NewKeeper(quarantine.Config{
-		Now: time.Now, Log: zerolog.Nop(), Changed: func(int) {}, GivesOut: func(string) bool { return false },
-	})
-}
-
-// TestCompactSuspects holds that what is told of requests that end their targets reads as
+// TestCompactSuspects holds that what is said of requests that end their targets reads as
 // it was written, in both forms.
 func TestCompactSuspects(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -85,11 +70,11 @@
 			}
 		}), 1, 3).Draw(t, "suspects")
 		for _, compact := range []bool{true, false} {
-			body, kind, err := gossipBody(want, compact)
+			body, kind, err := Encode(want, compact)
 			if err != nil {
 				t.Fatal(err)
 			}
-			got, err := readGossipBody(bytes.NewReader(body), kind)
+			got, err := Decode(bytes.NewReader(body), kind)
 			if diff := cmp.Diff(want, got); err != nil || diff != "" {
 				t.Fatal(err, diff)
 			}
@@ -101,13 +86,13 @@
 // error, and that fields of a later version are passed over.
 func TestCompactGossipOfOthers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		body, _, _ := gossipBody(usualGossip(), true)
+		body, _, _ := Encode(usualGossip(), true)
 		at := rapid.IntRange(0, len(body)-1).Draw(t, "at")
 		body[at] = rapid.Byte().Draw(t, "byte")
 		_, _ = readGossip(body[:rapid.IntRange(0, len(body)).Draw(t, "length")])
 	})
 	convey.Convey("A field that this version does not know is passed over", t, func() {
-		body, _, err := gossipBody(usualGossip(), true)
+		body, _, err := Encode(usualGossip(), true)
 		convey.So(err, convey.ShouldBeNil)
 		got, err := readGossip(append(body, 9<<3, 1, 10<<3|2, 1, 0))
 		convey.So(err, convey.ShouldBeNil)
@@ -122,67 +107,31 @@
 // TestCompactGossipIsSmall holds what the form is for: a quarter of the bytes.
 func TestCompactGossipIsSmall(t *testing.T) {
 	convey.Convey("An exchange of a large fleet has less than a quarter of JSON's bytes", t, func() {
-		compact, _, err := gossipBody(usualGossip(), true)
+		compact, _, err := Encode(usualGossip(), true)
 		convey.So(err, convey.ShouldBeNil)
-		text, _, err := gossipBody(usualGossip(), false)
+		text, _, err := Encode(usualGossip(), false)
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(4*len(compact), convey.ShouldBeLessThan, len(text))
 	})
 }
 
-// TestGossipOfMixedVersions holds what a member answers to nodes of this version and of
-// an earlier one, which neither sends nor accepts the compact form.
-func TestGossipOfMixedVersions(t *testing.T) {
-	answer := func(accept string) (kind string, g message.Gossip) {
-		m := newMembers(time.Now, "10.0.0.1:80", 1, nil, 0)
-		views := newViewKeeper(time.Now, zerolog.Nop(), func(*view.View) {})
-		s := &peerServer{now: time.Now, gossip: &gossip{
-			now: time.Now, members: m, views: views, health: newSourceHealth(), quarantine: newQuarantine(), triggered: make(chan struct{}, 1),
-		}}
-		body, err := json.Marshal(usualGossip())
-		convey.So(err, convey.ShouldBeNil)
-		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(string(body)))
-		if accept != "" {
-			r.Header.Set("Accept", accept)
-		}
-		w := httptest.NewRecorder()
-		s.serveGossip(w, r)
-		convey.So(w.Code, convey.ShouldEqual, http.StatusOK)
-		kind = w.Header().Get("Content-Type")
-		g, err = readGossipBody(w.Body, kind)
-		convey.So(err, convey.ShouldBeNil)
-		convey.So(m.readsCompact("10.1.0.0:8628"), convey.ShouldBeTrue)
-		return kind, g
-	}
-	convey.Convey("JSON is answered in JSON", t, func() {
-		kind, g := answer("")
-		convey.So(kind, convey.ShouldEqual, jsonType)
-		convey.So(len(g.Members), convey.ShouldBeGreaterThan, 1)
-	})
-	convey.Convey("JSON of a node that reads the compact form is answered in it", t, func() {
-		kind, g := answer(compactType)
-		convey.So(kind, convey.ShouldEqual, compactType)
-		convey.So(len(g.Members), convey.ShouldBeGreaterThan, 1)
-	})
-}
-
-// BenchmarkGossipCodec writes and reads an exchange of a large fleet in each form.
-func BenchmarkGossipCodec(b *testing.B) {
+// BenchmarkGossip writes and reads an exchange of a large fleet in each form.
+func BenchmarkGossip(b *testing.B) {
 	for _, compact := range []bool{true, false} {
-		body, kind, err := gossipBody(usualGossip(), compact)
+		body, kind, err := Encode(usualGossip(), compact)
 		if err != nil {
 			b.Fatal(err)
 		}
 		b.Run("write "+kind, func(b *testing.B) {
 			g := usualGossip()
 			for b.Loop() {
-				_, _, _ = gossipBody(g, compact)
+				_, _, _ = Encode(g, compact)
 			}
 			b.ReportMetric(float64(len(body)), "bytes")
 		})
 		b.Run("read "+kind, func(b *testing.B) {
 			for b.Loop() {
-				_, _ = readGossipBody(bytes.NewReader(body), kind)
+				_, _ = Decode(bytes.NewReader(body), kind)
 			}
 		})
 	}
--- a/internal/gateway/suspectcodec.go
+++ b/internal/gateway/gossipcodec/suspects.go
@@ -1,4 +1,4 @@
-package gateway
+package gossipcodec
 
 import (
 	"google.golang.org/protobuf/encoding/protowire"
@@ -6,28 +6,34 @@
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
-// This file writes what members tell each other of requests that end their targets in
-// the compact form of gossip: some 40 bytes for a request with one end of a target.
-
-// Fields of a message.SuspectRequest in the compact form.
+// Fields of a message.SuspectRequest in the compact form, as of a protocol buffer; one with
+// one end of a target takes some 40 bytes.
 const (
-	fieldDigest       protowire.Number = 1
-	fieldCleared      protowire.Number = 2
+	// fieldDigest is the text of the digest.
+	fieldDigest protowire.Number = 1
+	// fieldCleared is a count.
+	fieldCleared protowire.Number = 2
+	// fieldClearedAgoMs is in milliseconds.
 	fieldClearedAgoMs protowire.Number = 3
 	// fieldEnd holds one message.SuspectEnd.
-	fieldEnd  protowire.Number = 4
+	fieldEnd protowire.Number = 4
+	// fieldHeld is 1 for a request that is held back.
 	fieldHeld protowire.Number = 5
 )
 
 // Fields of a message.SuspectEnd in the compact form.
 const (
+	// fieldTarget is the text of the target's life.
 	fieldTarget protowire.Number = 1
-	fieldAgoMs  protowire.Number = 2
+	// fieldAgoMs is in milliseconds.
+	fieldAgoMs protowire.Number = 2
+	// fieldSilent is 1 where no part of an answer had come.
 	fieldSilent protowire.Number = 3
+	// fieldTookMs is in milliseconds.
 	fieldTookMs protowire.Number = 4
 )
 
-// appendSuspects appends the fields of a message that tell of requests.
+// appendSuspects appends the fields of a message of requests that end their targets.
 func appendSuspects(out []byte, g message.Gossip) []byte {
 	for _, q := range g.Suspects {
 		out = appendBytes(out, fieldSuspect, suspectBytes(q))
--- /dev/null
+++ b/internal/gateway/mixedversions_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/internal/message"
+)
+
+// newQuarantine returns a keeper that nobody hears of.
+func newQuarantine() *quarantine.Keeper {
+	return quarantine.NewKeeper(quarantine.Config{
+		Now: time.Now, Log: zerolog.Nop(), Changed: func(int) {}, GivesOut: func(string) bool { return false },
+	})
+}
+
+// TestGossipOfMixedVersions holds what a member answers to nodes of this version and of
+// an earlier one, which neither sends nor accepts the compact form.
+func TestGossipOfMixedVersions(t *testing.T) {
+	answer := func(accept string) (kind string, g message.Gossip) {
+		m := newMembers(time.Now, "10.0.0.1:80", 1, nil, 0)
+		views := newViewKeeper(time.Now, zerolog.Nop(), func(*view.View) {})
+		s := &peerServer{now: time.Now, gossip: &gossip{
+			now: time.Now, members: m, views: views, health: newSourceHealth(), quarantine: newQuarantine(), triggered: make(chan struct{}, 1),
+		}}
+		body, err := json.Marshal(message.Gossip{Members: []message.GossipMember{{Address: "10.1.0.0:8628", Incarnation: 1, Compact: true}}})
+		convey.So(err, convey.ShouldBeNil)
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(string(body)))
+		if accept != "" {
+			r.Header.Set("Accept", accept)
+		}
+		w := httptest.NewRecorder()
+		s.serveGossip(w, r)
+		convey.So(w.Code, convey.ShouldEqual, http.StatusOK)
+		kind = w.Header().Get("Content-Type")
+		g, err = gossipcodec.Decode(w.Body, kind)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(m.readsCompact("10.1.0.0:8628"), convey.ShouldBeTrue)
+		return kind, g
+	}
+	convey.Convey("JSON is answered in JSON", t, func() {
+		kind, g := answer("")
+		convey.So(kind, convey.ShouldEqual, "application/json")
+		convey.So(len(g.Members), convey.ShouldBeGreaterThan, 1)
+	})
+	convey.Convey("JSON of a node that reads the compact form is answered in it", t, func() {
+		kind, g := answer(gossipcodec.CompactType)
+		convey.So(kind, convey.ShouldEqual, gossipcodec.CompactType)
+		convey.So(len(g.Members), convey.ShouldBeGreaterThan, 1)
+	})
+}
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/message"
@@ -53,7 +54,7 @@
 // gossipAtMember sends a member what is known of all members and returns what it
 // knows. compact says that the member reads the compact form.
 func (c *peerClient) gossipAtMember(ctx context.Context, member string, in message.Gossip, compact bool) (message.Gossip, error) {
-	body, kind, err := gossipBody(in, compact)
+	body, kind, err := gossipcodec.Encode(in, compact)
 	if err != nil {
 		return message.Gossip{}, err
 	}
@@ -62,7 +63,7 @@
 		return message.Gossip{}, err
 	}
 	req.Header.Set("Content-Type", kind)
-	req.Header.Set("Accept", compactType)
+	req.Header.Set("Accept", gossipcodec.CompactType)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return message.Gossip{}, err
@@ -72,7 +73,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return message.Gossip{}, errors.Errorf("member %s answered with status %d", member, resp.StatusCode)
 	}
-	return readGossipBody(io.LimitReader(resp.Body, wire.MaxAnswerBytes), resp.Header.Get("Content-Type"))
+	return gossipcodec.Decode(io.LimitReader(resp.Body, wire.MaxAnswerBytes), resp.Header.Get("Content-Type"))
 }
 
 // runAtMember has a member run the items of a group. It calls inputsRead when the
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/wire"
@@ -53,12 +54,12 @@
 }
 
 func (s *peerServer) serveGossip(w http.ResponseWriter, r *http.Request) {
-	in, err := readGossipBody(http.MaxBytesReader(w, r.Body, wire.MaxAnswerBytes), r.Header.Get("Content-Type"))
+	in, err := gossipcodec.Decode(http.MaxBytesReader(w, r.Body, wire.MaxAnswerBytes), r.Header.Get("Content-Type"))
 	if err != nil {
 		http.Error(w, "the message does not read", http.StatusBadRequest)
 		return
 	}
-	body, kind, err := gossipBody(s.gossip.answer(in), r.Header.Get("Accept") == compactType)
+	body, kind, err := gossipcodec.Encode(s.gossip.answer(in), r.Header.Get("Accept") == gossipcodec.CompactType)
 	if err != nil {
 		http.Error(w, "the answer cannot be written", http.StatusInternalServerError)
 		return
--- a/internal/gateway/quarantine/doc.go
+++ b/internal/gateway/quarantine/doc.go
@@ -16,7 +16,7 @@
 // rule.go decides from when on and for how long a request is held back.
 //
 // It relies on its shell to report ends and answers, to pass entries between members, and
-// to say which member may try a held request once more. When a node starts it knows
+// to say which member may try a held request again. When a node starts it knows
 // nothing and learns it from the first member that it hears; when all nodes end at once,
 // what was known is lost, and the request ends two more targets before it is held again.
 package quarantine
--- a/internal/gateway/quarantine/fleet_test.go
+++ b/internal/gateway/quarantine/fleet_test.go
@@ -200,10 +200,10 @@
 
 // exchange has two members tell each other, each with a way.
 func (f *fleet) exchange(m, other *fleetMember) {
-	news := m.News(f.now)
+	news := m.Recent(f.now)
 	f.after(f.between(time.Millisecond, 10*time.Millisecond), func() {
 		f.merge(other, news)
-		answer, sum := other.News(f.now), other.HeldSum()
+		answer, sum := other.Recent(f.now), other.HeldSum()
 		f.after(f.between(time.Millisecond, 10*time.Millisecond), func() {
 			f.merge(m, answer)
 			if sum != 0 && sum != m.HeldSum() && f.now.Sub(m.compared) >= compareInterval {
--- a/internal/gateway/quarantine/keeper.go
+++ b/internal/gateway/quarantine/keeper.go
@@ -109,7 +109,7 @@
 	k.change("", []Digest{d}, func(t *Table, now time.Time) bool { return t.Answered(now, d) })
 }
 
-// Merge takes in what a member told of requests.
+// Merge takes in what a member reported of requests.
 func (k *Keeper) Merge(member string, list []message.SuspectRequest) {
 	if len(list) == 0 {
 		return
@@ -156,14 +156,14 @@
 	}
 }
 
-// News returns what members should hear: what this node learnt lately, and the hash of
+// Recent returns what members should hear: what this node learnt lately, and the hash of
 // all that it holds, empty for nothing.
-func (k *Keeper) News() (list []message.SuspectRequest, heldSum string) {
+func (k *Keeper) Recent() (list []message.SuspectRequest, heldSum string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.cfg.Now()
 	k.table.Prune(now)
-	return messagesOf(now, k.table.News(now)), sumText(k.table.HeldSum())
+	return messagesOf(now, k.table.Recent(now)), sumText(k.table.HeldSum())
 }
 
 // Compare says whether a member with such a hash should be asked for all that it holds.
--- a/internal/gateway/quarantine/message.go
+++ b/internal/gateway/quarantine/message.go
@@ -6,7 +6,7 @@
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
-// messagesOf describes entries to a member. Times are told as how long ago they were,
+// messagesOf describes entries to a member. Times are given as how long ago they were,
 // since members' clocks may differ.
 func messagesOf(now time.Time, entries []Entry) []message.SuspectRequest {
 	list := make([]message.SuspectRequest, len(entries))
--- a/internal/gateway/quarantine/rule.go
+++ b/internal/gateway/quarantine/rule.go
@@ -7,10 +7,11 @@
 
 const (
 	// silentWeight is what an occasion counts at which a target ended before it gave any
-	// part of an answer, which is what a request does that ends its target at once, and
-	// partWeight what one counts at which some of the answer had come.
+	// part of an answer, which is what a request does that ends its target at once.
 	silentWeight = 2
-	partWeight   = 1
+	// partWeight is what an occasion counts at which some of the answer had come: half, as
+	// a request that ran for a while is less likely the cause.
+	partWeight = 1
 	// holdWeight is the weight from which on a request is held: two occasions that were
 	// silent, or four that were not. With three silent ones a bad request ended 3.1 targets
 	// instead of 2.1, and 1,392 innocent tries were lost with them instead of 802 of
@@ -20,12 +21,12 @@
 	holdWeight = 4
 	// togetherCount is how many targets that ended silently hold a request even if all
 	// ended on one occasion. A bad request that comes at many nodes at once would else end
-	// as many again when its callers come back.
+	// as many again when its callers repeat it.
 	togetherCount = 3
 	// clockError is how far apart the reports of one moment by two members may lie: their
 	// way, and the rounding to milliseconds.
 	clockError = 5 * time.Millisecond
-	// holdFor is how long a request is held before it is tried once more: long against the
+	// holdFor is how long a request is held before it is tried again: long against the
 	// seconds in which targets come back and callers repeat, short for a caller whose
 	// request was held wrongly.
 	holdFor = time.Minute
@@ -33,11 +34,11 @@
 	// one may have been at all targets of a rack. It is the time in which targets are back
 	// or others have answered it.
 	togetherHold = 5 * time.Second
-	// holdGrowth lengthens the hold after each trial that ended its target too, up to
-	// maxHold, so that a request which comes all day ends three more targets in its first
-	// two hours and one a day from then on.
+	// holdGrowth lengthens the hold after each trial that ended its target too, so that a
+	// request which comes all day ends three more targets in its first two hours.
 	holdGrowth = 10
-	maxHold    = 24 * time.Hour
+	// maxHold bounds it: from then on such a request ends one target a day.
+	maxHold = 24 * time.Hour
 	// suspectFor is how long ends of targets count that do not suffice to hold a request:
 	// many times as long as callers go on asking for one thing.
 	suspectFor = 10 * time.Minute
--- a/internal/gateway/quarantine/table.go
+++ b/internal/gateway/quarantine/table.go
@@ -32,7 +32,7 @@
 
 // Hold is why and until when a request is held back.
 type Hold struct {
-	// Until is when it is tried once more at the earliest, by this node's clock.
+	// Until is when it is tried again at the earliest, by this node's clock.
 	Until time.Time
 	// Crashes are the ends of targets that it is held for.
 	Crashes []Crash
@@ -149,8 +149,8 @@
 	return true
 }
 
-// News returns what this node has learnt lately, the newest first.
-func (t *Table) News(now time.Time) []Entry {
+// Recent returns what this node has learnt lately, the newest first.
+func (t *Table) Recent(now time.Time) []Entry {
 	var recent []known
 	for _, k := range t.entries {
 		if now.Sub(k.learnt) < newsFor {
--- a/internal/gateway/quarantine/table_test.go
+++ b/internal/gateway/quarantine/table_test.go
@@ -51,7 +51,7 @@
 	})
 	convey.Convey("An answer releases it, and what a member still tells of the ends before changes nothing", t, func() {
 		table := held(1)
-		old := table.News(at(300))
+		old := table.Recent(at(300))
 		convey.So(table.Answered(at(300), 1), convey.ShouldBeTrue)
 		shouldNotHold(table, 1)
 		convey.So(table.Suspected(1), convey.ShouldBeFalse)
@@ -59,7 +59,7 @@
 		shouldNotHold(table, 1)
 		convey.Convey("and the member is released by what it is told", func() {
 			member := held(1)
-			convey.So(member.Merge(at(400), table.News(at(400))), convey.ShouldBeTrue)
+			convey.So(member.Merge(at(400), table.Recent(at(400))), convey.ShouldBeTrue)
 			shouldNotHold(member, 1)
 		})
 		convey.Convey("and it takes two more ends to hold it again", func() {
@@ -73,8 +73,8 @@
 		one, other := NewTable(), NewTable()
 		one.Crashed(at(100), 1, crash("a", 0, 100))
 		other.Crashed(at(200), 1, crash("b", 150, 200))
-		one.Merge(at(300), other.News(at(300)))
-		other.Merge(at(300), one.News(at(300)))
+		one.Merge(at(300), other.Recent(at(300)))
+		other.Merge(at(300), one.Recent(at(300)))
 		shouldHold(one, 1)
 		shouldHold(other, 1)
 		convey.So(one.HeldSum(), convey.ShouldEqual, other.HeldSum())
@@ -145,16 +145,16 @@
 	})
 }
 
-func TestNews(t *testing.T) {
+func TestRecent(t *testing.T) {
 	convey.Convey("What was learnt lately is passed on, the newest first, and a bounded number", t, func() {
 		table := NewTable()
 		for i := range 2 * maxNews {
 			table.Crashed(at(i), Digest(1+i), crash("t", 0, i))
 		}
-		news := table.News(at(2 * maxNews))
+		news := table.Recent(at(2 * maxNews))
 		convey.So(news, convey.ShouldHaveLength, maxNews)
 		convey.So(news[0].Digest, convey.ShouldEqual, Digest(2*maxNews))
-		convey.So(table.News(at(2*maxNews).Add(newsFor)), convey.ShouldBeEmpty)
+		convey.So(table.Recent(at(2*maxNews).Add(newsFor)), convey.ShouldBeEmpty)
 	})
 	convey.Convey("The hash of what is held differs with it, and is 0 for nothing", t, func() {
 		convey.So(NewTable().HeldSum(), convey.ShouldEqual, 0)
@@ -185,8 +185,8 @@
 	}
 }
 
-// BenchmarkNews times what each exchange of gossip costs.
-func BenchmarkNews(b *testing.B) {
+// BenchmarkRecent times what each exchange of gossip costs.
+func BenchmarkRecent(b *testing.B) {
 	full := NewTable()
 	for i := range maxEntries {
 		full.Crashed(at(1000), Digest(10+i), crash("t", 999, 1000))
@@ -194,7 +194,7 @@
 	for name, table := range map[string]*Table{"empty": NewTable(), "full": full} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				table.News(at(1001))
+				table.Recent(at(1001))
 				table.HeldSum()
 			}
 		})
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -97,7 +97,7 @@
 	return nil
 }
 
-// leastHeld is the least time that the caller of a held request is told to wait: the
+// leastHeld is the least time after which the caller of a held request may retry: the
 // hold may be over while another member tries the request.
 const leastHeld = time.Second
 
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -77,19 +77,26 @@
 	}
 	s.noteEnd(target.Target, reply, err, answered)
 	s.noteInputsGone(err)
-	switch {
-	case rules.Outlived(err):
+	s.noteSurvival(target.Target, start, tried, s.outcome.Events-events)
+	return err
+}
+
+// noteSurvival takes in whether the target of an attempt that began at some time outlived
+// it. events is how many events came from this target.
+func (s *sender) noteSurvival(target directory.Target, began time.Time, tried Attempt, events int) {
+	if rules.Outlived(tried.Err) {
 		s.quarantine.Answered(s.digest)
-	case rules.ConnectionBroke(err):
-		ended := TargetEnded{Target: target.ID, Digest: s.digest, Events: s.outcome.Events - events, Took: tried.Took}
-		if s.route.MayRepeat() {
-			// The next attempt depends on it.
-			s.checkEnded(target.Target, start, ended)
-		} else {
-			go s.checkEnded(target.Target, start, ended)
-		}
 	}
-	return err
+	if !rules.ConnectionBroke(tried.Err) {
+		return
+	}
+	ended := TargetEnded{Target: target.ID, Digest: s.digest, Events: events, Took: tried.Took}
+	if !s.route.MayRepeat() {
+		go s.checkEnded(target, began, ended)
+		return
+	}
+	// The next attempt depends on it.
+	s.checkEnded(target, began, ended)
 }
 
 // endedTimeout bounds the question whether a target has ended: its instance refuses a
