--- /dev/null
+++ b/internal/gateway/gossipcodec/fuzz_test.go
@@ -0,0 +1,32 @@
+package gossipcodec
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/honeydyke/honeydyke/internal/message"
+)
+
+// FuzzDecode holds that no bytes of a member make the reader fail other than by its error,
+// and that what it reads can be written again.
+func FuzzDecode(f *testing.F) {
+	g := usualGossip()
+	g.HeldSum = "1"
+	g.Suspects = []message.SuspectRequest{{Digest: "2", Held: true, Ends: []message.SuspectEnd{{Target: "t", AgoMs: 3, TookMs: 4, Silent: true}}}}
+	for _, compact := range []bool{true, false} {
+		body, kind, err := Encode(g, compact)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body, kind)
+	}
+	f.Fuzz(func(t *testing.T, body []byte, kind string) {
+		got, err := Decode(bytes.NewReader(body), kind)
+		if err != nil {
+			return
+		}
+		if _, _, err := Encode(got, false); err != nil {
+			t.Error(err)
+		}
+	})
+}
