A trial that fails after sixteen ends of targets lengthens the hold

Cause: found by reading: of one request sixteen ends are kept, and further ones were dropped. A request that came at more than sixteen nodes at once was then tried every ten seconds, as its failed trials did not show.

Change: the oldest end is dropped instead.

--- a/internal/gateway/quarantine/entry.go
+++ b/internal/gateway/quarantine/entry.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -53,17 +54,26 @@
 func (e Entry) withCrash(c Crash) Entry {
 	i, known := slices.BinarySearchFunc(e.Crashes, c.Target, func(c Crash, target string) int { return strings.Compare(c.Target, target) })
 	crashes := slices.Clone(e.Crashes)
-	switch {
-	case known:
+	if known {
 		crashes[i] = crashes[i].joined(c)
-	case len(crashes) < maxCrashes:
-		crashes = slices.Insert(crashes, i, c)
+	} else {
+		crashes = newest(slices.Insert(crashes, i, c))
 	}
 	e.Crashes = crashes
 	e.Held = e.Held || suffices(crashes)
 	return e
 }
 
+// newest drops the oldest of too many ends: the later ones say until when the request is
+// held.
+func newest(crashes []Crash) []Crash {
+	if len(crashes) <= maxCrashes {
+		return crashes
+	}
+	oldest := slices.MinFunc(crashes, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Target, b.Target)) })
+	return slices.DeleteFunc(crashes, func(c Crash) bool { return c.Target == oldest.Target })
+}
+
 // withAnswer returns the entry without the ends that came before an answer.
 func (e Entry) withAnswer(now time.Time) Entry {
 	return Entry{Digest: e.Digest, Cleared: e.Cleared + 1, ClearedAt: now}
--- a/internal/gateway/quarantine/table_test.go
+++ b/internal/gateway/quarantine/table_test.go
@@ -143,6 +143,18 @@
 		convey.So(is, convey.ShouldBeTrue)
 		convey.So(hold.Crashes, convey.ShouldHaveLength, maxCrashes)
 	})
+	convey.Convey("A trial that fails after so many ends still lengthens the hold", t, func() {
+		table := NewTable()
+		for i := range maxCrashes {
+			table.Crashed(at(i), 1, crash(fmt.Sprint("t", i), 0, 100+i))
+		}
+		hold, _ := table.Held(1)
+		tried := hold.Until.Add(time.Second)
+		convey.So(table.Try(tried, 1, yes), convey.ShouldBeTrue)
+		table.Crashed(tried, 1, Crash{Target: "trial", Began: tried, At: tried.Add(time.Second), Silent: true})
+		hold, _ = table.Held(1)
+		convey.So(hold.Until, convey.ShouldHappenAfter, tried.Add(holdFor))
+	})
 }
 
 func TestRecent(t *testing.T) {
