--- a/internal/gateway/batching/event.go
+++ b/internal/gateway/batching/event.go
@@ -158,6 +158,9 @@
 	Err      *verdict.Error
 	// Ended says that the target's process ended while it had the batch.
 	Ended bool
+	// Took is the time from the sending of the batch to its answer, without what this
+	// node's own work before and after them took; 0 for unknown.
+	Took time.Duration
 }
 
 // Release ends the use of results that have been read or are not needed.
@@ -183,7 +186,11 @@
 }
 
 // Tick reports that time has passed.
-type Tick struct{}
+type Tick struct {
+	// Late is how much later than it should have the core got the tick. Answers that
+	// came meanwhile may be as late.
+	Late time.Duration
+}
 
 func (Configure) isEvent()  {}
 func (Plan) isEvent()       {}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -26,6 +26,9 @@
 	reportInterval = time.Second
 )
 
+// tick has the core receive the time; it is sent at due.
+type tick struct{ due time.Time }
+
 // inputsRead says that a group's items count as having read their inputs.
 type inputsRead struct{ group *pendingGroup }
 
@@ -100,9 +103,9 @@
 		c.handBack(errLeaving())
 	case discardNow:
 		c.discards.flush()
-	case batching.Tick:
+	case tick:
 		c.ticking = false
-		c.handle(msg)
+		c.handle(batching.Tick{Late: max(c.now().Sub(msg.due), 0)})
 	case batching.Event:
 		c.handle(msg)
 	}
@@ -135,7 +138,7 @@
 	c.checkCoordination(now)
 	if !c.ticking && !c.core.Idle() {
 		c.ticking = true
-		c.sendLater(tickInterval, batching.Tick{})
+		c.sendLater(tickInterval, tick{due: c.now().Add(tickInterval)})
 	}
 }
 
@@ -197,6 +200,7 @@
 func (c *coordinator) call(now time.Time, e batching.Send) batching.Finished {
 	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
 	defer cancel()
+	began := c.now()
 	outcomes, err := c.targets.RunBatch(ctx, BatchCall{
 		Target: e.Target, Items: e.Items, Now: now,
 		Permit: func() error { return c.permit(e.Target.ID) },
@@ -205,7 +209,8 @@
 		c.log.Warn().Str("service", c.service).Str("target", e.Target.ID).Int("items", len(e.Items)).
 			Dur("took", c.now().Sub(now)).Err(err).Msg("items: call failed")
 	}
-	return batching.Finished{Batch: e.Batch, Outcomes: outcomes, Err: err, Ended: c.noteEnd(e, now, err)}
+	took := c.now().Sub(began)
+	return batching.Finished{Batch: e.Batch, Outcomes: outcomes, Err: err, Took: took, Ended: c.noteEnd(e, now, err)}
 }
 
 // noteEnd reports what the end of a batch, sent at the given time, says of what its items
