--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -88,7 +88,7 @@
 	if old.Catalog == nil && next.Catalog != nil {
 		// One line for all: a line each costs a weak node that starts with hundreds of
 		// targets more time than to read them. The state dump lists them.
-		k.log.Info().Int("targets", len(next.Directory.All())).Int64("revision", ch.Revision).Msg("view: targets listed")
+		k.log.Info().Int("targets", next.Directory.Size()).Int64("revision", ch.Revision).Msg("view: targets listed")
 		ch.List = slices.DeleteFunc(slices.Clone(ch.List), isTarget)
 	}
 	for _, c := range ch.List {
