Requests that a route or organisation confines to regions stay there

Nothing in the code knew a region: the field was read over, and such a request went anywhere.

A confined request's engines and items' targets are chosen among those allowed, by the lists of route and organisation together; a data centre of unknown region is not.

--- a/internal/gateway/batching/dispatch.go
+++ b/internal/gateway/batching/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/topology"
 )
 
 // maxInspecting bounds the inspections of spare targets that run at once: each takes some
@@ -122,18 +124,21 @@
 func (p *pool) spareFor(near *nearness, q *queuedItem) *place {
 	own := p.byPlace[q.DataCentre]
 	switch {
-	case own != nil && own.unknown() > 0:
+	case own != nil && own.unknown() > 0 && q.Confinement.Allows(q.DataCentre):
 		return own
 	case q.DataCentre != "" && near.takesInTime(q):
 		return nil
 	}
-	return p.sparest()
+	return p.sparest(q.Confinement)
 }
 
-// sparest returns the data centre with most spare targets; nil without data centres.
-func (p *pool) sparest() *place {
+// sparest returns the allowed data centre with most spare targets; nil for none.
+func (p *pool) sparest(c topology.Confinement) *place {
 	var most *place
 	for _, place := range p.places {
+		if !c.Allows(place.dataCentre) {
+			continue
+		}
 		if most == nil || len(place.spare.targets) > len(most.spare.targets) {
 			most = place
 		}
--- a/internal/gateway/batching/event.go
+++ b/internal/gateway/batching/event.go
@@ -40,6 +40,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
+	"github.com/honeydyke/honeydyke/internal/gateway/topology"
 	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -74,6 +75,8 @@
 	// Digest is what the item asks for, as the shell reports ends of targets; 0 for
 	// unknown.
 	Digest quarantine.Digest
+	// Confinement is where the item may be computed and its result stored.
+	Confinement topology.Confinement
 	// Suspect says that a target ended with such an item before, of an earlier request.
 	Suspect bool
 }
--- a/internal/gateway/batching/fill.go
+++ b/internal/gateway/batching/fill.go
@@ -136,7 +136,7 @@
 // fits decides whether an item of the queue goes into the batch with an amount of its
 // group, which has the same times and data centre: the whole of it, or itself.
 //
-// Its inputs are, in the order in which they count: the number of items taken and
+// Its inputs are, in the order in which they count: where the item must stay; the number of items taken and
 // the most that the catalog allows; the target's available result memory and the
 // results' size, both estimates in bytes; whether the item is past due; whether another
 // request in the batch is suspected; and the nearness of other targets (nearness). What does not fit stays in the queue, and
@@ -150,6 +150,9 @@
 // Taking too much makes the target refuse items for lack of memory, which costs
 // retries; taking too little costs the fixed time of a further batch.
 func (f *filling) fits(q *queuedItem, a amount) bool {
+	if !q.Confinement.Allows(f.target.DataCentre) {
+		return false
+	}
 	need := a.bytes
 	if q.pastDue(f.earliest) {
 		need += int64(keptForOnTime * float64(f.spec.MemoryBytes))
--- a/internal/gateway/batching/pool.go
+++ b/internal/gateway/batching/pool.go
@@ -38,6 +38,7 @@
 
 // place holds the usable targets of one data centre.
 type place struct {
+	dataCentre string
 	// spare targets are idle, and nothing is known of them: they are inspected before
 	// their first batch, and hold no result. Those that are being inspected are asked.
 	spare, asked targetList
@@ -130,7 +131,7 @@
 func (p *pool) placeOf(dataCentre string) *place {
 	found := p.byPlace[dataCentre]
 	if found == nil {
-		found = &place{}
+		found = &place{dataCentre: dataCentre}
 		p.byPlace[dataCentre] = found
 		p.places = append(p.places, found)
 	}
