Batching: a target's speed is learnt from its whole cycle again

Cause: with the time from a call's sending to its answer alone, what a coordinator adds between two batches (results to discard, its own queue) counted for nothing, so that the estimated rate was too high and admission let in more than a full service carries. That a late coordinator blames its targets is kept out by the lateness of its tick, which stays.

--- a/internal/gateway/batching/event.go
+++ b/internal/gateway/batching/event.go
@@ -161,9 +161,6 @@
 	Err      *verdict.Error
 	// Ended says that the target's process ended while it had the batch.
 	Ended bool
-	// Took is the time from the sending of the batch to its answer, without what this
-	// node's own work before and after them took; 0 for unknown.
-	Took time.Duration
 }
 
 // Release ends the use of results that have been read or are not needed.
--- a/internal/gateway/batching/finish.go
+++ b/internal/gateway/batching/finish.go
@@ -32,7 +32,7 @@
 	}
 	t.backoff.answered()
 	t.answered = true
-	t.slowdown.learn(now, cmp.Or(ev.Took, now.Sub(done.started)), done.planned)
+	t.slowdown.learn(now, now.Sub(done.started), done.planned)
 	t.speed = speedClass(t.slowdown.at(now))
 	c.clear(done)
 	var unused []string
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -200,7 +200,6 @@
 func (c *coordinator) call(now time.Time, e batching.Send) batching.Finished {
 	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
 	defer cancel()
-	began := c.now()
 	outcomes, err := c.targets.RunBatch(ctx, BatchCall{
 		Target: e.Target, Items: e.Items, Now: now,
 		Permit: func() error { return c.permit(e.Target.ID) },
@@ -209,8 +208,7 @@
 		c.log.Warn().Str("service", c.service).Str("target", e.Target.ID).Int("items", len(e.Items)).
 			Dur("took", c.now().Sub(now)).Err(err).Msg("items: call failed")
 	}
-	took := c.now().Sub(began)
-	return batching.Finished{Batch: e.Batch, Outcomes: outcomes, Err: err, Took: took, Ended: c.noteEnd(e, now, err)}
+	return batching.Finished{Batch: e.Batch, Outcomes: outcomes, Err: err, Ended: c.noteEnd(e, now, err)}
 }
 
 // noteEnd reports what the end of a batch, sent at the given time, says of what its items
