--- a/internal/gateway/batching/dispatch.go
+++ b/internal/gateway/batching/dispatch.go
@@ -90,13 +90,15 @@
 // Too few leave groups waiting for some milliseconds more; too many cost a call and a
 // connection each.
 func (c *Core) inspectSpares(near *nearness) {
-	if len(c.queue) == 0 {
-		return
-	}
-	asked := 0
+	spare, asked := 0, 0
 	for _, place := range c.pool.places {
+		spare += len(place.spare.targets)
 		asked += len(place.asked.targets)
 	}
+	if spare == 0 || asked >= maxInspecting {
+		// A full service has a long queue, which need not be looked through at each event.
+		return
+	}
 	wanted := map[*place]int{}
 	for _, q := range firstOfGroups(c.queue) {
 		if place := c.pool.spareFor(near, q); place != nil {
