Nodes show what targets ask for in their answers

The adapter now translates a named limit from the head of every answer, whichever call it answers, and package backpressure keeps the newest for each life of a target: one log line a change, a gauge, a list in the state. Nothing is decided by it yet.

--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
@@ -31,6 +32,7 @@
 	coordinators *coordinators
 	metrics      *metrics
 	quarantine   *quarantine.Keeper
+	backpressure *backpressure.Keeper
 }
 
 func (s *adminServer) handler() http.Handler {
@@ -68,6 +70,7 @@
 		Version: int(v.Version()), Revision: int(v.Revision), SourceAgeMs: s.health.ageMs(s.now()), InFlight: int(s.callers.inflight.Load()),
 		Targets: targetMessages(s.now(), v.Directory), Services: []message.BatchState{}, Members: s.members.list(),
 		Evacuations: evacuationStates(s.now(), v.Evacuations), Held: s.quarantine.All().Requests,
+		Limits: s.backpressure.Limits(),
 	}
 	batches := s.coordinators.states(ctx)
 	for _, service := range slices.Sorted(maps.Keys(batches)) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/honeydyke/honeydyke/internal/boottime"
+	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
@@ -53,6 +55,7 @@
 	coordinators *coordinators
 	prompts      *prompts
 	quarantine   *quarantine.Keeper
+	backpressure *backpressure.Keeper
 	relay        *relay.Server
 	callers      *callers
 	admin        *adminServer
@@ -107,6 +110,8 @@
 	g.quarantine = quarantine.NewKeeper(quarantine.Config{
 		Now: g.now, Log: g.log, Changed: g.quarantineChanged, GivesOut: g.members.givesOut,
 	})
+	g.backpressure = backpressure.NewKeeper(backpressure.Config{Now: g.now, Log: g.log, Changed: g.metrics.limitsChanged})
+	g.ports.Targets.OnSignal(func(t directory.Target, s backpressure.Signal) { g.backpressure.Heard(t.Life(), s) })
 	g.gossip = &gossip{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, departure: g.departure,
 		quarantine:  g.quarantine,
@@ -140,7 +145,7 @@
 	g.callers = &callers{now: g.now, views: g.views, departure: g.departure, relay: g.relay}
 	g.admin = &adminServer{
 		now: g.now, dataCentre: g.cfg.DataCentre, views: g.views, health: g.health, members: g.members,
-		departure: g.departure, callers: g.callers, coordinators: g.coordinators, metrics: g.metrics, quarantine: g.quarantine,
+		departure: g.departure, callers: g.callers, coordinators: g.coordinators, metrics: g.metrics, quarantine: g.quarantine, backpressure: g.backpressure,
 	}
 	peers := &peerServer{
 		now: g.now, views: g.views, gossip: g.gossip, coordinators: g.coordinators, prompts: g.prompts, quarantine: g.quarantine,
@@ -161,6 +166,7 @@
 	g.coordinators.configure(v)
 	g.relay.Prune(v.Directory)
 	g.prompts.prune(v.Directory)
+	g.backpressure.Prune(v.Directory)
 	g.metrics.viewChanged(g.now(), v)
 	g.gossip.publishStatus()
 	g.gossip.trigger()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,8 @@
 	refused tally.Counter
 	// held is how many requests this node holds back because they end their targets.
 	held tally.Gauge
+	// limited is how many targets this node knows to have named a limit.
+	limited tally.Gauge
 	// evacuated is how many data centres this node takes for evacuated, cold how many
 	// targets it took for cold when the view last changed.
 	evacuated, cold tally.Gauge
@@ -44,6 +46,7 @@
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
 		targetEnds: scope.Counter("target_ends"), held: scope.Gauge("held_requests"),
+		limited:   scope.Gauge("limited_targets"),
 		refused:   scope.Counter("source_entries_refused"),
 		evacuated: scope.Gauge("evacuated_data_centres"), cold: scope.Gauge("cold_targets"),
 	}
@@ -83,6 +86,8 @@
 
 func (m *metrics) entryRefused() { m.refused.Inc(1) }
 
+func (m *metrics) limitsChanged(limited int) { m.limited.Update(float64(limited)) }
+
 func (m *metrics) targetEnded() { m.targetEnds.Inc(1) }
 
 func (m *metrics) batch(service string, items int) {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
@@ -44,6 +45,9 @@
 // Targets sends calls to targets.
 type Targets interface {
 	relay.Upstream
+	// OnSignal has heard called with the head of every answer of a target. It is called once,
+	// before all other methods.
+	OnSignal(heard func(directory.Target, backpressure.Signal))
 	// RunBatch runs items at a target and returns one outcome for each, in order.
 	RunBatch(ctx context.Context, c BatchCall) ([]batching.Outcome, *verdict.Error)
 	// Inspect asks a target of a batch service what it does and holds.
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
@@ -32,6 +33,8 @@
 
 func (noTargets) HasEnded(context.Context, directory.Target) bool { return false }
 
+func (noTargets) OnSignal(func(directory.Target, backpressure.Signal)) {}
+
 func (noTargets) RunBatch(context.Context, BatchCall) ([]batching.Outcome, *verdict.Error) {
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "none")
 }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -94,6 +94,9 @@
 	// InFlight corresponds to the JSON schema field "inFlight".
 	InFlight int `json:"inFlight"`
 
+	// Targets that named a limit of the requests that they take.
+	Limits []TargetLimit `json:"limits"`
+
 	// Members corresponds to the JSON schema field "members".
 	Members []GossipMember `json:"members"`
 
@@ -727,6 +730,18 @@
 	HeldMs int `json:"heldMs,omitempty,omitzero"`
 }
 
+// TargetLimit is how many requests a target takes, as it said itself.
+type TargetLimit struct {
+	// How long ago the target last said so.
+	AgoMs int `json:"agoMs"`
+
+	// Requests a second from all nodes together.
+	PerSecond float64 `json:"perSecond,omitempty,omitzero"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target string `json:"target"`
+}
+
 // TargetState is a node's view of one target.
 type TargetState struct {
 	// DataCentre corresponds to the JSON schema field "dataCentre".
