A target that names a limit gets no more than that from all nodes

Callers saw: targets in need went on to get all that they had got before, several times the limit that they named in each answer, and got slower. Cause: what a target asks for reached no rule, and no rule bounds what all nodes send to a target that is not cold. The class: a bound on a sum over nodes that each node would have to keep; the other one of the class, cold targets, has its givers and its model check.

Repair: few members give out a limited target's requests, ranked by hashing, from buckets that begin empty; a stage's coordinator gives out its batches and inspections; members tell each other of limits and their ends. Why it works: the sum is bounded by who may send, not by what each believes of the others.

Message: limits in gossip; older members pass over it.

--- /dev/null
+++ b/internal/gateway/backpressure/gate.go
@@ -0,0 +1,86 @@
+package backpressure
+
+import (
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+)
+
+// giver says how many requests a second this node gives out of a target's limit, and
+// whether it does now. silent is how long ago the target last confirmed the limit.
+type giver func(target directory.Life, l Limit, silent time.Duration) (perSecond float64, gives bool)
+
+// Gate says which targets one part of a node may send to. It is safe for concurrent use.
+type Gate struct {
+	keeper *Keeper
+	giver  giver
+}
+
+// Requests returns the gate of the requests that this node relays. Those of a limited
+// target are given out by the first of the members ranked for it. While nobody confirms the
+// limit, one more member substitutes for them, another with each confirmFor.
+func (k *Keeper) Requests() Gate {
+	return Gate{keeper: k, giver: func(target directory.Life, l Limit, silent time.Duration) (float64, bool) {
+		before, members := k.cfg.Rank(limitRole + target.String())
+		if members == 0 {
+			return 0, false
+		}
+		givers := min(l.givers(), members)
+		substitute := (givers - 1 + int(silent/confirmFor)) % members
+		return l.given(givers), before < givers || before == substitute
+	}}
+}
+
+// Calls returns the gate of the calls that a coordinator makes, which gives out those of
+// all targets of its service for as long as coordinates holds.
+func (k *Keeper) Calls(coordinates func() bool) Gate {
+	return Gate{keeper: k, giver: func(_ directory.Life, l Limit, _ time.Duration) (float64, bool) {
+		return l.given(1), coordinates()
+	}}
+}
+
+// Blocked lists the targets of a directory that may not get a request now.
+func (g Gate) Blocked(d *directory.Directory) []string {
+	g.keeper.mu.Lock()
+	defer g.keeper.mu.Unlock()
+	var list []string
+	for _, target := range g.keeper.table.limited() {
+		if d.Lives(target) && !g.allows(target) {
+			list = append(list, target.ID)
+		}
+	}
+	return list
+}
+
+// Allows says whether a target may get a request now.
+func (g Gate) Allows(target directory.Life) bool {
+	g.keeper.mu.Lock()
+	defer g.keeper.mu.Unlock()
+	return g.allows(target)
+}
+
+// Take says whether a target may get a request now, and counts that.
+func (g Gate) Take(target directory.Life) bool {
+	g.keeper.mu.Lock()
+	defer g.keeper.mu.Unlock()
+	if !g.allows(target) {
+		return false
+	}
+	g.keeper.table.sent(g.keeper.cfg.Now(), target)
+	return true
+}
+
+// Bound returns how many requests a second this node gives a limited target; false for one
+// without a limit.
+func (g Gate) Bound(target directory.Life) (perSecond float64, limited bool) {
+	g.keeper.mu.Lock()
+	defer g.keeper.mu.Unlock()
+	l := g.keeper.table.limit(target)
+	perSecond, _ = g.giver(target, l, 0)
+	return perSecond, l.Set
+}
+
+// allows is Allows for a caller that holds the lock.
+func (g Gate) allows(target directory.Life) bool {
+	return g.keeper.table.allows(g.keeper.cfg.Now(), target, g.giver)
+}
--- a/internal/gateway/backpressure/keeper.go
+++ b/internal/gateway/backpressure/keeper.go
@@ -1,6 +1,8 @@
 package backpressure
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,16 +12,31 @@
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
+const (
+	// confirmFor is how long a limit may go unconfirmed before a member substitutes for
+	// those that give out the target's requests, and how long it does.
+	confirmFor = 5 * time.Second
+	// maxReported bounds the targets of one exchange with a member.
+	maxReported = 64
+	// limitRole begins the name under which the members are ranked that give out a limited
+	// target's requests.
+	limitRole = "limit/"
+)
+
 // Config is what a Keeper is made of.
 type Config struct {
 	Now func() time.Time
 	Log zerolog.Logger
-	// Changed gets the number of targets with a limit when that may have changed. It must
-	// not call the keeper.
+	// Changed is called when members should hear of a limit at once, and gets the number of
+	// targets with one. It must not call the keeper.
 	Changed func(limited int)
+	// Rank returns how many of the members that may do something for all come before this
+	// node, by the name of it, and how many there are; 0 members when this node may not.
+	Rank func(role string) (before, members int)
 }
 
-// Keeper is a table of targets that is safe for concurrent use and logs what changes.
+// Keeper is a table of targets that is safe for concurrent use, speaks to members in
+// messages, and logs what changes.
 type Keeper struct {
 	cfg Config
 
@@ -34,16 +51,15 @@
 func (k *Keeper) Heard(target directory.Life, s Signal) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.cfg.Now()
-	before := k.table.limit(target)
-	k.table.heard(target, limitReport{Limit: s.Limit, at: now})
-	if s.Limit != before {
+	if !s.Limit.Set && !k.table.ends(target, s.Sent) {
+		return
+	}
+	if k.table.merge(target, report{Limit: s.Limit, at: k.cfg.Now()}) {
 		k.changed(target, "")
 	}
 }
 
-// changed logs the limit of a target and counts those that there are; the caller holds
-// the lock.
+// changed logs the limit of a target and has members hear of it; the caller holds the lock.
 func (k *Keeper) changed(target directory.Life, from string) {
 	line := k.cfg.Log.Info().Str("target", target.String()).Str("from", from)
 	if l := k.table.limit(target); l.Set {
@@ -51,20 +67,62 @@
 	} else {
 		line.Msg("backpressure: target names no limit any more")
 	}
-	k.cfg.Changed(k.table.limited())
+	k.cfg.Changed(len(k.table.limited()))
 }
 
-// Limits lists the targets with a limit.
+// Limits lists the targets with a limit, by their names.
 func (k *Keeper) Limits() []message.TargetLimit {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.messages(k.cfg.Now())
+	list := k.messages(k.table.limited())
+	slices.SortFunc(list, func(a, b message.TargetLimit) int { return strings.Compare(a.Target, b.Target) })
+	return list
+}
+
+// Recent returns what members should hear of limits and their ends.
+func (k *Keeper) Recent() []message.TargetLimit {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.prune(k.cfg.Now())
+	return k.messages(k.table.newest(maxReported))
+}
+
+// messages describes targets; the caller holds the lock. Times are given as how long ago
+// they were, since members' clocks may differ.
+func (k *Keeper) messages(targets []directory.Life) []message.TargetLimit {
+	now := k.cfg.Now()
+	list := make([]message.TargetLimit, len(targets))
+	for i, target := range targets {
+		e := k.table.entries[target]
+		list[i] = message.TargetLimit{
+			Target: target.String(), PerSecond: e.PerSecond, Ended: !e.Set, AgoMs: int(now.Sub(e.at).Milliseconds()),
+		}
+	}
+	return list
+}
+
+// Merge takes in what a member reported.
+func (k *Keeper) Merge(member string, list []message.TargetLimit) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.cfg.Now()
+	for _, m := range list {
+		r := report{at: now.Add(-time.Duration(max(m.AgoMs, 0)) * time.Millisecond)}
+		if !m.Ended {
+			r.Limit = Limit{Set: true, PerSecond: m.PerSecond}
+		}
+		if m.Target == "" || !r.Limit.valid() {
+			continue
+		}
+		if target := directory.ParseLife(m.Target); k.table.merge(target, r) {
+			k.changed(target, member)
+		}
+	}
 }
 
 // Prune forgets lives of targets that have ended.
 func (k *Keeper) Prune(d *directory.Directory) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.table.prune(d)
-	k.cfg.Changed(k.table.limited())
+	k.table.pruneLives(d)
 }
--- a/internal/gateway/backpressure/signal.go
+++ b/internal/gateway/backpressure/signal.go
@@ -1,8 +1,14 @@
 package backpressure
 
-// Signal is what a target says of itself in the head of an answer. The zero value asks for
-// nothing.
+import (
+	"math"
+	"time"
+)
+
+// Signal is what a target says of itself in the head of an answer.
 type Signal struct {
+	// Sent is when the request was sent that the answer is for.
+	Sent time.Time
 	// Limit is how many requests the target takes.
 	Limit Limit
 }
@@ -14,3 +20,11 @@
 	// PerSecond is not negative; with 0 the target takes nothing.
 	PerSecond float64
 }
+
+// NewLimit returns a limit; false for a number that is no rate.
+func NewLimit(perSecond float64) (Limit, bool) {
+	l := Limit{Set: true, PerSecond: perSecond}
+	return l, l.valid()
+}
+
+func (l Limit) valid() bool { return l.PerSecond >= 0 && !math.IsInf(l.PerSecond, 1) }
--- a/internal/gateway/batching/core.go
+++ b/internal/gateway/batching/core.go
@@ -42,7 +42,9 @@
 	// evacuated says that all targets are in evacuated data centres.
 	evacuated bool
 	// limits bound the calls to cold targets.
-	limits    *warmup.Limits
+	limits *warmup.Limits
+	// gate says what targets ask for.
+	gate      Gate
 	budget    *retrybudget.Budget
 	retention retention
 	effects   []Effect
@@ -62,9 +64,16 @@
 	Batches, Items, Expired, Retries, Refused int64
 }
 
+// Option changes a Core under construction.
+type Option func(*Core)
+
+// WithGate sets which targets may get a call; all by default.
+func WithGate(g Gate) Option { return func(c *Core) { c.gate = g } }
+
 // New returns a core without targets.
-func New(budget retrybudget.Policy) *Core {
-	return &Core{
+func New(budget retrybudget.Policy, opts ...Option) *Core {
+	c := &Core{
+		gate:    openGate{},
 		pool:    newPool(),
 		items:   map[Token]*queuedItem{},
 		running: map[BatchID]*batch{},
@@ -72,6 +81,10 @@
 		limits:  warmup.New(),
 		budget:  retrybudget.New(budget),
 	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // Handle takes in an event at a time and returns what the shell must do. The effects
--- a/internal/gateway/batching/dispatch.go
+++ b/internal/gateway/batching/dispatch.go
@@ -28,7 +28,7 @@
 		if memory, tried := inVain[t.DataCentre]; tried && t.available(now, c.spec) <= memory {
 			continue
 		}
-		if c.pool.fasterTakeAll(now, c.spec, t, len(c.queue)) || !c.limits.Allows(now, t.Target, coordinates) {
+		if c.pool.fasterTakeAll(now, c.spec, t, len(c.queue)) || !c.limits.Allows(now, t.Target, coordinates) || !c.gate.Allows(t.Life()) {
 			continue
 		}
 		if c.start(near, t) {
@@ -75,6 +75,7 @@
 	c.pool.sort(t)
 	t.memory.reserve(items)
 	c.limits.Sent(now, t.Target)
+	c.gate.Take(t.Life())
 	c.stats.Batches++
 	c.stats.Items += int64(n)
 	c.emit(Send{Batch: b.id, Target: t.Target, Items: items, Timeout: timeout(expected), TargetIdle: t.answered})
@@ -103,21 +104,40 @@
 			wanted[place]++
 		}
 	}
+	unmet := 0
 	for _, place := range c.pool.places {
 		n := min(wanted[place]-len(place.asked.targets), maxInspecting-asked, len(place.spare.targets))
 		for range n {
-			c.inspectSpare(place)
+			if !c.inspectSpare(place) {
+				unmet++
+				continue
+			}
+			asked++
+		}
+	}
+	// Other data centres stand in for one whose spare targets may get no call.
+	for _, place := range c.pool.places {
+		for unmet > 0 && asked < maxInspecting && c.inspectSpare(place) {
+			unmet--
 			asked++
 		}
 	}
 }
 
-// inspectSpare has one spare target of a data centre inspected.
-func (c *Core) inspectSpare(p *place) {
-	t := p.spare.targets[len(p.spare.targets)-1]
-	t.inspection.running = true
-	c.pool.sort(t)
-	c.emit(Inspect{Target: t.Target})
+// inspectSpare has one spare target of a data centre inspected; false when none may get a
+// call.
+func (c *Core) inspectSpare(p *place) bool {
+	for i := len(p.spare.targets) - 1; i >= 0; i-- {
+		t := p.spare.targets[i]
+		if !c.gate.Take(t.Life()) {
+			continue
+		}
+		t.inspection.running = true
+		c.pool.sort(t)
+		c.emit(Inspect{Target: t.Target})
+		return true
+	}
+	return false
 }
 
 // spareFor returns the data centre in which a group needs a spare target; nil for none.
@@ -150,7 +170,7 @@
 	}
 	for _, list := range c.pool.known() {
 		for _, t := range list.targets {
-			if t.inspection.due(now) {
+			if t.inspection.due(now) && c.gate.Take(t.Life()) {
 				t.inspection.running = true
 				c.emit(Inspect{Target: t.Target})
 			}
--- a/internal/gateway/batching/estimate.go
+++ b/internal/gateway/batching/estimate.go
@@ -66,7 +66,7 @@
 		}
 	}
 	s.Planned = c.plans.items()
-	firstIdle := s.addTargets(now, c.spec, c.pool)
+	firstIdle := c.addTargets(now, c.spec, &s)
 	if bound := c.retention.itemsPerSecond(s.MemoryBytes); bound > 0 {
 		s.ItemsPerSecond = min(s.ItemsPerSecond, bound)
 	}
@@ -86,17 +86,17 @@
 // addTargets counts the targets and adds up their rates, and returns how long it
 // takes until the first of them that does not back off is idle; the longest duration
 // when there is none. Targets of which nothing is known are as fast as the catalog says.
-func (s *State) addTargets(now time.Time, spec *catalog.Batch, p *pool) time.Duration {
+func (c *Core) addTargets(now time.Time, spec *catalog.Batch, s *State) time.Duration {
 	firstIdle := time.Duration(math.MaxInt64)
-	for _, t := range p.unusable.targets {
+	for _, t := range c.pool.unusable.targets {
 		s.UsedBytes += t.memory.used()
 	}
-	for _, list := range p.known() {
+	for _, list := range c.pool.known() {
 		for _, t := range list.targets {
-			firstIdle = min(firstIdle, s.addTarget(now, spec, t))
+			firstIdle = min(firstIdle, c.addTarget(now, spec, s, t))
 		}
 	}
-	unknown := p.unknown()
+	unknown := c.pool.unknown()
 	s.Targets += unknown
 	s.ItemsPerSecond += catalogRate(spec, unknown)
 	s.MemoryBytes = int64(s.Targets) * spec.MemoryBytes
@@ -108,14 +108,14 @@
 
 // addTarget counts a usable target and returns how long it takes until it is idle; the
 // longest duration for one that backs off.
-func (s *State) addTarget(now time.Time, spec *catalog.Batch, t *target) time.Duration {
+func (c *Core) addTarget(now time.Time, spec *catalog.Batch, s *State, t *target) time.Duration {
 	s.Targets++
 	s.UsedBytes += t.memory.used()
 	if t.backoff.active(now) {
 		s.BackingOff++
 		return math.MaxInt64
 	}
-	s.ItemsPerSecond += t.rate(now, spec)
+	s.ItemsPerSecond += c.rateOf(now, spec, t)
 	if t.running == nil {
 		return 0
 	}
@@ -123,7 +123,7 @@
 	return max(t.running.expectedEnd.Sub(now), 0)
 }
 
-// rate is how many items a second the target computes in full batches.
+// rate is how many items a second the target can compute in full batches.
 func (t *target) rate(now time.Time, spec *catalog.Batch) float64 {
 	return float64(spec.MaxItems) / t.expectedFull(now, spec).Seconds()
 }
@@ -154,7 +154,7 @@
 				left = max(t.running.expectedEnd.Sub(now), 0)
 			}
 			most.firstIdle = min(most.firstIdle, left)
-			most.itemsPerSecond += t.rate(now, c.spec)
+			most.itemsPerSecond += c.rateOf(now, c.spec, t)
 		}
 	}
 	if bound := c.retention.itemsPerSecond(int64(usable) * c.spec.MemoryBytes); bound > 0 {
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -74,8 +74,10 @@
 }
 
 func newCoordinator(cfg coordinatorConfig, service string) *coordinator {
+	coordinates := func() bool { return cfg.members.givesOut(service) }
 	return &coordinator{
-		coordinatorConfig: cfg, service: service, core: batching.New(cfg.retries),
+		coordinatorConfig: cfg, service: service,
+		core:     batching.New(cfg.retries, batching.WithGate(cfg.backpressure.Calls(coordinates))),
 		items:    map[batching.Token]*pendingItem{},
 		discards: &discards{log: cfg.log, targets: cfg.targets, byTarget: map[directory.Life]*batching.Discard{}},
 	}
--- a/internal/gateway/coordinators.go
+++ b/internal/gateway/coordinators.go
@@ -10,6 +10,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/rs/zerolog"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
@@ -34,6 +35,8 @@
 	margin warmup.Margin
 	// quarantine hears of the items that targets ended with.
 	quarantine *quarantine.Keeper
+	// backpressure knows what targets ask for.
+	backpressure *backpressure.Keeper
 	// permit is called just before the first byte of a call to a target is written;
 	// an error forbids it.
 	permit func(target string) error
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,18 +110,18 @@
 	g.quarantine = quarantine.NewKeeper(quarantine.Config{
 		Now: g.now, Log: g.log, Changed: g.quarantineChanged, GivesOut: g.members.givesOut,
 	})
-	g.backpressure = backpressure.NewKeeper(backpressure.Config{Now: g.now, Log: g.log, Changed: g.metrics.limitsChanged})
+	g.backpressure = backpressure.NewKeeper(backpressure.Config{Now: g.now, Log: g.log, Changed: g.limitsChanged, Rank: g.members.rank})
 	g.ports.Targets.OnSignal(func(t directory.Target, s backpressure.Signal) { g.backpressure.Heard(t.Life(), s) })
 	g.gossip = &gossip{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, departure: g.departure,
-		quarantine:  g.quarantine,
+		quarantine: g.quarantine, backpressure: g.backpressure,
 		checkBehind: g.follower.checkBehind, triggered: make(chan struct{}, 1),
 	}
 	g.joining = newJoining(g.members, g.gossip.exchange)
 	retries := retryPolicy(g.cfg.Gateway, func() int { return retrySharers(g.now().Sub(started), g.members.peakSize()) })
 	g.coordinators = &coordinators{views: g.views, services: map[string]*actor.PID{}, coordinatorConfig: coordinatorConfig{
 		now: g.now, log: g.log, system: actor.NewActorSystem(actor.WithLoggerFactory(quietLogger)), members: g.members,
-		targets: g.ports.Targets, metrics: g.metrics, retries: retries, permit: g.views.permit, margin: warmUpMargin(g.cfg.Gateway), quarantine: g.quarantine,
+		targets: g.ports.Targets, metrics: g.metrics, retries: retries, permit: g.views.permit, margin: warmUpMargin(g.cfg.Gateway), quarantine: g.quarantine, backpressure: g.backpressure,
 	}}
 	margin := warmUpMargin(g.cfg.Gateway)
 	g.prompts = &prompts{
@@ -135,7 +135,7 @@
 	g.relay = relay.New(relay.Config{
 		DataCentre: g.cfg.DataCentre, Node: g.PeerAddress(), View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries, Members: g.members.size,
-		WarmUp: margin, GivesOut: g.members.givesOutCold, Quarantine: g.quarantine,
+		WarmUp: margin, GivesOut: g.members.givesOutCold, Quarantine: g.quarantine, Gate: g.backpressure.Requests(),
 	})
 	g.wireServers()
 }
@@ -179,6 +179,12 @@
 	g.gossip.trigger()
 }
 
+// limitsChanged has members hear of the limits of targets, and counts them.
+func (g *Gateway) limitsChanged(limited int) {
+	g.metrics.limited.Update(float64(limited))
+	g.gossip.trigger()
+}
+
 // CallerAddress returns the address that callers use.
 func (g *Gateway) CallerAddress() string { return g.sockets.callers.Addr().String() }
 
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/membership"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/message"
@@ -40,7 +41,9 @@
 	departure *departure
 	// quarantine knows the requests that end their targets, which members report to each other.
 	quarantine *quarantine.Keeper
-	log        zerolog.Logger
+	// backpressure knows what targets ask for, which members report to each other too.
+	backpressure *backpressure.Keeper
+	log          zerolog.Logger
 	// checkBehind catches up with a member that is ahead of this node.
 	checkBehind func(context.Context)
 
@@ -103,11 +106,12 @@
 func (g *gossip) exchange(ctx context.Context, member string) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	in, err := g.peers.gossipAtMember(ctx, member, g.withSuspects(g.members.gossip()), g.members.readsCompact(member))
+	in, err := g.peers.gossipAtMember(ctx, member, g.withNews(g.members.gossip()), g.members.readsCompact(member))
 	if err != nil {
 		return false
 	}
 	g.members.mergeFrom(member, in)
+	g.backpressure.Merge(member, in.Limits)
 	g.mergeSuspects(ctx, member, in)
 	return true
 }
@@ -117,13 +121,16 @@
 	out := g.members.exchange(in)
 	if len(in.Members) > 0 {
 		g.quarantine.Merge(in.Members[0].Address, in.Suspects)
+		g.backpressure.Merge(in.Members[0].Address, in.Limits)
 	}
-	return g.withSuspects(out)
+	return g.withNews(out)
 }
 
-// withSuspects adds what this node knows of requests that end their targets.
-func (g *gossip) withSuspects(out message.Gossip) message.Gossip {
+// withNews adds what this node knows of requests that end their targets, and of targets'
+// limits.
+func (g *gossip) withNews(out message.Gossip) message.Gossip {
 	out.Suspects, out.HeldSum = g.quarantine.Recent()
+	out.Limits = g.backpressure.Recent()
 	return out
 }
 
--- a/internal/gateway/gossipcodec/gossipcodec.go
+++ b/internal/gateway/gossipcodec/gossipcodec.go
@@ -33,6 +33,8 @@
 	fieldSuspect protowire.Number = 2
 	// fieldHeldSum is the text of message.Gossip.HeldSum.
 	fieldHeldSum protowire.Number = 3
+	// fieldLimit holds one message.TargetLimit in a message.
+	fieldLimit protowire.Number = 4
 	// fieldHost is the member's address as bytes, an IP number and a port.
 	fieldHost protowire.Number = 1
 	// fieldIncarnation and the others up to fieldCapacity are the numbers of
@@ -117,7 +119,7 @@
 		}
 		out = appendBytes(out, fieldMember, one)
 	}
-	return appendSuspects(out, g), nil
+	return appendLimits(appendSuspects(out, g), g.Limits), nil
 }
 
 func hostBytes(address string) ([]byte, error) {
@@ -156,6 +158,10 @@
 			return err
 		case fieldHeldSum:
 			g.HeldSum = string(value)
+		case fieldLimit:
+			l, err := readLimit(value)
+			g.Limits = append(g.Limits, l)
+			return err
 		}
 		return nil
 	})
--- a/internal/gateway/gossipcodec/gossipcodec_test.go
+++ b/internal/gateway/gossipcodec/gossipcodec_test.go
@@ -136,3 +136,27 @@
 		})
 	}
 }
+
+// TestCompactLimits holds that what is said of targets' limits reads as it was written, in
+// both forms.
+func TestCompactLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := usualGossip()
+		want.Limits = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) message.TargetLimit {
+			return message.TargetLimit{
+				Target: rapid.String().Draw(t, "target"), PerSecond: rapid.Float64Range(0, 1e9).Draw(t, "rate"),
+				Ended: rapid.Bool().Draw(t, "ended"), AgoMs: rapid.IntRange(0, 1<<40).Draw(t, "ago"),
+			}
+		}), 1, 3).Draw(t, "limits")
+		for _, compact := range []bool{true, false} {
+			body, kind, err := Encode(want, compact)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := Decode(bytes.NewReader(body), kind)
+			if diff := cmp.Diff(want, got); err != nil || diff != "" {
+				t.Fatal(err, diff)
+			}
+		}
+	})
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -79,6 +79,19 @@
 // service.
 func (m *members) givesOutCold(target string) bool { return m.givesOut(coldRole + target) }
 
+// rank returns how many of the members that may do something for all come before this node,
+// by the name of it, and how many there are; 0 members when this node may not, or knows the
+// others too little.
+func (m *members) rank(role string) (before, members int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	if !m.roster.Settled(now) {
+		return 0, 0
+	}
+	return placement.Rank(role, m.roster.Eligible(now), m.self)
+}
+
 // otherCoordinator returns the member that coordinates a service; empty when that
 // is this node, or when no member serves, so that each node does its own work.
 func (m *members) otherCoordinator(service string) string {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -86,8 +86,6 @@
 
 func (m *metrics) entryRefused() { m.refused.Inc(1) }
 
-func (m *metrics) limitsChanged(limited int) { m.limited.Update(float64(limited)) }
-
 func (m *metrics) targetEnded() { m.targetEnds.Inc(1) }
 
 func (m *metrics) batch(service string, items int) {
--- a/internal/gateway/mixedversions_test.go
+++ b/internal/gateway/mixedversions_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
@@ -24,6 +25,13 @@
 	})
 }
 
+// newBackpressure returns a keeper of limits that nobody hears of.
+func newBackpressure() *backpressure.Keeper {
+	return backpressure.NewKeeper(backpressure.Config{
+		Now: time.Now, Log: zerolog.Nop(), Changed: func(int) {}, Rank: func(string) (before, members int) { return 0, 1 },
+	})
+}
+
 // TestGossipOfMixedVersions holds what a member answers to nodes of this version and of
 // an earlier one, which neither sends nor accepts the compact form.
 func TestGossipOfMixedVersions(t *testing.T) {
@@ -31,7 +39,7 @@
 		m := newMembers(time.Now, "10.0.0.1:80", 1, nil, 0)
 		views := newViewKeeper(time.Now, zerolog.Nop(), func(*view.View) {})
 		s := &peerServer{now: time.Now, gossip: &gossip{
-			now: time.Now, members: m, views: views, health: newSourceHealth(), quarantine: newQuarantine(), triggered: make(chan struct{}, 1),
+			now: time.Now, members: m, views: views, health: newSourceHealth(), quarantine: newQuarantine(), backpressure: newBackpressure(), triggered: make(chan struct{}, 1),
 		}}
 		body, err := json.Marshal(message.Gossip{Members: []message.GossipMember{{Address: "10.1.0.0:8628", Incarnation: 1, Compact: true}}})
 		convey.So(err, convey.ShouldBeNil)
--- a/internal/gateway/placement/coordinator.go
+++ b/internal/gateway/placement/coordinator.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Coordinator returns the member that does something for all nodes: that assembles
 // the batches of a service, or chooses the engines for its prompts. It returns an
@@ -24,3 +28,19 @@
 	}
 	return coordinator
 }
+
+// Rank returns how many members come before one for a name, in the order whose first is the
+// Coordinator, and how many there are; 0 of 0 when it is not among them.
+func Rank(name string, members []string, member string) (before, of int) {
+	if !slices.Contains(members, member) {
+		return 0, 0
+	}
+	key := xxhash.Sum64String(name)
+	own := rendezvousWeight(key, member)
+	for _, m := range members {
+		if rendezvousWeight(key, m) > own {
+			before++
+		}
+	}
+	return before, len(members)
+}
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -32,12 +32,13 @@
 	// tried are the targets that had the request already.
 	tried      []string
 	quarantine Quarantine
+	gate       Gate
 }
 
 func (s *Server) chooser(r *resolved) *chooser {
 	return &chooser{
 		resolved: r, dataCentre: s.cfg.DataCentre, node: s.cfg.Node, view: s.cfg.View, placer: s.cfg.Placer, targets: s.targets,
-		now: s.cfg.Now, members: s.cfg.Members, givesOut: s.cfg.GivesOut, quarantine: s.cfg.Quarantine,
+		now: s.cfg.Now, members: s.cfg.Members, givesOut: s.cfg.GivesOut, quarantine: s.cfg.Quarantine, gate: s.cfg.Gate,
 	}
 }
 
@@ -82,9 +83,22 @@
 	}
 }
 
-// choose chooses among the targets that are not excluded. For an engine the node that
-// places the service's prompts is asked; when it cannot be, this node chooses by itself.
+// choose chooses among the targets that are not excluded and may get a request.
 func (c *chooser) choose(ctx context.Context, inputs map[string]int64, exclude []string, suspect bool) (destination, bool) {
+	exclude = slices.Concat(exclude, c.gate.Blocked(c.view().Directory))
+	for {
+		d, ok := c.candidate(ctx, inputs, exclude, suspect)
+		if !ok || c.gate.Take(d.Life()) {
+			return d, ok
+		}
+		// Another request has taken the last that the target may get for now.
+		exclude = append(exclude, d.ID)
+	}
+}
+
+// candidate chooses among the targets that are not excluded. For an engine the node that
+// places the service's prompts is asked; when it cannot be, this node chooses by itself.
+func (c *chooser) candidate(ctx context.Context, inputs map[string]int64, exclude []string, suspect bool) (destination, bool) {
 	if c.service.Engine {
 		if d, ok := c.askPlacer(ctx, inputs, exclude, suspect); ok {
 			return d, true
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -165,6 +165,15 @@
 	Answered(d quarantine.Digest)
 }
 
+// Gate says which targets may get a request by what they ask for; backpressure.Gate
+// implements it. Its methods are called by many goroutines at once and must not block.
+type Gate interface {
+	// Blocked lists the targets of a directory that may not get a request from this node now.
+	Blocked(d *directory.Directory) []string
+	// Take says whether a target may get a request now, and counts that.
+	Take(target directory.Life) bool
+}
+
 // Placer chooses engines by what all nodes have sent to them.
 type Placer interface {
 	// Place chooses an engine; false when there was no answer in time.
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -57,6 +57,8 @@
 	GivesOut func(target string) bool
 	// Quarantine knows the requests that end the targets that run them.
 	Quarantine Quarantine
+	// Gate says which targets may get a request.
+	Gate Gate
 }
 
 // Server relays requests. Create it with New.
--- a/internal/gateway/relay/world_test.go
+++ b/internal/gateway/relay/world_test.go
@@ -220,6 +220,12 @@
 	return setupView(r, engine, bytesPerSecond, keepView)
 }
 
+// openGate lets every target get every request.
+type openGate struct{}
+
+func (openGate) Blocked(*directory.Directory) []string { return nil }
+func (openGate) Take(directory.Life) bool              { return true }
+
 // keepView changes nothing of a view.
 func keepView(v *view.View) *view.View { return v }
 
@@ -258,7 +264,7 @@
 		DataCentre: "d", View: func() *view.View { return v }, Upstream: w, Batcher: w, Placer: w, Observer: w, Now: time.Now,
 		RetryPolicy: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, Members: func() int { return 1 },
 		WarmUp: warmup.Margin{Overshoot: 1.5, Tolerance: 5}, GivesOut: func(string) bool { return true },
-		Quarantine: q,
+		Quarantine: q, Gate: openGate{},
 	})
 }
 
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -135,6 +135,9 @@
 	// none.
 	HeldSum string `json:"heldSum,omitempty,omitzero"`
 
+	// What the sender knows of targets that name a limit, or did lately.
+	Limits []TargetLimit `json:"limits,omitempty,omitzero"`
+
 	// The sender first, then others at random.
 	Members []GossipMember `json:"members"`
 
@@ -735,6 +738,9 @@
 	// How long ago the target last said so.
 	AgoMs int `json:"agoMs"`
 
+	// Whether the target names no limit any more.
+	Ended bool `json:"ended,omitempty,omitzero"`
+
 	// Requests a second from all nodes together.
 	PerSecond float64 `json:"perSecond,omitempty,omitzero"`
 
