Nodes show which targets told them that they leave or want a pause

The logs of the incident could not tell whether nodes take in what answers say. Two log lines, and holds in the state. Nothing is decided by it yet.

--- a/internal/gateway/backpressure/keeper.go
+++ b/internal/gateway/backpressure/keeper.go
@@ -51,14 +51,38 @@
 func (k *Keeper) Heard(target directory.Life, s Signal) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := k.cfg.Now()
+	if s.Leaving && k.table.leave(now, target) {
+		k.cfg.Log.Info().Str("target", target.String()).Msg("backpressure: target says that it leaves")
+	}
+	if s.Pause > 0 && k.table.pause(now, target, s.Pause) {
+		k.cfg.Log.Info().Str("target", target.String()).Dur("pause", s.Pause).Msg("backpressure: target wants a pause")
+	}
 	if !s.Limit.Set && !k.table.ends(target, s.Sent) {
 		return
 	}
-	if k.table.merge(target, report{Limit: s.Limit, at: k.cfg.Now()}) {
+	if k.table.merge(target, report{Limit: s.Limit, at: now}) {
 		k.changed(target, "")
 	}
 }
 
+// HeldBack lists the targets that get nothing from this node because they leave or want a
+// pause, by their names.
+func (k *Keeper) HeldBack() []message.TargetHold {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.cfg.Now()
+	list := []message.TargetHold{}
+	for _, target := range k.table.heldBack(now) {
+		e := k.table.entries[target]
+		list = append(list, message.TargetHold{
+			Target: target.String(), Leaving: e.leaving, PauseMs: max(int(e.pausedUntil.Sub(now).Milliseconds()), 0),
+		})
+	}
+	slices.SortFunc(list, func(a, b message.TargetHold) int { return strings.Compare(a.Target, b.Target) })
+	return list
+}
+
 // changed logs the limit of a target and has members hear of it; the caller holds the lock.
 func (k *Keeper) changed(target directory.Life, from string) {
 	line := k.cfg.Log.Info().Str("target", target.String()).Str("from", from)
--- a/internal/gateway/backpressure/signal.go
+++ b/internal/gateway/backpressure/signal.go
@@ -11,6 +11,10 @@
 	Sent time.Time
 	// Limit is how many requests the target takes.
 	Limit Limit
+	// Leaving says that the target ends soon and takes nothing new.
+	Leaving bool
+	// Pause is for how long the target wants nothing from this node; 0 for no pause.
+	Pause time.Duration
 }
 
 // Limit is a rate of requests from all nodes together. The zero value is none.
--- a/internal/gateway/backpressure/table.go
+++ b/internal/gateway/backpressure/table.go
@@ -36,7 +36,12 @@
 
 // entry is what is known of one life of a target.
 type entry struct {
+	// report is the newest of its limit; its time is zero for none.
 	report
+	// leaving says that the target told this node that it ends soon, and pausedUntil is until
+	// when it wants nothing from this node.
+	leaving     bool
+	pausedUntil time.Time
 	// bucket holds what this node may give out.
 	bucket *rate.Limiter
 }
@@ -49,11 +54,7 @@
 
 // merge takes in a report unless a newer one is known, and says whether the limit changed.
 func (t *table) merge(target directory.Life, r report) bool {
-	e := t.entries[target]
-	if e == nil {
-		e = &entry{bucket: newBucket(r.at)}
-		t.entries[target] = e
-	}
+	e := t.of(target, r.at)
 	if !r.at.After(e.at) {
 		return false
 	}
@@ -62,6 +63,34 @@
 	return changed
 }
 
+// of returns the entry of a target, a new one where there is none.
+func (t *table) of(target directory.Life, now time.Time) *entry {
+	e := t.entries[target]
+	if e == nil {
+		e = &entry{bucket: newBucket(now)}
+		t.entries[target] = e
+	}
+	return e
+}
+
+// leave notes that a target leaves, and says whether that is new.
+func (t *table) leave(now time.Time, target directory.Life) bool {
+	e := t.of(target, now)
+	known := e.leaving
+	e.leaving = true
+	return !known
+}
+
+// pause notes that a target wants a pause, and says whether it had none.
+func (t *table) pause(now time.Time, target directory.Life, d time.Duration) bool {
+	e := t.of(target, now)
+	begins := !now.Before(e.pausedUntil)
+	if until := now.Add(d); until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+	return begins
+}
+
 // newBucket returns an empty bucket: a target that names a limit has had too much.
 func newBucket(now time.Time) *rate.Limiter {
 	b := rate.NewLimiter(minPerSecond, giverBurst)
@@ -115,27 +144,38 @@
 
 // limited returns the targets with a limit, in no order.
 func (t *table) limited() []directory.Life {
+	return t.where(func(e *entry) bool { return e.Set })
+}
+
+// heldBack returns the targets that leave or pause, in no order.
+func (t *table) heldBack(now time.Time) []directory.Life {
+	return t.where(func(e *entry) bool { return e.leaving || now.Before(e.pausedUntil) })
+}
+
+func (t *table) where(is func(*entry) bool) []directory.Life {
 	var list []directory.Life
 	for target, e := range t.entries {
-		if e.Set {
+		if is(e) {
 			list = append(list, target)
 		}
 	}
 	return list
 }
 
-// newest returns the targets with the newest reports, at most n of them.
+// newest returns the targets with the newest reports of limits, at most n of them.
 func (t *table) newest(n int) []directory.Life {
-	list := slices.Collect(maps.Keys(t.entries))
+	list := t.where(func(e *entry) bool { return !e.at.IsZero() })
 	slices.SortFunc(list, func(a, b directory.Life) int {
 		return cmp.Or(t.entries[b].at.Compare(t.entries[a].at), cmp.Compare(a.ID, b.ID))
 	})
 	return list[:min(n, len(list))]
 }
 
-// prune forgets limits that ended endedFor ago.
+// prune forgets limits that ended endedFor ago, where nothing else is known of the target.
 func (t *table) prune(now time.Time) {
-	maps.DeleteFunc(t.entries, func(_ directory.Life, e *entry) bool { return !e.Set && now.Sub(e.at) > endedFor })
+	maps.DeleteFunc(t.entries, func(_ directory.Life, e *entry) bool {
+		return !e.Set && now.Sub(e.at) > endedFor && !e.leaving && !now.Before(e.pausedUntil)
+	})
 }
 
 // pruneLives forgets lives of targets that have ended.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -91,6 +91,10 @@
 	// Requests that are held back because they end their targets.
 	Held []SuspectRequest `json:"held"`
 
+	// Targets that told this node that they leave, or want nothing from it for a
+	// while.
+	Holds []TargetHold `json:"holds"`
+
 	// InFlight corresponds to the JSON schema field "inFlight".
 	InFlight int `json:"inFlight"`
 
@@ -733,6 +737,18 @@
 	HeldMs int `json:"heldMs,omitempty,omitzero"`
 }
 
+// TargetHold is why a target gets nothing from a node, as it said itself.
+type TargetHold struct {
+	// Whether it ends soon.
+	Leaving bool `json:"leaving,omitempty,omitzero"`
+
+	// How much longer it wants nothing from the node.
+	PauseMs int `json:"pauseMs,omitempty,omitzero"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target string `json:"target"`
+}
+
 // TargetLimit is how many requests a target takes, as it said itself.
 type TargetLimit struct {
 	// How long ago the target last said so.
