A target that says in an answer that it leaves gets nothing more from that node

Callers saw: requests ran at targets that were about to end, seconds after their word had been passed on, and were lost with them where they took long. Cause: that a target leaves was known by the source alone, which took nothing for thirteen seconds. The class: what an answer says of its target reached no rule. Repair: the node that was told passes the target over, in choosing, in the placer's request (excluded, which members of every version know), at the coordinator of a stage with its inspections, and once more just before the first byte. Admission counts nothing for it. Why it works: the rule asks what the node was told and not what the source says. No message to members changes.

--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -70,7 +70,7 @@
 		Version: int(v.Version()), Revision: int(v.Revision), SourceAgeMs: s.health.ageMs(s.now()), InFlight: int(s.callers.inflight.Load()),
 		Targets: targetMessages(s.now(), v.Directory), Services: []message.BatchState{}, Members: s.members.list(),
 		Evacuations: evacuationStates(s.now(), v.Evacuations), Held: s.quarantine.All().Requests,
-		Limits: s.backpressure.Limits(), Holds: s.backpressure.HeldBack(),
+		Limits: s.backpressure.Limits(), Holds: s.backpressure.Holds(),
 	}
 	batches := s.coordinators.states(ctx)
 	for _, service := range slices.Sorted(maps.Keys(batches)) {
--- a/internal/gateway/backpressure/gate.go
+++ b/internal/gateway/backpressure/gate.go
@@ -44,7 +44,7 @@
 	g.keeper.mu.Lock()
 	defer g.keeper.mu.Unlock()
 	var list []string
-	for _, target := range g.keeper.table.limited() {
+	for _, target := range g.keeper.table.known() {
 		if d.Lives(target) && !g.allows(target) {
 			list = append(list, target.ID)
 		}
@@ -70,11 +70,22 @@
 	return true
 }
 
-// Bound returns how many requests a second this node gives a limited target; false for one
-// without a limit.
+// HeldBack says whether a target may get nothing from this node, also not what has been
+// counted for it.
+func (g Gate) HeldBack(target directory.Life) bool {
+	g.keeper.mu.Lock()
+	defer g.keeper.mu.Unlock()
+	return g.keeper.table.heldBack(g.keeper.cfg.Now(), target)
+}
+
+// Bound returns how many requests a second this node gives a target that is limited or held
+// back; false for one that is neither.
 func (g Gate) Bound(target directory.Life) (perSecond float64, limited bool) {
 	g.keeper.mu.Lock()
 	defer g.keeper.mu.Unlock()
+	if g.keeper.table.heldBack(g.keeper.cfg.Now(), target) {
+		return 0, true
+	}
 	l := g.keeper.table.limit(target)
 	perSecond, _ = g.giver(target, l, 0)
 	return perSecond, l.Set
--- a/internal/gateway/backpressure/keeper.go
+++ b/internal/gateway/backpressure/keeper.go
@@ -66,14 +66,14 @@
 	}
 }
 
-// HeldBack lists the targets that get nothing from this node because they leave or want a
-// pause, by their names.
-func (k *Keeper) HeldBack() []message.TargetHold {
+// Holds lists the targets that told this node that they leave or want a pause, by their
+// names.
+func (k *Keeper) Holds() []message.TargetHold {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.cfg.Now()
 	list := []message.TargetHold{}
-	for _, target := range k.table.heldBack(now) {
+	for _, target := range k.table.told(now) {
 		e := k.table.entries[target]
 		list = append(list, message.TargetHold{
 			Target: target.String(), Leaving: e.leaving, PauseMs: max(int(e.pausedUntil.Sub(now).Milliseconds()), 0),
--- a/internal/gateway/backpressure/table.go
+++ b/internal/gateway/backpressure/table.go
@@ -121,11 +121,25 @@
 	return e != nil && e.Set && sent.After(e.at)
 }
 
-// allows says whether a target may get a request: it has no limit, or this node gives out
-// its requests and its bucket has a token.
+// heldBack says whether a target may get nothing from this node: it leaves, also where the
+// source says otherwise.
+func (t *table) heldBack(now time.Time, target directory.Life) bool {
+	e := t.entries[target]
+	return e != nil && e.heldBack(now)
+}
+
+func (e *entry) heldBack(time.Time) bool { return e.leaving }
+
+// allows says whether a target may get a request: it is not held back, and has no limit, or
+// this node gives out its requests and its bucket has a token.
 func (t *table) allows(now time.Time, target directory.Life, giver giver) bool {
 	e := t.entries[target]
-	if e == nil || !e.Set {
+	switch {
+	case e == nil:
+		return true
+	case e.heldBack(now):
+		return false
+	case !e.Set:
 		return true
 	}
 	perSecond, gives := giver(target, e.Limit, now.Sub(e.at))
@@ -147,11 +161,16 @@
 	return t.where(func(e *entry) bool { return e.Set })
 }
 
-// heldBack returns the targets that leave or pause, in no order.
-func (t *table) heldBack(now time.Time) []directory.Life {
+// told returns the targets that told this node that they leave or want a pause, in no order.
+func (t *table) told(now time.Time) []directory.Life {
 	return t.where(func(e *entry) bool { return e.leaving || now.Before(e.pausedUntil) })
 }
 
+// known returns all targets of which something is known, in no order.
+func (t *table) known() []directory.Life {
+	return t.where(func(*entry) bool { return true })
+}
+
 func (t *table) where(is func(*entry) bool) []directory.Life {
 	var list []directory.Life
 	for target, e := range t.entries {
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -7,6 +7,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
@@ -58,6 +59,8 @@
 	coordinatorConfig
 	service string
 	core    *batching.Core
+	// gate says what targets ask for.
+	gate    backpressure.Gate
 	last    batching.Token
 	items   map[batching.Token]*pendingItem
 	ticking bool
@@ -74,10 +77,10 @@
 }
 
 func newCoordinator(cfg coordinatorConfig, service string) *coordinator {
-	coordinates := func() bool { return cfg.members.givesOut(service) }
+	gate := cfg.backpressure.Calls(func() bool { return cfg.members.givesOut(service) })
 	return &coordinator{
-		coordinatorConfig: cfg, service: service,
-		core:     batching.New(cfg.retries, batching.WithGate(cfg.backpressure.Calls(coordinates))),
+		coordinatorConfig: cfg, service: service, gate: gate,
+		core:     batching.New(cfg.retries, batching.WithGate(gate)),
 		items:    map[batching.Token]*pendingItem{},
 		discards: &discards{log: cfg.log, targets: cfg.targets, byTarget: map[directory.Life]*batching.Discard{}},
 	}
@@ -204,7 +207,7 @@
 	defer cancel()
 	outcomes, err := c.targets.RunBatch(ctx, BatchCall{
 		Target: e.Target, Items: e.Items, Now: now,
-		Permit: func() error { return c.permit(e.Target.ID) },
+		Permit: func() error { return c.mayCall(e.Target) },
 	})
 	if err != nil {
 		c.log.Warn().Str("service", c.service).Str("target", e.Target.ID).Int("items", len(e.Items)).
@@ -213,6 +216,14 @@
 	return batching.Finished{Batch: e.Batch, Outcomes: outcomes, Err: err, Ended: c.noteEnd(e, now, err)}
 }
 
+// mayCall is asked just before the first byte of a batch is written.
+func (c *coordinator) mayCall(t directory.Target) error {
+	if c.gate.HeldBack(t.Life()) {
+		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target takes no new work")
+	}
+	return c.permit(t.ID)
+}
+
 // noteEnd reports what the end of a batch, sent at the given time, says of what its items
 // ask for, and says whether its target's process ended. Like call it runs beside the
 // actor.
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -33,7 +33,7 @@
 		sender: &sender{
 			resolved: r, upstream: s.cfg.Upstream, placer: s.cfg.Placer, view: s.cfg.View, now: s.cfg.Now,
 			targets: s.targets, budgets: s.budgets, prefills: s.prefills, inputsGone: s.inputsGone, work: work, answer: answer, outcome: outcome,
-			stopping: s.stopping, decided: decided, quarantine: s.cfg.Quarantine,
+			stopping: s.stopping, decided: decided, quarantine: s.cfg.Quarantine, gate: s.cfg.Gate,
 		},
 	}
 }
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -172,6 +172,8 @@
 	Blocked(d *directory.Directory) []string
 	// Take says whether a target may get a request now, and counts that.
 	Take(target directory.Life) bool
+	// HeldBack says, just before a request is sent, whether its target may get nothing.
+	HeldBack(target directory.Life) bool
 }
 
 // Placer chooses engines by what all nodes have sent to them.
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -39,6 +39,7 @@
 	stopping   context.Context
 	decided    func(Decision)
 	quarantine Quarantine
+	gate       Gate
 	// tried says that the request's trial has been sent.
 	tried bool
 }
@@ -150,7 +151,7 @@
 	c := Call{
 		Target: target.Target, ID: s.req.ID, Payload: s.req.Payload, Until: s.times.Answer,
 		Organisation: s.org.Name, Priority: noPriority, LastEvent: s.answer.lastEvent,
-		Permit: func() error { return s.permit(target.ID) },
+		Permit: func() error { return s.permit(target.Target) },
 	}
 	if s.service.Engine {
 		c.Priority = s.priority()
@@ -163,12 +164,12 @@
 // permit is asked just before the first byte is written: the target may have
 // begun to leave, a process that was paused may be too late, and targets may have ended
 // with the same request meanwhile.
-func (s *sender) permit(id string) error {
+func (s *sender) permit(target directory.Target) error {
 	now := s.now()
 	if !now.Before(s.times.Answer) {
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the time is over")
 	}
-	if !s.view().Directory.Usable(id, now) {
+	if !s.view().Directory.Usable(target.ID, now) || s.gate.HeldBack(target.Life()) {
 		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target, or its data centre, takes no new work")
 	}
 	if hold, held := s.quarantine.Held(s.digest); held && !s.takeTrial() {
--- a/internal/gateway/relay/world_test.go
+++ b/internal/gateway/relay/world_test.go
@@ -225,6 +225,7 @@
 
 func (openGate) Blocked(*directory.Directory) []string { return nil }
 func (openGate) Take(directory.Life) bool              { return true }
+func (openGate) HeldBack(directory.Life) bool          { return false }
 
 // keepView changes nothing of a view.
 func keepView(v *view.View) *view.View { return v }
