A target that wants a pause gets nothing from that node for so long

Callers saw: requests went to engines that had just turned others away and had said for how long, were turned away there as well, and used up retries. Cause: a refusal was a matter of its request alone; the time that came with it was not read. The class is that of the targets that leave: what an answer says of its target reached no rule. Repair: the node that was told passes the target over until the pause has ended, at the same places. While all targets of a service pause, requests are refused at once, and Retry-After is the shortest pause at least: to come back sooner is to be refused again. Why it works: the pause is counted from when the answer was heard, which is later than when it was given. No message to members changes.

--- a/internal/gateway/backpressure/doc.go
+++ b/internal/gateway/backpressure/doc.go
@@ -1,7 +1,8 @@
 // Package backpressure keeps targets from getting more than they ask for in their answers.
 //
 // A target that says that it leaves gets nothing more from the node that it told: it ends
-// soon, and the source may say so later, or not at all while it is away.
+// soon, and the source may say so later, or not at all while it is away. A target that
+// refuses a request and wants a pause gets nothing from that node for so long.
 //
 // A target in need names a limit: the requests a second that it takes from all nodes
 // together, for as long as it says so. The limit holds without shared state by three rules
--- a/internal/gateway/backpressure/gate.go
+++ b/internal/gateway/backpressure/gate.go
@@ -78,6 +78,14 @@
 	return g.keeper.table.heldBack(g.keeper.cfg.Now(), target)
 }
 
+// PauseLeft is how much longer a target wants nothing from this node; 0 for one that leaves
+// or wants no pause.
+func (g Gate) PauseLeft(target directory.Life) time.Duration {
+	g.keeper.mu.Lock()
+	defer g.keeper.mu.Unlock()
+	return g.keeper.table.pauseLeft(g.keeper.cfg.Now(), target)
+}
+
 // Bound returns how many requests a second this node gives a target that is limited or held
 // back; false for one that is neither.
 func (g Gate) Bound(target directory.Life) (perSecond float64, limited bool) {
--- a/internal/gateway/backpressure/table.go
+++ b/internal/gateway/backpressure/table.go
@@ -122,13 +122,22 @@
 }
 
 // heldBack says whether a target may get nothing from this node: it leaves, also where the
-// source says otherwise.
+// source says otherwise, or it wants a pause.
 func (t *table) heldBack(now time.Time, target directory.Life) bool {
 	e := t.entries[target]
 	return e != nil && e.heldBack(now)
 }
 
-func (e *entry) heldBack(time.Time) bool { return e.leaving }
+func (e *entry) heldBack(now time.Time) bool { return e.leaving || now.Before(e.pausedUntil) }
+
+// pauseLeft is how much longer a target wants a pause; 0 for one that leaves or wants none.
+func (t *table) pauseLeft(now time.Time, target directory.Life) time.Duration {
+	e := t.entries[target]
+	if e == nil || e.leaving {
+		return 0
+	}
+	return max(e.pausedUntil.Sub(now), 0)
+}
 
 // allows says whether a target may get a request: it is not held back, and has no limit, or
 // this node gives out its requests and its bucket has a token.
@@ -163,7 +172,7 @@
 
 // told returns the targets that told this node that they leave or want a pause, in no order.
 func (t *table) told(now time.Time) []directory.Life {
-	return t.where(func(e *entry) bool { return e.leaving || now.Before(e.pausedUntil) })
+	return t.where(func(e *entry) bool { return e.heldBack(now) })
 }
 
 // known returns all targets of which something is known, in no order.
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -147,6 +147,18 @@
 	return c.targets.choose(c.service, list, q)
 }
 
+// pauses returns how much longer each usable target of the service wants a pause.
+func (c *chooser) pauses() []time.Duration {
+	now := c.now()
+	var list []time.Duration
+	for _, t := range c.view().Directory.Service(c.service.Name) {
+		if t.Usable(now) {
+			list = append(list, c.gate.PauseLeft(t.Life()))
+		}
+	}
+	return list
+}
+
 // sharedParts returns the parts of a prompt that other requests may share: all but
 // the last, which belongs to the request or its session alone.
 func sharedParts(parts []Part) []placement.SharedPart {
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -126,7 +126,7 @@
 	}
 	err = rules.FinalVerdict(err, d.sends, d.route.MayRepeat())
 	if err.Verdict() == verdict.NotRun && err.RetryAfter() == 0 {
-		err = err.WithRetryAfter(retryAfter(d.times.Answer.Sub(d.now())))
+		err = err.WithRetryAfter(rules.AfterPauses(retryAfter(d.times.Answer.Sub(d.now())), d.chooser.pauses()))
 	}
 	return err
 }
--- a/internal/gateway/relay/evacuated_test.go
+++ b/internal/gateway/relay/evacuated_test.go
@@ -53,3 +53,15 @@
 	}
 	return list
 }
+
+// TestHeldBackTarget holds that a target which told the node something between the choice and
+// the first byte does not get the request, and another does.
+func TestHeldBackTarget(t *testing.T) {
+	convey.Convey("A request goes to another target when the chosen one is held back", t, func() {
+		w, s := setup(&catalog.Route{Kind: catalog.Repeatable, MaxAttempts: 2}, false)
+		w.heldBack = map[string]bool{"t0": true, "t1": true}
+		convey.So(s.Serve(t.Context(), request(), &client{}), convey.ShouldBeNil)
+		convey.So(w.calls, convey.ShouldHaveLength, 1)
+		convey.So(w.calls[0].Target.ID, convey.ShouldBeIn, "t2", "t3")
+	})
+}
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -174,6 +174,8 @@
 	Take(target directory.Life) bool
 	// HeldBack says, just before a request is sent, whether its target may get nothing.
 	HeldBack(target directory.Life) bool
+	// PauseLeft is how much longer a target wants nothing from this node; 0 for no pause.
+	PauseLeft(target directory.Life) time.Duration
 }
 
 // Placer chooses engines by what all nodes have sent to them.
--- a/internal/gateway/relay/rules/retryafter.go
+++ b/internal/gateway/relay/rules/retryafter.go
@@ -1,6 +1,9 @@
 package rules
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// retryAfterShare is the part of the client's time left after which it should retry.
@@ -32,3 +35,14 @@
 	spread := time.Duration(jitter * float64(after/retryAfterParts+1))
 	return max(least+spread, minRetryAfter)
 }
+
+// AfterPauses decides when a client should retry for whom no target was left, from when it
+// should by its own time and how much longer each usable target of the service wants a pause,
+// 0 for one that wants none. When all do, nothing can be had before the first of them takes
+// requests again; to come back sooner is to be refused again.
+func AfterPauses(own time.Duration, pauses []time.Duration) time.Duration {
+	if len(pauses) == 0 {
+		return own
+	}
+	return max(own, slices.Min(pauses))
+}
--- a/internal/gateway/relay/rules/retryafter_test.go
+++ b/internal/gateway/relay/rules/retryafter_test.go
@@ -30,3 +30,20 @@
 		})
 	})
 }
+
+func TestAfterPauses(t *testing.T) {
+	const own, short, long = 2 * time.Second, time.Second, 5 * time.Second
+	convey.Convey("A client for whom no target was left should retry", t, func() {
+		for _, c := range []struct {
+			pauses []time.Duration
+			want   time.Duration
+		}{
+			{nil, own},
+			{[]time.Duration{0, long}, own},
+			{[]time.Duration{short, long}, own},
+			{[]time.Duration{long, 2 * long}, long},
+		} {
+			convey.So(AfterPauses(own, c.pauses), convey.ShouldEqual, c.want)
+		}
+	})
+}
--- a/internal/gateway/relay/world_test.go
+++ b/internal/gateway/relay/world_test.go
@@ -49,6 +49,8 @@
 	planned int
 	// ended are the targets that have ended.
 	ended map[string]bool
+	// heldBack are the targets that are held back once they have been chosen.
+	heldBack map[string]bool
 	// ends are the targets that were reported as ended.
 	ends []relay.TargetEnded
 	// ctx is that of requests that helpers send, and slow how long a target takes to
@@ -220,12 +222,12 @@
 	return setupView(r, engine, bytesPerSecond, keepView)
 }
 
-// openGate lets every target get every request.
-type openGate struct{}
-
-func (openGate) Blocked(*directory.Directory) []string { return nil }
-func (openGate) Take(directory.Life) bool              { return true }
-func (openGate) HeldBack(directory.Life) bool          { return false }
+// Blocked, Take, HeldBack and PauseLeft let every target get every request but those that
+// were held back after they had been chosen.
+func (w *world) Blocked(*directory.Directory) []string  { return nil }
+func (w *world) Take(directory.Life) bool               { return true }
+func (w *world) HeldBack(target directory.Life) bool    { return w.heldBack[target.ID] }
+func (w *world) PauseLeft(directory.Life) time.Duration { return 0 }
 
 // keepView changes nothing of a view.
 func keepView(v *view.View) *view.View { return v }
@@ -265,7 +267,7 @@
 		DataCentre: "d", View: func() *view.View { return v }, Upstream: w, Batcher: w, Placer: w, Observer: w, Now: time.Now,
 		RetryPolicy: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, Members: func() int { return 1 },
 		WarmUp: warmup.Margin{Overshoot: 1.5, Tolerance: 5}, GivesOut: func(string) bool { return true },
-		Quarantine: q, Gate: openGate{},
+		Quarantine: q, Gate: w,
 	})
 }
 
