--- a/internal/gateway/relay/world_test.go
+++ b/internal/gateway/relay/world_test.go
@@ -45,6 +45,8 @@
 	held      map[string]bool
 	last      int
 	wait      time.Duration
+	// overloaded refuses the plans.
+	overloaded *verdict.Error
 	// planned counts stages that were planned and not cancelled.
 	planned int
 	// ended are the targets that have ended.
@@ -153,7 +155,7 @@
 	}
 }
 
-func (w *world) Plan(_ context.Context, _ string, stages []relay.PlannedStage) []time.Duration {
+func (w *world) Plan(_ context.Context, _ string, stages []relay.PlannedStage) ([]time.Duration, *verdict.Error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.planned += len(stages)
@@ -161,7 +163,7 @@
 	for i := range backlogs {
 		backlogs[i] = w.wait
 	}
-	return backlogs
+	return backlogs, w.overloaded
 }
 
 func (w *world) Cancel(_ string, stages []relay.PlannedStage) {
