Backpressure: no lock while no target asks for anything; the count of limits follows the view

A coordinator asks for each target of its service at each event, and nearly always there is no entry at all: the number of entries is read without the lock. The gauge of limited targets kept counting those whose life had ended; pruning reports the count now.

--- a/internal/gateway/backpressure/gate.go
+++ b/internal/gateway/backpressure/gate.go
@@ -41,6 +41,9 @@
 
 // Blocked lists the targets of a directory that may not get a request now.
 func (g Gate) Blocked(d *directory.Directory) []string {
+	if g.keeper.empty() {
+		return nil
+	}
 	g.keeper.mu.Lock()
 	defer g.keeper.mu.Unlock()
 	var list []string
@@ -54,6 +57,9 @@
 
 // Allows says whether a target may get a request now.
 func (g Gate) Allows(target directory.Life) bool {
+	if g.keeper.empty() {
+		return true
+	}
 	g.keeper.mu.Lock()
 	defer g.keeper.mu.Unlock()
 	return g.allows(target)
@@ -61,6 +67,9 @@
 
 // Take says whether a target may get a request now, and counts that.
 func (g Gate) Take(target directory.Life) bool {
+	if g.keeper.empty() {
+		return true
+	}
 	g.keeper.mu.Lock()
 	defer g.keeper.mu.Unlock()
 	if !g.allows(target) {
@@ -73,6 +82,9 @@
 // HeldBack says whether a target may get nothing from this node, also not what has been
 // counted for it.
 func (g Gate) HeldBack(target directory.Life) bool {
+	if g.keeper.empty() {
+		return false
+	}
 	g.keeper.mu.Lock()
 	defer g.keeper.mu.Unlock()
 	return g.keeper.table.heldBack(g.keeper.cfg.Now(), target)
@@ -81,6 +93,9 @@
 // PauseLeft is how much longer a target wants nothing from this node; 0 for one that leaves
 // or wants no pause.
 func (g Gate) PauseLeft(target directory.Life) time.Duration {
+	if g.keeper.empty() {
+		return 0
+	}
 	g.keeper.mu.Lock()
 	defer g.keeper.mu.Unlock()
 	return g.keeper.table.pauseLeft(g.keeper.cfg.Now(), target)
@@ -89,6 +104,9 @@
 // Bound returns how many requests a second this node gives a target that is limited or held
 // back; false for one that is neither.
 func (g Gate) Bound(target directory.Life) (perSecond float64, limited bool) {
+	if g.keeper.empty() {
+		return 0, false
+	}
 	g.keeper.mu.Lock()
 	defer g.keeper.mu.Unlock()
 	if g.keeper.table.heldBack(g.keeper.cfg.Now(), target) {
--- a/internal/gateway/backpressure/keeper.go
+++ b/internal/gateway/backpressure/keeper.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,15 +43,29 @@
 
 	mu    sync.Mutex
 	table *table
+	// entries is how many the table has, to be read without the lock: nearly always none.
+	entries atomic.Int64
 }
 
 // NewKeeper returns a keeper that knows nothing.
 func NewKeeper(cfg Config) *Keeper { return &Keeper{cfg: cfg, table: newTable()} }
 
+// unlock ends what may have changed the table.
+func (k *Keeper) unlock() {
+	k.entries.Store(int64(len(k.table.entries)))
+	k.mu.Unlock()
+}
+
+// empty says that no target asks for anything.
+func (k *Keeper) empty() bool { return k.entries.Load() == 0 }
+
 // Heard takes in what a target said in an answer to this node.
 func (k *Keeper) Heard(target directory.Life, s Signal) {
+	if k.empty() && s.asksNothing() {
+		return
+	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
+	defer k.unlock()
 	now := k.cfg.Now()
 	if s.Leaving && k.table.leave(now, target) {
 		k.cfg.Log.Info().Str("target", target.String()).Msg("backpressure: target says that it leaves")
@@ -106,7 +121,7 @@
 // Recent returns what members should hear of limits and their ends.
 func (k *Keeper) Recent() []message.TargetLimit {
 	k.mu.Lock()
-	defer k.mu.Unlock()
+	defer k.unlock()
 	k.table.prune(k.cfg.Now())
 	return k.messages(k.table.newest(maxReported))
 }
@@ -128,7 +143,7 @@
 // Merge takes in what a member reported.
 func (k *Keeper) Merge(member string, list []message.TargetLimit) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
+	defer k.unlock()
 	now := k.cfg.Now()
 	for _, m := range list {
 		r := report{at: now.Add(-time.Duration(max(m.AgoMs, 0)) * time.Millisecond)}
@@ -147,6 +162,10 @@
 // Prune forgets lives of targets that have ended.
 func (k *Keeper) Prune(d *directory.Directory) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
+	defer k.unlock()
+	before := len(k.table.limited())
 	k.table.pruneLives(d)
+	if after := len(k.table.limited()); after != before {
+		k.cfg.Changed(after)
+	}
 }
--- a/internal/gateway/backpressure/signal.go
+++ b/internal/gateway/backpressure/signal.go
@@ -17,6 +17,9 @@
 	Pause time.Duration
 }
 
+// asksNothing says whether the target asks for nothing.
+func (s Signal) asksNothing() bool { return !s.Limit.Set && !s.Leaving && s.Pause <= 0 }
+
 // Limit is a rate of requests from all nodes together. The zero value is none.
 type Limit struct {
 	// Set says that there is a limit.
