--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,8 +15,7 @@
 const (
 	// planTimeout bounds announcing a request's stages to their coordinators, which the
 	// request waits for before it is admitted: a coordinator that takes longer is
-	// overloaded or gone. The request goes on without its backlog; coordinatorLoad bounds
-	// how many do.
+	// overloaded or gone, and the request goes on without its backlog.
 	planTimeout = 100 * time.Millisecond
 	// maxCoordinators bounds the members that one group is handed to before this node runs
 	// it itself: members that are wrong about each other settle within that many.
@@ -38,7 +36,6 @@
 	peers   *peerClient
 	local   *coordinators
 	joining *joining
-	load    *coordinatorLoad
 	// exchange gossips with a member and says whether it answered.
 	exchange func(ctx context.Context, member string) bool
 }
@@ -109,70 +106,37 @@
 }
 
 // Plan implements relay.Batcher.
-func (b *batches) Plan(ctx context.Context, request string, stages []relay.PlannedStage) ([]time.Duration, *verdict.Error) {
-	coordinators := b.byCoordinator(stages)
-	for member := range coordinators {
-		if !b.load.allows(member) {
-			return nil, errOverloaded()
-		}
-	}
+func (b *batches) Plan(ctx context.Context, request string, stages []relay.PlannedStage) []time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, planTimeout)
 	defer cancel()
 	backlogs := make([]time.Duration, len(stages))
-	var announced sync.WaitGroup
-	var overloaded atomic.Bool
-	for member, numbers := range coordinators {
-		announced.Go(func() {
-			if !b.planAt(ctx, member, request, stages, numbers, backlogs) && b.load.holds(member) {
-				overloaded.Store(true)
-			}
-		})
-	}
-	announced.Wait()
-	if overloaded.Load() {
-		b.Cancel(request, stages)
-		return nil, errOverloaded()
+	var remote sync.WaitGroup
+	for member, numbers := range b.byCoordinator(stages) {
+		if member != "" {
+			remote.Go(func() { b.planAt(ctx, member, request, stages, numbers, backlogs) })
+			continue
+		}
+		for _, i := range numbers {
+			backlogs[i] = b.local.plan(ctx, request, stages[i])
+		}
 	}
-	return backlogs, nil
-}
-
-// errOverloaded refuses a request whose stages need a coordinator that is known not to
-// answer in time: it would wait there until its time is over, and keep the coordinator from
-// those that it could serve.
-func errOverloaded() *verdict.Error {
-	return verdict.New(verdict.NotRun, verdict.ReasonOverload, "a coordinator of the stages does not answer in time")
+	remote.Wait()
+	return backlogs
 }
 
 // planAt announces the stages of the given numbers to the member that coordinates
-// them and notes their backlogs; they stay 0, for unknown, when it does not answer. It says
-// whether the member answered in time, or is gone, which is no sign of overload.
+// them and notes their backlogs; they stay 0, for unknown, when it does not answer.
 func (b *batches) planAt(
 	ctx context.Context, member, request string, stages []relay.PlannedStage, numbers []int, backlogs []time.Duration,
-) (answered bool) {
-	answer, err := b.askBacklogs(ctx, member, request, pick(stages, numbers))
-	answered = err == nil || ctx.Err() == nil
-	b.load.ended(member, answered)
+) {
+	answer, err := b.peers.planAtMember(ctx, member, request, pick(stages, numbers))
 	if err != nil {
 		b.log.Debug().Str("request", request).Str("member", member).Err(err).Msg("items: no backlog from a member")
-		return answered
+		return
 	}
 	for k, i := range numbers {
 		backlogs[i] = answer[k]
 	}
-	return answered
-}
-
-// askBacklogs announces stages to the member that coordinates them, which is this node where
-// it is empty, and returns their backlogs.
-func (b *batches) askBacklogs(ctx context.Context, member, request string, stages []relay.PlannedStage) ([]time.Duration, error) {
-	if member != "" {
-		return b.peers.planAtMember(ctx, member, request, stages)
-	}
-	backlogs := make([]time.Duration, len(stages))
-	for i, stage := range stages {
-		backlogs[i] = b.local.plan(ctx, request, stage)
-	}
-	return backlogs, ctx.Err()
 }
 
 // Cancel implements relay.Batcher.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,7 +130,7 @@
 	}
 	batches := &batches{
 		now: g.now, log: g.log, members: g.members, peers: peers, local: g.coordinators, joining: g.joining,
-		load: newCoordinatorLoad(g.now), exchange: g.gossip.exchange,
+		exchange: g.gossip.exchange,
 	}
 	g.relay = relay.New(relay.Config{
 		DataCentre: g.cfg.DataCentre, Node: g.PeerAddress(), View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -49,7 +49,7 @@
 	m := newMembers(time.Now, "127.0.0.1:1", 1, nil, 0)
 	m.mergeFrom(member, message.Gossip{Members: []message.GossipMember{{Address: member, Incarnation: 2, Beat: 1, Serving: true, Capacity: 1}}})
 	return &batches{
-		now: time.Now, log: zerolog.Nop(), members: m, peers: newPeerClient(time.Now), load: newCoordinatorLoad(time.Now),
+		now: time.Now, log: zerolog.Nop(), members: m, peers: newPeerClient(time.Now),
 		exchange: func(context.Context, string) bool { return true },
 	}
 }
@@ -102,10 +102,10 @@
 	var all sync.WaitGroup
 	for range n {
 		all.Go(func() {
-			backlogs, err := b.Plan(t.Context(), "r", []relay.PlannedStage{{Service: "s", Items: 1}})
+			backlogs := b.Plan(t.Context(), "r", []relay.PlannedStage{{Service: "s", Items: 1}})
 			mu.Lock()
 			defer mu.Unlock()
-			if err == nil && backlogs[0] > 0 {
+			if backlogs[0] > 0 {
 				answered++
 			}
 		})
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -18,10 +18,7 @@
 	if len(plan) == 0 {
 		return 0, nil
 	}
-	backlogs, err := s.cfg.Batcher.Plan(ctx, r.req.ID, plan)
-	if err != nil {
-		return 0, err.WithRetryAfter(retryAfter(r.times.Answer.Sub(s.cfg.Now())))
-	}
+	backlogs := s.cfg.Batcher.Plan(ctx, r.req.ID, plan)
 	in := rules.Admission{
 		Estimated: r.stages.Total(backlogs), Alone: r.stages.Total(nil),
 		Left: r.times.Objective.Sub(s.cfg.Now()), Objective: r.route.Objective,
--- a/internal/gateway/relay/evacuated_test.go
+++ b/internal/gateway/relay/evacuated_test.go
@@ -65,18 +65,3 @@
 		convey.So(w.calls[0].Target.ID, convey.ShouldBeIn, "t2", "t3")
 	})
 }
-
-// TestOverloadedCoordinator holds that a request whose stages need a coordinator that does
-// not answer is refused before any of them runs.
-func TestOverloadedCoordinator(t *testing.T) {
-	convey.Convey("A request is refused at once when its stages cannot be planned", t, func() {
-		w, s := setup(chain(), true)
-		w.overloaded = verdict.New(verdict.NotRun, verdict.ReasonOverload, "no answer in time")
-		err := s.Serve(t.Context(), request(1, 4, 2), &client{})
-		convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonOverload)
-		convey.So(err.Verdict(), convey.ShouldEqual, verdict.NotRun)
-		convey.So(err.RetryAfter(), convey.ShouldBeGreaterThan, 0)
-		convey.So(w.groups, convey.ShouldBeEmpty)
-		convey.So(w.calls, convey.ShouldBeEmpty)
-	})
-}
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -141,9 +141,8 @@
 	Release(service string, results []batching.Result)
 	// Plan announces the stages that a request will run, and returns each service's
 	// backlog: how long it takes for what was planned or waits already; 0 where that
-	// is not known. An error means that nothing was announced, since a service has more to
-	// do than it can answer for.
-	Plan(ctx context.Context, request string, stages []PlannedStage) ([]time.Duration, *verdict.Error)
+	// is not known.
+	Plan(ctx context.Context, request string, stages []PlannedStage) []time.Duration
 	// Cancel withdraws plans.
 	Cancel(request string, stages []PlannedStage)
 }
--- a/internal/gateway/relay/world_test.go
+++ b/internal/gateway/relay/world_test.go
@@ -45,8 +45,6 @@
 	held      map[string]bool
 	last      int
 	wait      time.Duration
-	// overloaded refuses the plans.
-	overloaded *verdict.Error
 	// planned counts stages that were planned and not cancelled.
 	planned int
 	// ended are the targets that have ended.
@@ -155,7 +153,7 @@
 	}
 }
 
-func (w *world) Plan(_ context.Context, _ string, stages []relay.PlannedStage) ([]time.Duration, *verdict.Error) {
+func (w *world) Plan(_ context.Context, _ string, stages []relay.PlannedStage) []time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.planned += len(stages)
@@ -163,7 +161,7 @@
 	for i := range backlogs {
 		backlogs[i] = w.wait
 	}
-	return backlogs, w.overloaded
+	return backlogs
 }
 
 func (w *world) Cancel(_ string, stages []relay.PlannedStage) {
