Clients refused while all targets pause return spread over a quarter of the pause; a target that leaves is no reason to come back

Retry-After was the shortest pause for all of them, so that all came back in one moment, and a target that leaves counted as one without a pause, so that they came back before any other took requests. The reports that gossip carries are called reports.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -106,7 +106,7 @@
 func (g *gossip) exchange(ctx context.Context, member string) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	in, err := g.peers.gossipAtMember(ctx, member, g.withNews(g.members.gossip()), g.members.readsCompact(member))
+	in, err := g.peers.gossipAtMember(ctx, member, g.withReports(g.members.gossip()), g.members.readsCompact(member))
 	if err != nil {
 		return false
 	}
@@ -123,12 +123,12 @@
 		g.quarantine.Merge(in.Members[0].Address, in.Suspects)
 		g.backpressure.Merge(in.Members[0].Address, in.Limits)
 	}
-	return g.withNews(out)
+	return g.withReports(out)
 }
 
-// withNews adds what this node knows of requests that end their targets, and of targets'
+// withReports adds what this node knows of requests that end their targets, and of targets'
 // limits.
-func (g *gossip) withNews(out message.Gossip) message.Gossip {
+func (g *gossip) withReports(out message.Gossip) message.Gossip {
 	out.Suspects, out.HeldSum = g.quarantine.Recent()
 	out.Limits = g.backpressure.Recent()
 	return out
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -147,13 +147,15 @@
 	return c.targets.choose(c.service, list, q)
 }
 
-// pauses returns how much longer each usable target of the service wants a pause.
+// pauses returns how much longer each target of the service wants a pause, but for those that
+// leave.
 func (c *chooser) pauses() []time.Duration {
 	now := c.now()
 	var list []time.Duration
 	for _, t := range c.view().Directory.Service(c.service.Name) {
-		if t.Usable(now) {
-			list = append(list, c.gate.PauseLeft(t.Life()))
+		left := c.gate.PauseLeft(t.Life())
+		if t.Usable(now) && (left > 0 || !c.gate.HeldBack(t.Life())) {
+			list = append(list, left)
 		}
 	}
 	return list
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
@@ -126,7 +127,8 @@
 	}
 	err = rules.FinalVerdict(err, d.sends, d.route.MayRepeat())
 	if err.Verdict() == verdict.NotRun && err.RetryAfter() == 0 {
-		err = err.WithRetryAfter(rules.AfterPauses(retryAfter(d.times.Answer.Sub(d.now())), d.chooser.pauses()))
+		own := retryAfter(d.times.Answer.Sub(d.now()))
+		err = err.WithRetryAfter(rules.AfterPauses(own, d.chooser.pauses(), rand.Float64()))
 	}
 	return err
 }
--- a/internal/gateway/relay/rules/retryafter.go
+++ b/internal/gateway/relay/rules/retryafter.go
@@ -37,12 +37,14 @@
 }
 
 // AfterPauses decides when a client should retry for whom no target was left, from when it
-// should by its own time and how much longer each usable target of the service wants a pause,
-// 0 for one that wants none. When all do, nothing can be had before the first of them takes
-// requests again; to come back sooner is to be refused again.
-func AfterPauses(own time.Duration, pauses []time.Duration) time.Duration {
+// should by its own time and how much longer each target of the service wants a pause, 0 for
+// one that wants none. When all do, nothing can be had before the first of them takes
+// requests again; to come back sooner is to be refused again. jitter, from 0 up to but not
+// including 1, keeps clients from coming back in that moment together.
+func AfterPauses(own time.Duration, pauses []time.Duration, jitter float64) time.Duration {
 	if len(pauses) == 0 {
 		return own
 	}
-	return max(own, slices.Min(pauses))
+	shortest := slices.Min(pauses)
+	return max(own, shortest+time.Duration(jitter*float64(shortest/retryAfterParts)))
 }
