--- a/internal/gateway/backpressure/keeper.go
+++ b/internal/gateway/backpressure/keeper.go
@@ -164,7 +164,7 @@
 	k.mu.Lock()
 	defer k.unlock()
 	before := len(k.table.limited())
-	k.table.pruneLives(d)
+	k.table.pruneLives(k.cfg.Now(), d)
 	if after := len(k.table.limited()); after != before {
 		k.cfg.Changed(after)
 	}
--- a/internal/gateway/backpressure/model_test.go
+++ b/internal/gateway/backpressure/model_test.go
@@ -351,3 +351,24 @@
 		t.Error("the limit did not end")
 	}
 }
+
+// TestUnlistedTarget holds that what a target asked for outlives a moment in which the source
+// does not list it, and is forgotten with the target.
+func TestUnlistedTarget(t *testing.T) {
+	m := newModel(1, 1)
+	n := m.nodes[0]
+	listed, unlisted := directory.New(m.target), directory.New()
+	n.keeper.Heard(m.target.Life(), backpressure.Signal{Sent: m.now, Leaving: true})
+	n.keeper.Prune(unlisted)
+	m.now = m.now.Add(5 * time.Second)
+	n.keeper.Prune(listed)
+	if n.gate.Take(m.target.Life()) {
+		t.Error("a target that leaves got a request when it was listed again")
+	}
+	n.keeper.Prune(unlisted)
+	m.now = m.now.Add(2 * time.Minute)
+	n.keeper.Prune(unlisted)
+	if len(n.keeper.Holds()) != 0 {
+		t.Error("a target that is gone is remembered for good")
+	}
+}
--- a/internal/gateway/backpressure/table.go
+++ b/internal/gateway/backpressure/table.go
@@ -26,6 +26,9 @@
 	// endedFor is how long the end of a limit is remembered, for members that did not hear
 	// of it.
 	endedFor = 10 * time.Second
+	// unlistedFor is how long a target that is not listed may come back: longer than the
+	// source is away, and than a target that leaves goes on.
+	unlistedFor = time.Minute
 )
 
 // report is what a target said of its limit, and when.
@@ -44,6 +47,8 @@
 	pausedUntil time.Time
 	// bucket holds what this node may give out.
 	bucket *rate.Limiter
+	// unlisted is since when the target is not listed; zero while it is.
+	unlisted time.Time
 }
 
 // table holds the newest report of each life that has a limit, or had one lately. It is not
@@ -206,7 +211,16 @@
 	})
 }
 
-// pruneLives forgets lives of targets that have ended.
-func (t *table) pruneLives(d *directory.Directory) {
-	maps.DeleteFunc(t.entries, func(target directory.Life, _ *entry) bool { return !d.Lives(target) })
+// pruneLives forgets lives of targets that have not been listed for unlistedFor. An entry of
+// the source may be gone for a while and come back, and with it what the target asked for.
+func (t *table) pruneLives(now time.Time, d *directory.Directory) {
+	maps.DeleteFunc(t.entries, func(target directory.Life, e *entry) bool {
+		switch {
+		case d.Lives(target):
+			e.unlisted = time.Time{}
+		case e.unlisted.IsZero():
+			e.unlisted = now
+		}
+		return !e.unlisted.IsZero() && now.Sub(e.unlisted) > unlistedFor
+	})
 }
