--- a/internal/gateway/gossipcodec/gossipcodec_test.go
+++ b/internal/gateway/gossipcodec/gossipcodec_test.go
@@ -51,6 +51,20 @@
 	})
 }
 
+// shouldReadBack holds that gossip reads as it was written, in both forms.
+func shouldReadBack(t *rapid.T, want message.Gossip) {
+	for _, compact := range []bool{true, false} {
+		body, kind, err := Encode(want, compact)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(bytes.NewReader(body), kind)
+		if diff := cmp.Diff(want, got); err != nil || diff != "" {
+			t.Fatal(err, diff)
+		}
+	}
+}
+
 // TestCompactSuspects holds that what is said of requests that end their targets reads as
 // it was written, in both forms.
 func TestCompactSuspects(t *testing.T) {
@@ -69,16 +83,7 @@
 				}), 1, 3).Draw(t, "ends"),
 			}
 		}), 1, 3).Draw(t, "suspects")
-		for _, compact := range []bool{true, false} {
-			body, kind, err := Encode(want, compact)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got, err := Decode(bytes.NewReader(body), kind)
-			if diff := cmp.Diff(want, got); err != nil || diff != "" {
-				t.Fatal(err, diff)
-			}
-		}
+		shouldReadBack(t, want)
 	})
 }
 
@@ -148,15 +153,6 @@
 				Ended: rapid.Bool().Draw(t, "ended"), AgoMs: rapid.IntRange(0, 1<<40).Draw(t, "ago"),
 			}
 		}), 1, 3).Draw(t, "limits")
-		for _, compact := range []bool{true, false} {
-			body, kind, err := Encode(want, compact)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got, err := Decode(bytes.NewReader(body), kind)
-			if diff := cmp.Diff(want, got); err != nil || diff != "" {
-				t.Fatal(err, diff)
-			}
-		}
+		shouldReadBack(t, want)
 	})
 }
