A report of a limit that members pass on grows as old as it is

Looking for the first cause: a report tells its age by the sender's clock, and each exchange makes it newer by its time, so that on a slow machine it never ages: its limit does not end by answers that name none, and nobody substitutes for members that give nothing out. A report that says the same as a known one and looks less than 500 ms newer, longer than an exchange, is now taken for the same. TestReportsAge failed (10 s looked 4.8 s old at 100 ms an exchange) and passes.

--- a/internal/gateway/backpressure/keeper.go
+++ b/internal/gateway/backpressure/keeper.go
@@ -153,7 +153,8 @@
 		if m.Target == "" || !r.Limit.valid() {
 			continue
 		}
-		if target := directory.ParseLife(m.Target); k.table.merge(target, r) {
+		target := directory.ParseLife(m.Target)
+		if !k.table.passedOn(target, r) && k.table.merge(target, r) {
 			k.changed(target, member)
 		}
 	}
--- a/internal/gateway/backpressure/model_test.go
+++ b/internal/gateway/backpressure/model_test.go
@@ -372,3 +372,25 @@
 		t.Error("a target that is gone is remembered for good")
 	}
 }
+
+// TestReportsAge holds that a report which members pass on to each other for long grows as
+// old as it is, though each exchange takes time: while it looks fresh its limit does not end,
+// and nobody substitutes for those that give out.
+func TestReportsAge(t *testing.T) {
+	const transit, lasts = 100 * time.Millisecond, 10 * time.Second
+	m := newModel(1, 4)
+	m.nodes[0].keeper.Heard(m.target.Life(), backpressure.Signal{Limit: backpressure.Limit{Set: true, PerSecond: 1}})
+	named := m.now
+	for i := 0; m.now.Sub(named) < lasts; i++ {
+		from, to := m.nodes[i%4], m.nodes[(i+1+i/4%3)%4]
+		reported := from.keeper.Recent()
+		m.now = m.now.Add(transit)
+		to.keeper.Merge(from.address, reported)
+	}
+	for _, n := range m.nodes {
+		age := time.Duration(n.keeper.Limits()[0].AgoMs) * time.Millisecond
+		if age < lasts-time.Second {
+			t.Errorf("a report of %v ago looks %v old", lasts, age)
+		}
+	}
+}
--- a/internal/gateway/backpressure/table.go
+++ b/internal/gateway/backpressure/table.go
@@ -26,6 +26,9 @@
 	// endedFor is how long the end of a limit is remembered, for members that did not hear
 	// of it.
 	endedFor = 10 * time.Second
+	// sameReport is how much later one that says the same may look for being the same one,
+	// passed on: longer than an exchange between members takes.
+	sameReport = 500 * time.Millisecond
 	// unlistedFor is how long a target that is not listed may come back: longer than the
 	// source is away, and than a target that leaves goes on.
 	unlistedFor = time.Minute
@@ -68,6 +71,13 @@
 	return changed
 }
 
+// passedOn says whether what a member reports may be what is known already, which each
+// exchange makes look newer by its time.
+func (t *table) passedOn(target directory.Life, r report) bool {
+	e := t.entries[target]
+	return e != nil && r.Limit == e.Limit && r.at.Sub(e.at) < sameReport
+}
+
 // of returns the entry of a target, a new one where there is none.
 func (t *table) of(target directory.Life, now time.Time) *entry {
 	e := t.entries[target]
