--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -77,6 +77,9 @@
 
 // Changes are what the source reports up to a revision, in order.
 type Changes struct {
+	// Epoch rises when the source comes back from an older copy, whose revisions it gives
+	// out again; 0 for a source that does not say.
+	Epoch int64
 	// Revision is the source's own count of its changes.
 	Revision int64
 	List     []Change
