A revision counts within its epoch of the source

What callers saw: until a restored source had been written as often as before, no change of it reached any node: revoked keys were served, targets that left got requests; and what came up to that point was never read.

Cause: a revision was compared without the epoch in which it was given out. A list of the restored source was older than the view and dropped; a watch after the old revision succeeded again once that had been given out to another change.

Change: view.Revision orders by epoch, then by number, in one number, so that each place that keeps, compares or passes on a revision (lists, watches, gossip, deltas, histories, evacuations) compares rightly by construction.

Messages between members: none has a new field. After a restore the numbers in `revision` and `since` are of the new epoch for builds before this one too: they take views from newer members, whole. Roll out in any order. Back: a build before this one that has taken such a view does not read its store any more; once the store has ever been restored, all nodes have to be stopped before the first one of an earlier build starts.

Still open: what a copy says of targets that had left, of targets that it lacks, and of evacuations; readers of an earlier build.

--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -74,7 +74,7 @@
 	v := f.views.load()
 	snapshot, err := f.peers.viewAtMember(ctx, member, v.Revision, v.Version())
 	if err != nil {
-		f.log.Debug().Str("member", member).Int64("revision", v.Revision).Err(err).
+		f.log.Debug().Str("member", member).Int64("revision", int64(v.Revision)).Err(err).
 			Msg("view: a member that is ahead gave no answer")
 		return false
 	}
@@ -116,7 +116,7 @@
 
 // takeWhole takes over all that a member knows.
 func (f *storeFollower) takeWhole(member string, s message.ViewSnapshot, catalog view.CatalogChange) {
-	ch := view.Changes{Revision: int64(s.Revision), List: []view.Change{catalog}}
+	ch := view.Changes{Revision: view.Revision(s.Revision), List: []view.Change{catalog}}
 	now := f.now()
 	for _, t := range s.Targets {
 		ch.List = append(ch.List, view.TargetChange{Target: targetOf(now, t)})
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -77,8 +77,6 @@
 	log     zerolog.Logger
 	now     func() time.Time
 
-	// epoch is the source's at its last answer.
-	epoch atomic.Int64
 	// catchingUp is true while a member's view is being fetched.
 	catchingUp atomic.Bool
 }
@@ -101,7 +99,7 @@
 			f.reached()
 			_ = wait.For(ctx, gatherChanges)
 		case errors.Is(err, ErrHistoryGone):
-			f.log.Info().Int64("revision", f.views.load().Revision).Msg("source: history gone, reading all")
+			f.log.Info().Int64("revision", int64(f.views.load().Revision)).Msg("source: history gone, reading all")
 			whole = true
 		default:
 			f.failed(started, err)
@@ -113,7 +111,7 @@
 // reached notes that the source has answered.
 func (f *storeFollower) reached() {
 	if f.health.markReached(f.now()) {
-		f.log.Info().Int64("revision", f.views.load().Revision).Msg("source: reachable again")
+		f.log.Info().Int64("revision", int64(f.views.load().Revision)).Msg("source: reachable again")
 	}
 }
 
@@ -178,9 +176,8 @@
 	if err != nil {
 		return err
 	}
-	f.noteEpoch(ch)
 	if known := f.views.load().Revision; ch.Revision < known {
-		f.log.Warn().Int64("revision", known).Int64("listed", ch.Revision).Msg("source: the whole is older than the view, not taken")
+		f.log.Warn().Int64("revision", int64(known)).Int64("listed", int64(ch.Revision)).Msg("source: the whole is older than the view, not taken")
 	}
 	f.views.apply(ch, func(now time.Time, v *view.View) *view.View {
 		return v.WithSnapshot(now, ch, f.health.lastOutage())
@@ -188,13 +185,6 @@
 	return nil
 }
 
-// noteEpoch logs when the source has come back from an older copy.
-func (f *storeFollower) noteEpoch(ch view.Changes) {
-	if was := f.epoch.Swap(ch.Epoch); was != ch.Epoch {
-		f.log.Info().Int64("epoch", ch.Epoch).Int64("was", was).Int64("revision", ch.Revision).Msg("source: another epoch")
-	}
-}
-
 // readChanges waits for what changes at the source. When a member's view was taken
 // over meanwhile, the answer is dropped, as it could be older; the next watch
 // brings it again.
@@ -208,7 +198,6 @@
 	if err != nil {
 		return err
 	}
-	f.noteEpoch(ch)
 	f.views.apply(ch, func(now time.Time, v *view.View) *view.View {
 		if v.Revision != after {
 			return v
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -16,6 +16,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/tcpconn"
 	"github.com/honeydyke/honeydyke/internal/wire"
@@ -154,9 +155,9 @@
 
 // viewAtMember returns what a member knows beyond a revision and a version of the
 // configuration.
-func (c *peerClient) viewAtMember(ctx context.Context, member string, since, version int64) (message.ViewSnapshot, error) {
+func (c *peerClient) viewAtMember(ctx context.Context, member string, since view.Revision, version int64) (message.ViewSnapshot, error) {
 	query := url.Values{
-		paramSince: {strconv.FormatInt(since, 10)}, paramVersion: {strconv.FormatInt(version, 10)},
+		paramSince: {strconv.FormatInt(int64(since), 10)}, paramVersion: {strconv.FormatInt(version, 10)},
 		paramCatalog: {"true"},
 	}
 	var out message.ViewSnapshot
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -199,7 +199,7 @@
 // with it, nil for none.
 func deltaOf(now time.Time, member string, s message.ViewSnapshot, catalog *view.CatalogChange) view.Delta {
 	d := view.Delta{
-		Since: int64(s.Since), Revision: int64(s.Revision), Gone: s.Gone, Catalog: catalog,
+		Since: view.Revision(s.Since), Revision: view.Revision(s.Revision), Gone: s.Gone, Catalog: catalog,
 		Evacuations: evacuationsOf(member, s.Evacuations),
 	}
 	for _, t := range s.Targets {
@@ -222,7 +222,7 @@
 func evacuationsOf(member string, list []message.ViewEvacuation) []view.Evacuation {
 	var out []view.Evacuation
 	for _, e := range list {
-		out = append(out, view.Evacuation{DataCentre: e.DataCentre, Active: e.Active, Revision: int64(e.Revision), From: member})
+		out = append(out, view.Evacuation{DataCentre: e.DataCentre, Active: e.Active, Revision: view.Revision(e.Revision), From: member})
 	}
 	return out
 }
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -9,6 +9,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
@@ -163,7 +164,7 @@
 	now := s.now()
 	// A revision that does not parse counts as none: the answer is the whole.
 	since, _ := strconv.ParseInt(r.FormValue(paramSince), 10, 64)
-	d, known := v.DeltaSince(since)
+	d, known := v.DeltaSince(view.Revision(since))
 	sameCatalog := r.FormValue(paramVersion) == strconv.FormatInt(v.Version(), 10)
 	switch {
 	case since <= 0 || !known:
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -16,7 +16,7 @@
 )
 
 // ErrHistoryGone says that the source no longer knows what changed since a
-// revision; the whole must be read again.
+// revision, or came back from an older copy; the whole must be read again.
 var ErrHistoryGone = errors.New("the source's history does not reach back so far")
 
 // Source publishes the configuration and the targets. Each call invokes answered
@@ -27,7 +27,7 @@
 	Snapshot(ctx context.Context, answered func()) (view.Changes, error)
 	// Watch waits up to wait for changes after a revision. It fails with
 	// ErrHistoryGone when the source no longer knows them all.
-	Watch(ctx context.Context, after int64, wait time.Duration, answered func()) (view.Changes, error)
+	Watch(ctx context.Context, after view.Revision, wait time.Duration, answered func()) (view.Changes, error)
 	// Decode reads the text of a configuration that a member passed on.
 	Decode(document []byte) (view.CatalogChange, error)
 }
--- a/internal/gateway/readers_test.go
+++ b/internal/gateway/readers_test.go
@@ -18,7 +18,7 @@
 // store is a source that several nodes read; each sees it through a reader.
 type store struct {
 	mu       sync.Mutex
-	revision int64
+	revision view.Revision
 	changes  []view.Changes
 	// changed is closed with the next change.
 	changed chan struct{}
@@ -48,7 +48,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) since(after int64) (view.Changes, <-chan struct{}) {
+func (s *store) since(after view.Revision) (view.Changes, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := view.Changes{Revision: s.revision}
@@ -86,7 +86,7 @@
 	return all, nil
 }
 
-func (r *reader) Watch(ctx context.Context, after int64, wait time.Duration, answered func()) (view.Changes, error) {
+func (r *reader) Watch(ctx context.Context, after view.Revision, wait time.Duration, answered func()) (view.Changes, error) {
 	r.count()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -35,7 +35,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "no configuration is known yet").
 			WithRetryAfter(unreadyRetryAfter(req.Timeout))
 	}
-	outcome.Version, outcome.Revision = c.Version, v.Revision
+	outcome.Version, outcome.Revision = c.Version, int64(v.Revision)
 	r := &resolved{req: req, route: c.Route(req.Host, req.Path)}
 	outcome.Route = r.route
 	if r.route == nil {
--- a/internal/gateway/view/evacuation.go
+++ b/internal/gateway/view/evacuation.go
@@ -15,7 +15,7 @@
 	// Active says that its targets take no new work; false after it was taken back.
 	Active bool
 	// Revision is the source's when that was set or lifted.
-	Revision int64
+	Revision Revision
 	// From is the member that said so; empty for the source itself.
 	From string
 	// Since is when this node heard it, by this node's clock.
--- a/internal/gateway/view/evacuation_test.go
+++ b/internal/gateway/view/evacuation_test.go
@@ -19,7 +19,7 @@
 // warmUp is how long the targets of the service of these tests stay cold.
 const warmUp = 3 * time.Second
 
-func evacuation(dataCentre string, active bool, revision int64) view.EvacuationChange {
+func evacuation(dataCentre string, active bool, revision view.Revision) view.EvacuationChange {
 	return view.EvacuationChange{Evacuation: view.Evacuation{DataCentre: dataCentre, Active: active, Revision: revision}}
 }
 
@@ -44,7 +44,7 @@
 	}}, never)
 }
 
-func after(v *view.View, revision int64, list ...view.Change) *view.View {
+func after(v *view.View, revision view.Revision, list ...view.Change) *view.View {
 	return v.WithChanges(now, view.Changes{Revision: revision, List: list}, never)
 }
 
@@ -126,7 +126,7 @@
 		for i := range rapid.IntRange(1, 8).Draw(t, "changes") {
 			dc := rapid.SampledFrom(centres).Draw(t, "data centre")
 			newest[dc] = rapid.Bool().Draw(t, "active")
-			news = append(news, evacuation(dc, newest[dc], int64(6+i)))
+			news = append(news, evacuation(dc, newest[dc], view.Revision(6+i)))
 		}
 		heard := rapid.Permutation(append(news, news...)).Draw(t, "heard")
 		v := twoDataCentres()
--- a/internal/gateway/view/history.go
+++ b/internal/gateway/view/history.go
@@ -15,7 +15,7 @@
 // changed is the identities of the targets that changed up to a revision, as they
 // were reported together.
 type changed struct {
-	revision int64
+	revision Revision
 	ids      []string
 }
 
@@ -24,12 +24,12 @@
 type History struct {
 	// from and until are the revisions between which all changes are remembered; 0
 	// for none.
-	from, until int64
+	from, until Revision
 	reports     []changed
 }
 
 // newHistory returns a history that remembers what comes after a revision.
-func newHistory(revision int64) History { return History{from: revision, until: revision} }
+func newHistory(revision Revision) History { return History{from: revision, until: revision} }
 
 // With returns the history with changes that were reported. Older ones than it knows
 // are dropped.
@@ -65,7 +65,7 @@
 
 // Since returns the targets that changed after a revision, each once; false when
 // that is not remembered.
-func (h History) Since(revision int64) ([]string, bool) {
+func (h History) Since(revision Revision) ([]string, bool) {
 	if h.from == 0 || revision < h.from {
 		return nil, false
 	}
@@ -83,7 +83,7 @@
 type Delta struct {
 	// Since is the revision of the views that the delta can be added to, Revision
 	// the one that they have afterwards.
-	Since, Revision int64
+	Since, Revision Revision
 	// Targets are those that were added or changed; Gone the identities of those that
 	// vanished.
 	Targets []directory.Target
@@ -97,7 +97,7 @@
 
 // DeltaSince returns what changed after a revision; false when that is not
 // remembered.
-func (v *View) DeltaSince(revision int64) (Delta, bool) {
+func (v *View) DeltaSince(revision Revision) (Delta, bool) {
 	ids, known := v.history.Since(revision)
 	if !known {
 		return Delta{}, false
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -77,18 +77,14 @@
 
 // Changes are what the source reports up to a revision, in order.
 type Changes struct {
-	// Epoch rises when the source comes back from an older copy, whose revisions it gives
-	// out again; 0 for a source that does not say.
-	Epoch int64
-	// Revision is the source's own count of its changes.
-	Revision int64
+	Revision Revision
 	List     []Change
 }
 
 // View is what is known. It is immutable.
 type View struct {
-	// Revision is the source's revision up to which changes are taken in; 0 for none.
-	Revision int64
+	// Revision is the position up to which changes are taken in; 0 for none.
+	Revision Revision
 	// Catalog is the configuration in force; nil for none.
 	Catalog *catalog.Catalog
 	// Document is the source's own text of the catalog, to pass on to members.
--- a/internal/gateway/view/view_test.go
+++ b/internal/gateway/view/view_test.go
@@ -101,7 +101,7 @@
 		convey.So(ok, convey.ShouldBeFalse)
 		v := known()
 		for i := range 600 {
-			v = v.WithChanges(now, view.Changes{Revision: int64(6 + i), List: []view.Change{target("a", directory.Ready)}}, time.Time{})
+			v = v.WithChanges(now, view.Changes{Revision: view.Revision(6 + i), List: []view.Change{target("a", directory.Ready)}}, time.Time{})
 		}
 		_, ok = v.DeltaSince(6)
 		convey.So(ok, convey.ShouldBeFalse)
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -81,23 +81,27 @@
 // logChanges logs what changed between two views.
 func (k *viewKeeper) logChanges(old, next *view.View, ch view.Changes) {
 	if next.Version() != old.Version() {
-		k.log.Info().Int64("version", next.Version()).Int64("was", old.Version()).Int64("revision", next.Revision).
+		k.log.Info().Int64("version", next.Version()).Int64("was", old.Version()).Int64("revision", int64(next.Revision)).
 			Int("routes", next.Catalog.RouteCount()).Msg("view: configuration in force")
 	}
+	if next.Revision.IsRestoredSince(old.Revision) {
+		k.log.Warn().Int64("revision", int64(next.Revision)).Int64("was", int64(old.Revision)).
+			Msg("view: the source has come back from an older copy")
+	}
 	k.logEvacuations(old, next)
 	if old.Catalog == nil && next.Catalog != nil {
 		// One line for all: a line each costs a weak node that starts with hundreds of
 		// targets more time than to read them. The state dump lists them.
-		k.log.Info().Int("targets", len(next.Directory.All())).Int64("revision", ch.Revision).Msg("view: targets listed")
+		k.log.Info().Int("targets", len(next.Directory.All())).Int64("revision", int64(ch.Revision)).Msg("view: targets listed")
 		ch.List = slices.DeleteFunc(slices.Clone(ch.List), isTarget)
 	}
 	for _, c := range ch.List {
 		switch c := c.(type) {
 		case view.TargetChange:
 			k.log.Info().Str("target", c.Target.ID).Str("service", c.Target.Service).Str("address", c.Target.Address).
-				Str("state", c.Target.State.String()).Int64("born", c.Target.Born).Int64("revision", ch.Revision).Msg("view: target")
+				Str("state", c.Target.State.String()).Int64("born", c.Target.Born).Int64("revision", int64(ch.Revision)).Msg("view: target")
 		case view.TargetGone:
-			k.log.Info().Str("target", c.ID).Int64("revision", ch.Revision).Msg("view: target gone")
+			k.log.Info().Str("target", c.ID).Int64("revision", int64(ch.Revision)).Msg("view: target gone")
 		case view.Rejected:
 			k.refused()
 			k.log.Error().Str("key", c.Key).Str("why", c.Reason).Msg("view: entry refused")
@@ -118,6 +122,6 @@
 		if e.Active {
 			text = "view: data centre evacuated"
 		}
-		k.log.Info().Str("dataCentre", e.DataCentre).Int64("revision", e.Revision).Str("from", e.From).Msg(text)
+		k.log.Info().Str("dataCentre", e.DataCentre).Int64("revision", int64(e.Revision)).Str("from", e.From).Msg(text)
 	}
 }
--- a/internal/gateway/viewkeeper_test.go
+++ b/internal/gateway/viewkeeper_test.go
@@ -21,7 +21,7 @@
 			notified = append(notified, v)
 		})
 		target := directory.Target{ID: "t", Service: "s"}
-		publish := func(revision int64, list ...view.Change) {
+		publish := func(revision view.Revision, list ...view.Change) {
 			ch := view.Changes{Revision: revision, List: list}
 			keeper.apply(ch, func(now time.Time, v *view.View) *view.View {
 				return v.WithChanges(now, ch, time.Time{})
