A target that left stays left when a restored source lists it as ready

What callers saw: requests at replicas that had said that they leave, or had gone, before the source came back from a copy in which they were ready.

Cause: the directory took the state of the newest list; nothing was remembered of a target that had gone.

Change: within a life, draining does not end (Edit.Put), by whichever way a node hears of the target. The view remembers for a minute the lives that went; listed by a restored source, one that had drained drains, another one has "returned": it takes no work for 4 s, as the entry of a target that does not live lapses in three heartbeats. Gossip's rounds bring the view to the present, so that the state ends in a source without changes too.

Messages: a target in a view has returnsMs.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -24,13 +24,17 @@
 	// Draining targets finish what they have and take nothing new.
 	Draining
 	// Lapsed targets vanished from the list during or soon after an outage of it.
-	// They take new work until LapsesAt, by which a target that lives is listed
+	// They take new work until StateUntil, by which a target that lives is listed
 	// again.
 	Lapsed
+	// Returned targets had vanished, and are listed by a source that came back from an
+	// older copy. They take no new work until StateUntil, by which the entry of a target
+	// that does not live has gone.
+	Returned
 )
 
 // String gives the text used in logs.
-func (s State) String() string { return [...]string{"ready", "draining", "lapsed"}[s] }
+func (s State) String() string { return [...]string{"ready", "draining", "lapsed", "returned"}[s] }
 
 // Target is one replica of a service.
 type Target struct {
@@ -46,14 +50,14 @@
 	DataCentre string
 	// Slots is how many calls the target works on at a time; 0 for unknown.
 	Slots int32
-	// State is as listed, or Lapsed.
+	// State is as listed, or Lapsed, or Returned.
 	State State
 	// Evacuated says that the target's data centre takes no new work. The directory sets
 	// it (Edit.Evacuate); what a caller puts there does not count.
 	Evacuated bool
-	// LapsesAt is until when a lapsed target is used, by this node's clock; zero for
-	// others.
-	LapsesAt time.Time
+	// StateUntil is until when a target has Lapsed or Returned, by this node's clock; zero
+	// for other states.
+	StateUntil time.Time
 	// ColdUntil is until when the target is cold, by this node's clock: until then it
 	// bears a few requests a second and falls over at many (package warmup). Zero for
 	// never.
@@ -107,14 +111,10 @@
 	return e.Directory()
 }
 
-// WithTime returns the directory without the lapsed targets whose time is over.
+// WithTime returns the directory at a time, as Edit.Expire does it.
 func (d *Directory) WithTime(now time.Time) *Directory {
 	e := d.Edit()
-	for id, t := range d.targets {
-		if t.State == Lapsed && !now.Before(t.LapsesAt) {
-			e.Remove(id)
-		}
-	}
+	e.Expire(now)
 	return e.Directory()
 }
 
@@ -141,12 +141,12 @@
 // if it has lapsed, its time is not over. Whether this node leaves it unused for failing
 // is another question (placement.TargetTable.Ejected).
 func (t Target) Usable(now time.Time) bool {
-	return t.Open() && (t.State != Lapsed || now.Before(t.LapsesAt))
+	return t.Open() && (t.State != Lapsed || now.Before(t.StateUntil))
 }
 
 // Open says whether the target takes new work for as long as it is listed or lapsed: it
-// does not drain, and its data centre is not evacuated.
-func (t Target) Open() bool { return t.State != Draining && !t.Evacuated }
+// neither drains nor has Returned, and its data centre is not evacuated.
+func (t Target) Open() bool { return t.State != Draining && t.State != Returned && !t.Evacuated }
 
 // Cold says whether the target is cold at the given time.
 func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
@@ -159,7 +159,7 @@
 		if t.Open() {
 			return false
 		}
-		evacuated = evacuated || t.State != Draining
+		evacuated = evacuated || t.State != Draining && t.State != Returned
 	}
 	return evacuated
 }
--- a/internal/gateway/directory/directory_test.go
+++ b/internal/gateway/directory/directory_test.go
@@ -24,8 +24,8 @@
 	}{
 		{"that is ready does", directory.Target{}, now, true},
 		{"that drains does not", directory.Target{State: directory.Draining}, now, false},
-		{"that has lapsed does", directory.Target{State: directory.Lapsed, LapsesAt: until}, until.Add(-1), true},
-		{"that has lapsed does not when its time is over", directory.Target{State: directory.Lapsed, LapsesAt: until}, until, false},
+		{"that has lapsed does", directory.Target{State: directory.Lapsed, StateUntil: until}, until.Add(-1), true},
+		{"that has lapsed does not when its time is over", directory.Target{State: directory.Lapsed, StateUntil: until}, until, false},
 	}
 	convey.Convey("A target", t, func() {
 		for _, c := range cases {
--- a/internal/gateway/directory/edit.go
+++ b/internal/gateway/directory/edit.go
@@ -15,14 +15,18 @@
 	targets map[string]Target
 	// evacuated are the data centres that take no new work after the changes so far.
 	evacuated map[string]bool
+	// removed are the targets that were dropped, as they were then.
+	removed []Target
 }
 
 // Edit begins changes of the directory.
 func (d *Directory) Edit() *Edit { return &Edit{base: d, evacuated: d.evacuated} }
 
-// Put adds or changes a target. One that was known to be cold for longer stays so, in one
-// life. A start that is not said is the one that is known: members of an earlier version
-// pass targets on without it.
+// Put adds or changes a target. In one life, a target that was known to be cold for longer
+// stays so, one that drains does not take new work again, and one that has Returned waits
+// for its time: a source that came back from an older copy lists what it knew then. A start
+// that is not said is the one that is known: members of an earlier version pass targets on
+// without it.
 func (e *Edit) Put(t Target) {
 	if known, is := e.target(t.ID); is {
 		if t.Born == 0 {
@@ -31,28 +35,53 @@
 		if t.Born == known.Born || known.Born == 0 {
 			t.ColdUntil = later(t.ColdUntil, known.ColdUntil)
 		}
+		if t.Born == known.Born && t.State != Draining && (known.State == Draining || known.State == Returned) {
+			t.State, t.StateUntil = known.State, known.StateUntil
+		}
 	}
 	e.changed()[t.ID] = t
 }
 
 // Remove drops a target.
 func (e *Edit) Remove(id string) {
-	if _, known := e.target(id); known {
+	if t, known := e.target(id); known {
 		delete(e.changed(), id)
+		e.removed = append(e.removed, t)
+	}
+}
+
+// Removed returns the targets that were dropped, as they were then.
+func (e *Edit) Removed() []Target { return e.removed }
+
+// Expire ends the states whose time is over: targets that have Lapsed are dropped, those
+// that have Returned are ready.
+func (e *Edit) Expire(now time.Time) {
+	for id, t := range e.base.targets {
+		if t.StateUntil.IsZero() || now.Before(t.StateUntil) {
+			continue
+		}
+		switch t.State {
+		case Lapsed:
+			e.Remove(id)
+		case Returned:
+			t.State, t.StateUntil = Ready, time.Time{}
+			e.changed()[id] = t
+		case Ready, Draining:
+		}
 	}
 }
 
 // Lapse has a target lapse at a time. One that was draining is dropped: it vanished as
-// announced. One that has lapsed already keeps its time.
+// announced; so is one that has Returned. One that has lapsed already keeps its time.
 func (e *Edit) Lapse(id string, until time.Time) {
 	t, known := e.target(id)
 	switch {
 	case !known, t.State == Lapsed:
-	case t.State == Draining:
+	case t.State == Draining, t.State == Returned:
 		e.Remove(id)
 	default:
 		t.State = Lapsed
-		t.LapsesAt = until
+		t.StateUntil = until
 		e.Put(t)
 	}
 }
--- a/internal/gateway/directory/edit_test.go
+++ b/internal/gateway/directory/edit_test.go
@@ -44,7 +44,7 @@
 			e.Lapse("b", until)
 			b, _ := e.Directory().Target("b")
 			convey.So(b.State, convey.ShouldEqual, directory.Lapsed)
-			convey.So(b.LapsesAt, convey.ShouldEqual, until)
+			convey.So(b.StateUntil, convey.ShouldEqual, until)
 		})
 	})
 	convey.Convey("A large list copies and sorts the targets once", t, func() {
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -88,8 +88,10 @@
 	}
 }
 
-// round exchanges with some members.
+// round exchanges with some members. Before it, the view is brought to the present: a source
+// in which nothing changes does not do that.
 func (g *gossip) round(ctx context.Context) {
+	g.views.expire()
 	g.publishStatus()
 	for _, partner := range g.members.beginRound(gossipPartners) {
 		go func() {
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -249,8 +249,12 @@
 		Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: int(t.Slots), Born: int(t.Born),
 		Draining: t.State == directory.Draining,
 	}
-	if t.State == directory.Lapsed {
-		m.LapsesMs = max(millisUntil(now, t.LapsesAt), 1)
+	switch t.State {
+	case directory.Lapsed:
+		m.LapsesMs = max(millisUntil(now, t.StateUntil), 1)
+	case directory.Returned:
+		m.ReturnsMs = max(millisUntil(now, t.StateUntil), 1)
+	case directory.Ready, directory.Draining:
 	}
 	if t.Cold(now) {
 		m.ColdMs = max(millisUntil(now, t.ColdUntil), 1)
@@ -266,7 +270,10 @@
 		target.State = directory.Draining
 	case t.LapsesMs > 0:
 		target.State = directory.Lapsed
-		target.LapsesAt = now.Add(millis(t.LapsesMs))
+		target.StateUntil = now.Add(millis(t.LapsesMs))
+	case t.ReturnsMs > 0:
+		target.State = directory.Returned
+		target.StateUntil = now.Add(millis(t.ReturnsMs))
 	}
 	if t.ColdMs > 0 {
 		target.ColdUntil = now.Add(millis(t.ColdMs))
--- a/internal/gateway/peermessages_test.go
+++ b/internal/gateway/peermessages_test.go
@@ -68,10 +68,10 @@
 		convey.So(targetOf(received, targetMessage(sent, target)), convey.ShouldResemble, target)
 		target.State = directory.Draining
 		convey.So(targetOf(received, targetMessage(sent, target)), convey.ShouldResemble, target)
-		target.State, target.LapsesAt = directory.Lapsed, sent.Add(time.Second)
+		target.State, target.StateUntil = directory.Lapsed, sent.Add(time.Second)
 		got := targetOf(received, targetMessage(sent, target))
 		convey.So(got.State, convey.ShouldEqual, directory.Lapsed)
-		convey.So(got.LapsesAt, convey.ShouldEqual, received.Add(time.Second))
+		convey.So(got.StateUntil, convey.ShouldEqual, received.Add(time.Second))
 		convey.Convey("and is still expired when that time is over", func() {
 			got := targetOf(received, targetMessage(sent.Add(time.Minute), target))
 			convey.So(got.State, convey.ShouldEqual, directory.Lapsed)
--- a/internal/gateway/placement/byprefill_test.go
+++ b/internal/gateway/placement/byprefill_test.go
@@ -51,7 +51,7 @@
 	lapsing := engines(2)
 	for i := range lapsing {
 		if first, _ := place(0, lapsing, prompt("q", 7)); lapsing[i].ID == first.ID {
-			lapsing[i].State, lapsing[i].LapsesAt = directory.Lapsed, now.Add(time.Minute)
+			lapsing[i].State, lapsing[i].StateUntil = directory.Lapsed, now.Add(time.Minute)
 			break
 		}
 	}
--- a/internal/gateway/placement/copysource_test.go
+++ b/internal/gateway/placement/copysource_test.go
@@ -29,7 +29,7 @@
 		p.Place(now, list[:1], placement.Prompt{Request: "busy", Tokens: 60_000})
 		later := slices.Clone(list)
 		later[0].State = changed
-		later[0].LapsesAt = now.Add(time.Minute)
+		later[0].StateUntil = now.Add(time.Minute)
 		placed, ok := p.Place(now, later, placement.Prompt{Request: "q", Shared: shared, Tokens: 12_000, Slack: 500 * time.Millisecond})
 		convey.So(ok, convey.ShouldBeTrue)
 		convey.So(placed.ID, convey.ShouldEqual, "t1")
--- a/internal/gateway/placement/leastloaded_test.go
+++ b/internal/gateway/placement/leastloaded_test.go
@@ -19,7 +19,7 @@
 // pair returns targets t0 and t1 of the same data centre, t0 in a state.
 func pair(state directory.State) []directory.Target {
 	return []directory.Target{
-		{ID: "t0", DataCentre: "d0", Slots: 8, State: state, LapsesAt: now.Add(time.Minute)},
+		{ID: "t0", DataCentre: "d0", Slots: 8, State: state, StateUntil: now.Add(time.Minute)},
 		{ID: "t1", DataCentre: "d0", Slots: 8},
 	}
 }
--- /dev/null
+++ b/internal/gateway/view/restored_test.go
@@ -0,0 +1,60 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
+)
+
+// afterRestore is the first list of a source that came back from an older copy.
+func afterRestore(list ...view.Change) view.Changes {
+	return view.Changes{Revision: view.NewRevision(1, 3), List: list}
+}
+
+// shouldBeIn asserts a target's state in a view.
+func shouldBeIn(state directory.State, v *view.View, id string) {
+	got, known := v.Directory.Target(id)
+	convey.So(known, convey.ShouldBeTrue)
+	convey.So(got.State, convey.ShouldEqual, state)
+}
+
+// TestDepartedTargets guards against targets that had gone and are used again at once when a
+// restored source lists them.
+func TestDepartedTargets(t *testing.T) {
+	convey.Convey("Given a view that knows two targets", t, func() {
+		v := view.New().WithChanges(now, view.Changes{Revision: 5, List: []view.Change{
+			target("a", directory.Ready), target("b", directory.Draining),
+		}}, never)
+		gone := func(v *view.View) *view.View {
+			ch := view.Changes{Revision: 6, List: []view.Change{view.TargetGone{ID: "a"}, view.TargetGone{ID: "b"}}}
+			return v.WithChanges(now, ch, never)
+		}
+		listed := afterRestore(target("a", directory.Ready), target("b", directory.Ready))
+		convey.Convey("one that went returns after a while, one that drained does not", func() {
+			v = gone(v).WithSnapshot(now, listed, never)
+			shouldBeIn(directory.Returned, v, "a")
+			shouldBeIn(directory.Draining, v, "b")
+			v = v.WithTime(now.Add(time.Hour))
+			shouldBeIn(directory.Ready, v, "a")
+			shouldBeIn(directory.Draining, v, "b")
+		})
+		convey.Convey("one that came back before is used on", func() {
+			v = gone(v).WithChanges(now, view.Changes{Revision: 7, List: []view.Change{target("a", directory.Ready)}}, never)
+			shouldBeIn(directory.Ready, v.WithSnapshot(now, listed, never), "a")
+		})
+		convey.Convey("one that is listed again in the same epoch is ready", func() {
+			v = gone(v).WithSnapshot(now, view.Changes{Revision: 8, List: listed.List}, never)
+			shouldBeIn(directory.Ready, v, "a")
+		})
+		convey.Convey("one that went long before is ready", func() {
+			later := now.Add(time.Hour)
+			v = gone(v).WithChanges(later, view.Changes{Revision: 7, List: []view.Change{target("c", directory.Ready)}}, never)
+			v = v.WithChanges(later, view.Changes{Revision: 8, List: []view.Change{view.TargetGone{ID: "c"}}}, never)
+			shouldBeIn(directory.Ready, v.WithSnapshot(later, listed, never), "a")
+		})
+	})
+}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -95,6 +95,8 @@
 	Evacuations Evacuations
 	// history is what changed lately, up to Revision.
 	history History
+	// departed are the targets that went lately.
+	departed departures
 }
 
 // New returns the view of a node that knows nothing.
@@ -124,9 +126,15 @@
 // target that vanishes within LapseGrace of it counts as lapsed.
 func (v *View) WithChanges(now time.Time, ch Changes, lastOutage time.Time) *View {
 	targets := v.Directory.Edit()
-	next := v.withChanges(targets, now, ch, lastOutage)
-	next.Directory = targets.Directory()
-	return next
+	return v.withChanges(targets, now, ch, lastOutage).withTargets(now, targets)
+}
+
+// withTargets returns a new view, which is the caller's own, with the directory that an edit
+// gives.
+func (v *View) withTargets(now time.Time, targets *directory.Edit) *View {
+	v.Directory = targets.Directory()
+	v.departed = v.departed.With(now, targets.Removed())
+	return v
 }
 
 // withChanges returns the view with changes taken in; those of targets are only noted
@@ -134,6 +142,7 @@
 func (v *View) withChanges(targets *directory.Edit, now time.Time, ch Changes, lastOutage time.Time) *View {
 	next := *v
 	evacuations := v.Evacuations
+	restored := ch.Revision.IsRestoredSince(v.Revision)
 	for _, c := range ch.List {
 		switch c := c.(type) {
 		case CatalogChange:
@@ -141,7 +150,11 @@
 				next.Catalog, next.Document = c.Catalog, c.Document
 			}
 		case TargetChange:
-			targets.Put(c.target(now))
+			t := c.target(now)
+			if restored && !v.Directory.Lives(t.Life()) {
+				t = v.departed.returning(now, t)
+			}
+			targets.Put(t)
 		case TargetGone:
 			removeTarget(targets, now, c.ID, lastOutage)
 		case EvacuationChange:
@@ -178,20 +191,19 @@
 			removeTarget(targets, now, id, lastOutage)
 		}
 	}
-	next.Directory = targets.Directory()
 	next.history = newHistory(next.Revision)
-	return next
+	return next.withTargets(now, targets)
 }
 
-// WithTime returns the view without the lapsed targets whose grace is over; the same
-// view when there are none.
+// WithTime returns the view at a time: without the lapsed targets whose grace is over, and
+// with the returned ones ready whose time is over; the same view when there are none.
 func (v *View) WithTime(now time.Time) *View {
-	d := v.Directory.WithTime(now)
-	if d == v.Directory {
+	targets := v.Directory.Edit()
+	targets.Expire(now)
+	next := *v
+	if next.withTargets(now, targets); next.Directory == v.Directory {
 		return v
 	}
-	next := *v
-	next.Directory = d
 	return &next
 }
 
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// expire ends what only holds for a time in the current view.
+func (k *viewKeeper) expire() {
+	k.apply(view.Changes{}, func(_ time.Time, v *view.View) *view.View { return v })
+}
+
 // isTarget says whether a change is a target that was added or changed.
 func isTarget(c view.Change) bool {
 	_, is := c.(view.TargetChange)
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -897,6 +897,10 @@
 	// in milliseconds; 0 for one that is listed.
 	LapsesMs int `json:"lapsesMs,omitempty,omitzero"`
 
+	// Time until a target that had vanished, and is listed by a source that came back
+	// from an older copy, takes new work, in milliseconds; 0 for others.
+	ReturnsMs int `json:"returnsMs,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
