Targets that a restored source lacks lapse, as after an outage

What callers saw: 503 at once where all targets of a service had registered after the copy that the source came back with, and lost work where some had, though they live and register again within seconds.

Cause: a whole list drops what it does not name, unless a call to the source had failed lately; the first list of a restored source is whole by its own account only.

Change: the first list of a new epoch counts as an outage that ends now, wherever it is heard, so that what it lacks is used for LapseGrace more; targets that drained are gone.

Unit test in package view. Messages are as before.

--- a/internal/gateway/view/restored_test.go
+++ b/internal/gateway/view/restored_test.go
@@ -58,3 +58,16 @@
 		})
 	})
 }
+
+// TestTargetsNewerThanTheCopy guards against targets that are dropped at once because a
+// restored source does not list them yet.
+func TestTargetsNewerThanTheCopy(t *testing.T) {
+	convey.Convey("A target that the first list of a restored source lacks lapses, one that drains is gone", t, func() {
+		v := view.New().WithChanges(now, view.Changes{Revision: 5, List: []view.Change{
+			target("a", directory.Ready), target("b", directory.Draining),
+		}}, never).WithSnapshot(now, afterRestore(), never)
+		shouldBeIn(directory.Lapsed, v, "a")
+		convey.So(v.Directory.All(), convey.ShouldHaveLength, 1)
+		convey.So(v.WithTime(now.Add(view.LapseGrace)).Directory.All(), convey.ShouldBeEmpty)
+	})
+}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -172,11 +172,15 @@
 
 // WithSnapshot returns the view with the directory replaced by a whole list of the
 // source; targets that are not listed have vanished. A list that is older than the
-// view is dropped.
+// view is dropped. The first list of a restored source lacks what is newer than its copy, as
+// after an outage that ends now.
 func (v *View) WithSnapshot(now time.Time, ch Changes, lastOutage time.Time) *View {
 	if ch.Revision < v.Revision {
 		return v
 	}
+	if ch.Revision.IsRestoredSince(v.Revision) {
+		lastOutage = now
+	}
 	listed := make(map[string]bool, len(ch.List))
 	for _, c := range ch.List {
 		if t, ok := c.(TargetChange); ok {
