A newer configuration is taken from a member whose view is otherwise older

What callers saw: a key that had been revoked was served by a node that started on a store which had lost that, for as long as the store was not written again, although another member refused it.

Cause: a member's view was taken whole or not at all, by its revision. A member that is cut off from the store when it comes back stands in an older epoch, so its newer configuration was dropped.

Change: a list or a delta that does not follow on the view gives its configuration, if that is newer; versions never go back (View.withCatalog, the one place of that rule).

Unit test in package view. Messages are as before.

--- a/internal/gateway/view/history.go
+++ b/internal/gateway/view/history.go
@@ -114,12 +114,12 @@
 }
 
 // WithDelta returns the view with a member's delta taken in. A view that has another
-// revision than the delta is for stays as it is.
+// revision than the delta is for takes its catalog alone, if that is newer.
 func (v *View) WithDelta(now time.Time, d Delta) *View {
+	ch := d.Changes()
 	if d.Since != v.Revision || d.Revision <= v.Revision {
-		return v
+		return v.withCatalogOf(ch)
 	}
-	ch := d.Changes()
 	// The member has decided which targets lapse, so that the others have gone here too.
 	return v.WithChanges(now, ch, time.Time{})
 }
--- a/internal/gateway/view/restored_test.go
+++ b/internal/gateway/view/restored_test.go
@@ -71,3 +71,27 @@
 		convey.So(v.WithTime(now.Add(view.LapseGrace)).Directory.All(), convey.ShouldBeEmpty)
 	})
 }
+
+// TestNewerCatalogOfAnOlderView guards against members that keep an older configuration
+// because the member that knows a newer one has not heard that the source came back.
+func TestNewerCatalogOfAnOlderView(t *testing.T) {
+	known := func(v *view.View) {
+		convey.So(v.Version(), convey.ShouldEqual, 7)
+		convey.So(v.Revision, convey.ShouldEqual, view.NewRevision(1, 3))
+		shouldBeIn(directory.Ready, v, "a")
+	}
+	convey.Convey("Given a view of a restored source with an older configuration", t, func() {
+		v := view.New().WithSnapshot(now, afterRestore(version(6), target("a", directory.Ready)), never)
+		convey.Convey("an older list gives its configuration alone", func() {
+			older := view.Changes{Revision: 9, List: []view.Change{version(7), target("b", directory.Ready)}}
+			known(v.WithSnapshot(now, older, never))
+			convey.Convey("and none that is older still", func() {
+				known(v.WithSnapshot(now, older, never).WithSnapshot(now, view.Changes{Revision: 9, List: []view.Change{version(5)}}, never))
+			})
+		})
+		convey.Convey("so does an older delta", func() {
+			c := version(7)
+			known(v.WithDelta(now, view.Delta{Since: v.Revision, Revision: 9, Catalog: &c, Gone: []string{"a"}}))
+		})
+	})
+}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -146,9 +146,7 @@
 	for _, c := range ch.List {
 		switch c := c.(type) {
 		case CatalogChange:
-			if next.Catalog == nil || c.Catalog.Version > next.Catalog.Version {
-				next.Catalog, next.Document = c.Catalog, c.Document
-			}
+			next = *next.withCatalog(c)
 		case TargetChange:
 			t := c.target(now)
 			if restored && !v.Directory.Lives(t.Life()) {
@@ -170,13 +168,35 @@
 	return &next
 }
 
+// withCatalog returns the view with a catalog, unless that is no newer than the one in
+// force: a restored source may list an older one.
+func (v *View) withCatalog(c CatalogChange) *View {
+	if v.Catalog != nil && c.Catalog.Version <= v.Catalog.Version {
+		return v
+	}
+	next := *v
+	next.Catalog, next.Document = c.Catalog, c.Document
+	return &next
+}
+
+// withCatalogOf returns the view with the catalog alone of changes that do not follow on
+// it: a member that has not heard that the source came back may know a newer one.
+func (v *View) withCatalogOf(ch Changes) *View {
+	for _, c := range ch.List {
+		if c, is := c.(CatalogChange); is {
+			v = v.withCatalog(c)
+		}
+	}
+	return v
+}
+
 // WithSnapshot returns the view with the directory replaced by a whole list of the
 // source; targets that are not listed have vanished. A list that is older than the
-// view is dropped. The first list of a restored source lacks what is newer than its copy, as
+// view is dropped, but for a newer catalog. The first list of a restored source lacks what is newer than its copy, as
 // after an outage that ends now.
 func (v *View) WithSnapshot(now time.Time, ch Changes, lastOutage time.Time) *View {
 	if ch.Revision < v.Revision {
-		return v
+		return v.withCatalogOf(ch)
 	}
 	if ch.Revision.IsRestoredSince(v.Revision) {
 		lastOutage = now
