Evacuations hold for a while against a source that came back from an older copy

What callers saw: a zone that had been evacuated got work again as soon as the store was back from a copy without that order; a zone that had been taken back was left out again by the copy's.

Cause: an evacuation's position was compared by revision, and a list ended what it does not name. The entries of a copy have positions of the new epoch although nobody has written them since.

A change that comes by a watch counts at once. Members pass the dispute on.

Evidence: TestEvacuationsOfARestoredStore failed before in the cases of an order and of an end in the lost part, with one node and three; now passes, as does each order or end that is written after the return, in a number that the lost part had used too. TestDisputedEvacuations: what is never written again ends by the source's word.

Messages: ViewEvacuation has orderedAt, disputedAt and holdsMs. An earlier build passes over them and takes the copy's word, as it does now; roll out and back in any order.

--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -83,7 +83,7 @@
 // learnt of them and from whom.
 func evacuationStates(now time.Time, evacuations view.Evacuations) []message.ViewEvacuation {
 	known := evacuations.All()
-	list := evacuationMessages(known)
+	list := evacuationMessages(now, known)
 	for i, e := range known {
 		list[i].From, list[i].AgeMs = e.From, int(now.Sub(e.Since).Milliseconds())
 	}
--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -121,7 +121,7 @@
 	for _, t := range s.Targets {
 		ch.List = append(ch.List, view.TargetChange{Target: targetOf(now, t)})
 	}
-	evacuations := evacuationsOf(member, s.Evacuations)
+	evacuations := evacuationsOf(now, member, s.Evacuations)
 	if s.Evacuations == nil {
 		// A member of an earlier version knows of none, so that its list lifts none.
 		evacuations = f.views.load().Evacuations.All()
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -175,7 +175,7 @@
 func snapshotMessage(now time.Time, v *view.View) message.ViewSnapshot {
 	return message.ViewSnapshot{
 		Revision: int(v.Revision), Document: base64.StdEncoding.EncodeToString(v.Document), Targets: targetMessages(now, v.Directory),
-		Evacuations: evacuationMessages(v.Evacuations.All()),
+		Evacuations: evacuationMessages(now, v.Evacuations.All()),
 	}
 }
 
@@ -184,7 +184,7 @@
 func deltaMessage(now time.Time, d view.Delta, document []byte) message.ViewSnapshot {
 	m := message.ViewSnapshot{
 		Since: int(d.Since), Revision: int(d.Revision), Targets: []message.ViewTarget{}, Gone: d.Gone,
-		Document: base64.StdEncoding.EncodeToString(document), Evacuations: evacuationMessages(d.Evacuations),
+		Document: base64.StdEncoding.EncodeToString(document), Evacuations: evacuationMessages(now, d.Evacuations),
 	}
 	for _, t := range d.Targets {
 		m.Targets = append(m.Targets, targetMessage(now, t))
@@ -200,7 +200,7 @@
 func deltaOf(now time.Time, member string, s message.ViewSnapshot, catalog *view.CatalogChange) view.Delta {
 	d := view.Delta{
 		Since: view.Revision(s.Since), Revision: view.Revision(s.Revision), Gone: s.Gone, Catalog: catalog,
-		Evacuations: evacuationsOf(member, s.Evacuations),
+		Evacuations: evacuationsOf(now, member, s.Evacuations),
 	}
 	for _, t := range s.Targets {
 		d.Targets = append(d.Targets, targetOf(now, t))
@@ -210,19 +210,28 @@
 
 // evacuationMessages is what members are sent of evacuations. The list is never nil:
 // without one a member counts as of an earlier version, which knows of none.
-func evacuationMessages(list []view.Evacuation) []message.ViewEvacuation {
+func evacuationMessages(now time.Time, list []view.Evacuation) []message.ViewEvacuation {
 	out := make([]message.ViewEvacuation, len(list))
 	for i, e := range list {
-		out[i] = message.ViewEvacuation{DataCentre: e.DataCentre, Active: e.Active, Revision: int(e.Revision)}
+		out[i] = message.ViewEvacuation{DataCentre: e.DataCentre, Active: e.Active, Revision: int(e.Revision), OrderedAt: int(e.OrderedAt)}
+		if !e.HoldsUntil.IsZero() {
+			out[i].DisputedAt, out[i].HoldsMs = int(e.DisputedAt), max(millisUntil(now, e.HoldsUntil), 1)
+		}
 	}
 	return out
 }
 
 // evacuationsOf is what a member said of evacuations.
-func evacuationsOf(member string, list []message.ViewEvacuation) []view.Evacuation {
+func evacuationsOf(now time.Time, member string, list []message.ViewEvacuation) []view.Evacuation {
 	var out []view.Evacuation
-	for _, e := range list {
-		out = append(out, view.Evacuation{DataCentre: e.DataCentre, Active: e.Active, Revision: view.Revision(e.Revision), From: member})
+	for _, m := range list {
+		e := view.Evacuation{
+			DataCentre: m.DataCentre, Active: m.Active, Revision: view.Revision(m.Revision), OrderedAt: view.Revision(m.OrderedAt), From: member,
+		}
+		if m.HoldsMs > 0 {
+			e.DisputedAt, e.HoldsUntil = view.Revision(m.DisputedAt), now.Add(millis(m.HoldsMs))
+		}
+		out = append(out, e)
 	}
 	return out
 }
--- a/internal/gateway/view/evacuation.go
+++ b/internal/gateway/view/evacuation.go
@@ -9,6 +9,10 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 )
 
+// evacuationHold is how long an evacuation holds that a restored source lacks. It is
+// written again within seconds, unless it was lifted while this node did not hear of it.
+const evacuationHold = 30 * time.Second
+
 // Evacuation is what is known of one data centre: whether its targets take new work.
 type Evacuation struct {
 	DataCentre string
@@ -16,12 +20,56 @@
 	Active bool
 	// Revision is the source's when that was set or lifted.
 	Revision Revision
+	// OrderedAt is the position of the last order to evacuate it; 0 for unknown.
+	OrderedAt Revision
+	// DisputedAt is the position at which a restored source said the contrary of Active, and
+	// HoldsUntil is until when Active holds all the same; zero for undisputed.
+	DisputedAt Revision
+	// HoldsUntil: see DisputedAt.
+	HoldsUntil time.Time
 	// From is the member that said so; empty for the source itself.
 	From string
 	// Since is when this node heard it, by this node's clock.
 	Since time.Time
 }
 
+// followedBy decides what is known after a report that is newer by its position. A restored
+// source lists an order that was lifted after its copy: then the end of that holds for
+// returnGrace, within which it is written again. Another order is known by its number, or by
+// coming as a change: listed says that the report comes from a list, of the source or a member.
+func (e Evacuation) followedBy(n Evacuation, listed bool) Evacuation {
+	isOldOrder := listed && n.Active && n.Revision.IsRestoredSince(e.Revision) && n.Revision.Number() == e.OrderedAt.Number()
+	switch {
+	case isOldOrder && !e.Active:
+		return e.disputed(n.Revision, n.Since.Add(returnGrace))
+	case !n.Active && n.OrderedAt == 0:
+		n.OrderedAt = e.OrderedAt
+	}
+	return n
+}
+
+// disputed returns the evacuation with the contrary said of it, which holds from a time on.
+func (e Evacuation) disputed(at Revision, until time.Time) Evacuation {
+	if !e.HoldsUntil.IsZero() {
+		return e
+	}
+	e.DisputedAt, e.HoldsUntil = at, until
+	return e
+}
+
+// settled returns what holds when the time of a dispute is over.
+func (e Evacuation) settled(now time.Time) Evacuation {
+	return newEvacuation(Evacuation{DataCentre: e.DataCentre, Active: !e.Active, Revision: e.DisputedAt, OrderedAt: e.OrderedAt, Since: now})
+}
+
+// newEvacuation returns a report with the position of its order.
+func newEvacuation(n Evacuation) Evacuation {
+	if n.Active {
+		n.OrderedAt = n.Revision
+	}
+	return n
+}
+
 // EvacuationChange says that a data centre is evacuated, or taken back.
 type EvacuationChange struct{ Evacuation }
 
@@ -37,12 +85,23 @@
 type Evacuations struct{ byDataCentre map[string]Evacuation }
 
 // With returns the evacuations with one more taken in, unless it is older than what is
-// known of its data centre.
-func (e Evacuations) With(n Evacuation) Evacuations {
+// known of its data centre; listed is as for Evacuation.followedBy. Of a report that is known
+// the dispute is taken in, if that is new.
+func (e Evacuations) With(n Evacuation, listed bool) Evacuations {
 	known, is := e.byDataCentre[n.DataCentre]
-	if is && n.Revision <= known.Revision {
+	switch {
+	case !is:
+		return e.with(newEvacuation(n))
+	case n.Revision == known.Revision && n.DisputedAt > known.DisputedAt:
+		return e.with(known.disputed(n.DisputedAt, n.HoldsUntil))
+	case n.Revision <= max(known.Revision, known.DisputedAt):
 		return e
 	}
+	return e.with(known.followedBy(newEvacuation(n), listed))
+}
+
+// with returns the evacuations with what is known of one data centre replaced.
+func (e Evacuations) with(n Evacuation) Evacuations {
 	next := maps.Clone(e.byDataCentre)
 	if next == nil {
 		next = make(map[string]Evacuation)
@@ -51,6 +110,16 @@
 	return Evacuations{byDataCentre: next}
 }
 
+// withTime returns the evacuations at a time, with the disputes settled whose time is over.
+func (e Evacuations) withTime(now time.Time) Evacuations {
+	for _, known := range e.byDataCentre {
+		if !known.HoldsUntil.IsZero() && !now.Before(known.HoldsUntil) {
+			e = e.with(known.settled(now))
+		}
+	}
+	return e
+}
+
 // Of returns what is known of a data centre; the zero value for nothing.
 func (e Evacuations) Of(dataCentre string) Evacuation { return e.byDataCentre[dataCentre] }
 
@@ -75,7 +144,7 @@
 
 // withListed returns the evacuations after a whole list of the source's keys at a
 // revision: a data centre that is not listed was taken back. What is known from a later
-// revision stays.
+// revision stays, and an evacuation that a restored source lacks holds for evacuationHold.
 func (e Evacuations) withListed(now time.Time, ch Changes) Evacuations {
 	listed := make(map[string]bool)
 	for _, c := range ch.List {
@@ -84,8 +153,12 @@
 		}
 	}
 	for dataCentre, known := range e.byDataCentre {
-		if known.Active && !listed[dataCentre] {
-			e = e.With(Evacuation{DataCentre: dataCentre, Revision: ch.Revision, Since: now})
+		switch {
+		case listed[dataCentre]:
+		case known.Active && ch.Revision.IsRestoredSince(known.Revision):
+			e = e.with(known.disputed(ch.Revision, now.Add(evacuationHold)))
+		case known.Active || !known.HoldsUntil.IsZero():
+			e = e.With(Evacuation{DataCentre: dataCentre, Revision: ch.Revision, Since: now}, true)
 		}
 	}
 	return e
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -126,7 +126,7 @@
 // target that vanishes within LapseGrace of it counts as lapsed.
 func (v *View) WithChanges(now time.Time, ch Changes, lastOutage time.Time) *View {
 	targets := v.Directory.Edit()
-	return v.withChanges(targets, now, ch, lastOutage).withTargets(now, targets)
+	return v.withChanges(targets, now, ch, lastOutage, false).withTargets(now, targets)
 }
 
 // withTargets returns a new view, which is the caller's own, with the directory that an edit
@@ -138,8 +138,8 @@
 }
 
 // withChanges returns the view with changes taken in; those of targets are only noted
-// in an edit.
-func (v *View) withChanges(targets *directory.Edit, now time.Time, ch Changes, lastOutage time.Time) *View {
+// in an edit. whole says that they are a list of all that the source holds.
+func (v *View) withChanges(targets *directory.Edit, now time.Time, ch Changes, lastOutage time.Time, whole bool) *View {
 	next := *v
 	evacuations := v.Evacuations
 	restored := ch.Revision.IsRestoredSince(v.Revision)
@@ -157,7 +157,7 @@
 			removeTarget(targets, now, c.ID, lastOutage)
 		case EvacuationChange:
 			c.Since = now
-			evacuations = evacuations.With(c.Evacuation)
+			evacuations = evacuations.With(c.Evacuation, whole || c.From != "")
 		case Rejected:
 			targets.Remove(c.Target)
 		}
@@ -208,7 +208,7 @@
 		}
 	}
 	targets := v.Directory.Edit()
-	next := v.withChanges(targets, now, ch, lastOutage)
+	next := v.withChanges(targets, now, ch, lastOutage, true)
 	next.withEvacuations(targets, now, next.Evacuations.withListed(now, ch))
 	for _, id := range slices.Collect(maps.Keys(targets.All())) {
 		if !listed[id] {
@@ -219,12 +219,14 @@
 	return next.withTargets(now, targets)
 }
 
-// WithTime returns the view at a time: without the lapsed targets whose grace is over, and
-// with the returned ones ready whose time is over; the same view when there are none.
+// WithTime returns the view at a time: without the lapsed targets whose grace is over, with
+// the returned ones ready whose time is over, and with disputed evacuations settled; the same
+// view when there are none.
 func (v *View) WithTime(now time.Time) *View {
 	targets := v.Directory.Edit()
 	targets.Expire(now)
 	next := *v
+	next.withEvacuations(targets, now, v.Evacuations.withTime(now))
 	if next.withTargets(now, targets); next.Directory == v.Directory {
 		return v
 	}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -841,9 +841,19 @@
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre"`
 
+	// Revision at which a restored source said the contrary of active; 0 for
+	// undisputed.
+	DisputedAt int `json:"disputedAt,omitempty,omitzero"`
+
 	// Peer address of the member that said so, in a state dump; empty for the source.
 	From string `json:"from,omitempty,omitzero"`
 
+	// Time until the contrary holds, in milliseconds; 0 for undisputed.
+	HoldsMs int `json:"holdsMs,omitempty,omitzero"`
+
+	// Revision of the last order to evacuate it; 0 for unknown.
+	OrderedAt int `json:"orderedAt,omitempty,omitzero"`
+
 	// Revision of the source at which that was set or lifted.
 	Revision int `json:"revision"`
 }
