--- a/internal/gateway/gossipcodec/gossipcodec.go
+++ b/internal/gateway/gossipcodec/gossipcodec.go
@@ -59,6 +59,7 @@
 	flagServing
 	flagHears
 	flagCompact
+	flagEpochs
 )
 
 // jsonType is the media type of the form that every member reads.
@@ -135,7 +136,7 @@
 	for _, f := range []struct {
 		is   bool
 		flag int
-	}{{m.Leaving, flagLeaving}, {m.Serving, flagServing}, {m.Hears, flagHears}, {m.Compact, flagCompact}} {
+	}{{m.Leaving, flagLeaving}, {m.Serving, flagServing}, {m.Hears, flagHears}, {m.Compact, flagCompact}, {m.Epochs, flagEpochs}} {
 		if f.is {
 			flags |= f.flag
 		}
@@ -191,6 +192,7 @@
 			m.Serving = value&flagServing != 0
 			m.Hears = value&flagHears != 0
 			m.Compact = value&flagCompact != 0
+			m.Epochs = value&flagEpochs != 0
 		}
 		return nil
 	})
--- a/internal/gateway/gossipcodec/gossipcodec_test.go
+++ b/internal/gateway/gossipcodec/gossipcodec_test.go
@@ -37,7 +37,7 @@
 				Incarnation: number.Draw(t, "incarnation"), Beat: number.Draw(t, "beat"), Version: number.Draw(t, "version"),
 				Revision: number.Draw(t, "revision"), Capacity: number.Draw(t, "capacity"),
 				Leaving: rapid.Bool().Draw(t, "leaving"), Serving: rapid.Bool().Draw(t, "serving"),
-				Hears: rapid.Bool().Draw(t, "hears"), Compact: rapid.Bool().Draw(t, "compact"),
+				Hears: rapid.Bool().Draw(t, "hears"), Compact: rapid.Bool().Draw(t, "compact"), Epochs: rapid.Bool().Draw(t, "epochs"),
 			})
 		}
 		body, kind, err := Encode(g, true)
--- /dev/null
+++ b/internal/gateway/membership/earlierreaders_test.go
@@ -0,0 +1,65 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/membership"
+	"github.com/honeydyke/honeydyke/internal/message"
+)
+
+// TestReadersOfAnEarlierVersion guards against members that leave the source to members of
+// an earlier version, which do not notice that it came back from an older copy.
+func TestReadersOfAnEarlierVersion(t *testing.T) {
+	const (
+		members     = 80
+		wantReaders = 6
+	)
+	convey.Convey("Given members of which the first half is of an earlier version, and all hear the source", t, func() {
+		var all []message.GossipMember
+		for i := range members {
+			m := member(fmt.Sprintf("10.0.0.%d:1", i), 1, 1)
+			m.Hears, m.Epochs = true, i >= members/2
+			all = append(all, m)
+		}
+		readers := 0
+		for _, self := range all[members/2:] {
+			r := membership.NewRoster(self.Address, 1, nil)
+			r.SetStatus(membership.Status{Serving: true, ReachesSource: true})
+			r.Merge(rosterStart, message.Gossip{Members: all})
+			if r.IsReader(rosterStart) {
+				readers++
+			} else {
+				convey.So(r.FollowsReaders(rosterStart), convey.ShouldBeTrue)
+			}
+		}
+		convey.So(readers, convey.ShouldEqual, wantReaders)
+	})
+	convey.Convey("Given members of which all others are of an earlier version, a member reads", t, func() {
+		r := membership.NewRoster("10.0.1.1:1", 1, nil)
+		r.SetStatus(membership.Status{Serving: true})
+		var others []message.GossipMember
+		for i := range members {
+			m := member(fmt.Sprintf("10.0.0.%d:1", i), 1, 1)
+			m.Hears, m.Epochs = true, false
+			others = append(others, m)
+		}
+		r.Merge(rosterStart, message.Gossip{Members: others})
+		convey.So(r.IsReader(rosterStart), convey.ShouldBeTrue)
+		convey.So(r.FollowsReaders(rosterStart), convey.ShouldBeFalse)
+	})
+	convey.Convey("A report that a member of an earlier version passes on takes nothing back, within an incarnation", t, func() {
+		r := membership.NewRoster("10.0.1.1:1", 1, nil)
+		heard := func(incarnation, beat int, epochs bool) bool {
+			m := member("10.0.0.1:1", incarnation, beat)
+			m.Epochs = epochs
+			r.Merge(rosterStart, message.Gossip{Members: []message.GossipMember{m}})
+			return r.Members()[1].Epochs
+		}
+		convey.So(heard(1, 1, true), convey.ShouldBeTrue)
+		convey.So(heard(1, 2, false), convey.ShouldBeTrue)
+		convey.So(heard(2, 1, false), convey.ShouldBeFalse)
+	})
+}
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -46,7 +46,7 @@
 // the member.
 func NewRoster(self string, incarnation int64, seeds []string) *Roster {
 	r := &Roster{
-		self:  message.GossipMember{Address: self, Incarnation: int(incarnation), Compact: true},
+		self:  message.GossipMember{Address: self, Incarnation: int(incarnation), Compact: true, Epochs: true},
 		known: map[string]rosterEntry{}, ownWeight: weightOf(self),
 	}
 	r.SetSeeds(seeds)
@@ -109,6 +109,8 @@
 		if known && compareMembers(m, old.GossipMember) <= 0 {
 			continue
 		}
+		// A member of an earlier version passes reports on without what it does not know.
+		m.Epochs = m.Epochs || old.Epochs && old.Incarnation == m.Incarnation
 		e := rosterEntry{GossipMember: m, advanced: now, weight: old.weight}
 		if !known {
 			e.weight = weightOf(m.Address)
--- a/internal/gateway/membership/roster_test.go
+++ b/internal/gateway/membership/roster_test.go
@@ -16,7 +16,7 @@
 var rosterStart = time.Unix(1000, 0)
 
 func member(address string, incarnation, beat int) message.GossipMember {
-	return message.GossipMember{Address: address, Incarnation: incarnation, Beat: beat, Serving: true}
+	return message.GossipMember{Address: address, Incarnation: incarnation, Beat: beat, Serving: true, Epochs: true}
 }
 
 func gossip(members ...message.GossipMember) message.Gossip { return message.Gossip{Members: members} }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -165,6 +165,10 @@
 	// version do not.
 	Compact bool `json:"compact,omitempty,omitzero"`
 
+	// Whether the member tells the epochs of the source apart; members of an earlier
+	// version do not.
+	Epochs bool `json:"epochs,omitempty,omitzero"`
+
 	// Whether the member has heard the source lately.
 	Hears bool `json:"hears,omitempty,omitzero"`
 
