--- a/internal/gateway/membership/earlierreaders_test.go
+++ b/internal/gateway/membership/earlierreaders_test.go
@@ -50,6 +50,21 @@
 		convey.So(r.IsReader(rosterStart), convey.ShouldBeTrue)
 		convey.So(r.FollowsReaders(rosterStart), convey.ShouldBeFalse)
 	})
+	convey.Convey("Given that only members of an earlier version hear the source, nobody follows them", t, func() {
+		var all []message.GossipMember
+		for i := range members {
+			m := member(fmt.Sprintf("10.0.0.%d:1", i), 1, 1)
+			m.Epochs = i >= members/2
+			m.Hears = !m.Epochs
+			all = append(all, m)
+		}
+		for _, self := range all[members/2:] {
+			r := membership.NewRoster(self.Address, 1, nil)
+			r.SetStatus(membership.Status{Serving: true})
+			r.Merge(rosterStart, message.Gossip{Members: all})
+			convey.So(r.FollowsReaders(rosterStart), convey.ShouldBeFalse)
+		}
+	})
 	convey.Convey("A report that a member of an earlier version passes on takes nothing back, within an incarnation", t, func() {
 		r := membership.NewRoster("10.0.1.1:1", 1, nil)
 		heard := func(incarnation, beat int, epochs bool) bool {
