View: disputes of evacuations stand in a file of their own; one log line for a restored list

A whole list of a restored source logged a line for each target, which a weak node with hundreds of them pays for; it logs one. A departure that is older than a minute no longer counts where nothing else has gone since.

--- a/internal/gateway/view/departures.go
+++ b/internal/gateway/view/departures.go
@@ -27,8 +27,8 @@
 	announced bool
 }
 
-// With returns the departures with targets that have just gone.
-func (d departures) With(now time.Time, gone []directory.Target) departures {
+// with returns the departures with targets that have just gone.
+func (d departures) with(now time.Time, gone []directory.Target) departures {
 	if len(gone) == 0 {
 		return d
 	}
@@ -48,7 +48,7 @@
 func (d departures) returning(now time.Time, t directory.Target) directory.Target {
 	known, is := d.byLife[t.Life()]
 	switch {
-	case !is || t.State != directory.Ready:
+	case !is || now.Sub(known.at) > departedFor || t.State != directory.Ready:
 	case known.announced:
 		t.State = directory.Draining
 	default:
--- a/internal/gateway/view/evacuation.go
+++ b/internal/gateway/view/evacuation.go
@@ -9,10 +9,6 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 )
 
-// evacuationHold is how long an evacuation holds that a restored source lacks. It is
-// written again within seconds, unless it was lifted while this node did not hear of it.
-const evacuationHold = 30 * time.Second
-
 // Evacuation is what is known of one data centre: whether its targets take new work.
 type Evacuation struct {
 	DataCentre string
@@ -33,43 +29,14 @@
 	Since time.Time
 }
 
-// followedBy decides what is known after a report that is newer by its position. A restored
-// source lists an order that was lifted after its copy: then the end of that holds for
-// returnGrace, within which it is written again. Another order is known by its number, or by
-// coming as a change: listed says that the report comes from a list, of the source or a member.
-func (e Evacuation) followedBy(n Evacuation, listed bool) Evacuation {
-	isOldOrder := listed && n.Active && n.Revision.IsRestoredSince(e.Revision) && n.Revision.Number() == e.OrderedAt.Number()
-	switch {
-	case isOldOrder && !e.Active:
-		return e.disputed(n.Revision, n.Since.Add(returnGrace))
-	case !n.Active && n.OrderedAt == 0:
-		n.OrderedAt = e.OrderedAt
-	}
-	return n
-}
-
-// disputed returns the evacuation with the contrary said of it, which holds from a time on.
-func (e Evacuation) disputed(at Revision, until time.Time) Evacuation {
-	if !e.HoldsUntil.IsZero() {
-		return e
+// withOrder returns the evacuation with the position of its order, if it is one.
+func (e Evacuation) withOrder() Evacuation {
+	if e.Active {
+		e.OrderedAt = e.Revision
 	}
-	e.DisputedAt, e.HoldsUntil = at, until
 	return e
 }
 
-// settled returns what holds when the time of a dispute is over.
-func (e Evacuation) settled(now time.Time) Evacuation {
-	return newEvacuation(Evacuation{DataCentre: e.DataCentre, Active: !e.Active, Revision: e.DisputedAt, OrderedAt: e.OrderedAt, Since: now})
-}
-
-// newEvacuation returns a report with the position of its order.
-func newEvacuation(n Evacuation) Evacuation {
-	if n.Active {
-		n.OrderedAt = n.Revision
-	}
-	return n
-}
-
 // EvacuationChange says that a data centre is evacuated, or taken back.
 type EvacuationChange struct{ Evacuation }
 
@@ -91,13 +58,13 @@
 	known, is := e.byDataCentre[n.DataCentre]
 	switch {
 	case !is:
-		return e.with(newEvacuation(n))
+		return e.with(n.withOrder())
 	case n.Revision == known.Revision && n.DisputedAt > known.DisputedAt:
 		return e.with(known.disputed(n.DisputedAt, n.HoldsUntil))
 	case n.Revision <= max(known.Revision, known.DisputedAt):
 		return e
 	}
-	return e.with(known.followedBy(newEvacuation(n), listed))
+	return e.with(known.followedBy(n.withOrder(), listed))
 }
 
 // with returns the evacuations with what is known of one data centre replaced.
@@ -110,16 +77,6 @@
 	return Evacuations{byDataCentre: next}
 }
 
-// withTime returns the evacuations at a time, with the disputes settled whose time is over.
-func (e Evacuations) withTime(now time.Time) Evacuations {
-	for _, known := range e.byDataCentre {
-		if !known.HoldsUntil.IsZero() && !now.Before(known.HoldsUntil) {
-			e = e.with(known.settled(now))
-		}
-	}
-	return e
-}
-
 // Of returns what is known of a data centre; the zero value for nothing.
 func (e Evacuations) Of(dataCentre string) Evacuation { return e.byDataCentre[dataCentre] }
 
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -1,14 +1,15 @@
 // Package view holds what a node knows of the deployment: the catalog in force, the
-// directory of targets and the evacuated data centres, up to a revision of the source. It decides what a change
-// means and what changed since a revision. It does no input or output and reads no
-// clock; views are immutable and need no lock.
+// directory of targets and the evacuated data centres, up to a revision of the source. It
+// decides what a change means and what changed since a revision. It does no input or
+// output and reads no clock; views are immutable and need no lock.
 //
 // The package owns the view of one node. It relies on the source, or on a member
 // that has read it, for the changes; while neither can be reached the view stays as it
 // is, and is used as it is. Within a node's life the catalog's version and the revision
 // never go back: an older list or delta is dropped. A target that vanishes while the
 // source is failing is used for LapseGrace more, since the source itself may have
-// lost it.
+// lost it. A source may come back from an older copy; what it lists then goes before what
+// was known, but for an older catalog, targets that had left, and for a while evacuations.
 //
 // See docs/decisions/0011.
 package view
@@ -133,7 +134,7 @@
 // gives.
 func (v *View) withTargets(now time.Time, targets *directory.Edit) *View {
 	v.Directory = targets.Directory()
-	v.departed = v.departed.With(now, targets.Removed())
+	v.departed = v.departed.with(now, targets.Removed())
 	return v
 }
 
@@ -192,8 +193,8 @@
 
 // WithSnapshot returns the view with the directory replaced by a whole list of the
 // source; targets that are not listed have vanished. A list that is older than the
-// view is dropped, but for a newer catalog. The first list of a restored source lacks what is newer than its copy, as
-// after an outage that ends now.
+// view is dropped, but for a newer catalog. The first list of a restored source lacks
+// what is newer than its copy, as after an outage that ends now.
 func (v *View) WithSnapshot(now time.Time, ch Changes, lastOutage time.Time) *View {
 	if ch.Revision < v.Revision {
 		return v.withCatalogOf(ch)
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -89,12 +89,13 @@
 		k.log.Info().Int64("version", next.Version()).Int64("was", old.Version()).Int64("revision", int64(next.Revision)).
 			Int("routes", next.Catalog.RouteCount()).Msg("view: configuration in force")
 	}
-	if next.Revision.IsRestoredSince(old.Revision) {
+	restored := next.Revision.IsRestoredSince(old.Revision)
+	if restored {
 		k.log.Warn().Int64("revision", int64(next.Revision)).Int64("was", int64(old.Revision)).
 			Msg("view: the source has come back from an older copy")
 	}
 	k.logEvacuations(old, next)
-	if old.Catalog == nil && next.Catalog != nil {
+	if restored || old.Catalog == nil && next.Catalog != nil {
 		// One line for all: a line each costs a weak node that starts with hundreds of
 		// targets more time than to read them. The state dump lists them.
 		k.log.Info().Int("targets", len(next.Directory.All())).Int64("revision", int64(ch.Revision)).Msg("view: targets listed")
