--- a/internal/gateway/batching/pool.go
+++ b/internal/gateway/batching/pool.go
@@ -17,9 +17,7 @@
 //
 // Most targets of a large service are spare: its load needs a few of them, and those are
 // used again before any other (candidates). An event then costs what the service's load
-// is and not how many targets it has. With a pass over all targets for each of them, an
-// event of a service with 1,152 targets took 11 ms, and a coordinator could do 90 of the
-// some 2,000 that there are in a second (BenchmarkFleetService).
+// is and not how many targets it has (BenchmarkFleetService).
 //
 // It owns which list a target is in; whoever changes what that depends on calls sort.
 type pool struct {
--- a/internal/gateway/directory/edit.go
+++ b/internal/gateway/directory/edit.go
@@ -6,9 +6,7 @@
 )
 
 // Edit gathers changes of a directory, so that many together cost one copy and one
-// index of it: taking in a list of 365 targets one by one took a node of a fifth of a
-// core 0.35 s of its start, in which it refused requests (BenchmarkEdit). The base
-// stays as it is.
+// index of it (BenchmarkEdit). The base stays as it is.
 type Edit struct {
 	base *Directory
 	// targets are those after the changes so far; nil before the first.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -17,37 +17,34 @@
 // to begin. The head of an answer must come within both; its rest has
 // answerTimeout, as a slow link needs long for a large configuration.
 const (
-	// readerWait and readerSlack are for the readers. A connection that has
-	// silently died is noticed within both: 1.6 s, where 2.7 s broke the promise on
-	// new configurations.
+	// readerWait and readerSlack are for the readers. A connection that has silently died
+	// is noticed within both, well before a new configuration has to be in force.
 	readerWait = 1200 * time.Millisecond
 	// readerSlack: see readerWait.
 	readerSlack = 400 * time.Millisecond
 	// watchWait and watchSlack are for the other nodes. Their watches are ended
-	// when a member is known to be ahead, so that they may wait for long: with 2 s
-	// at every one of 80 nodes calls to the source cost more than anything else.
+	// when a member is known to be ahead, so that they may wait for long and spare
+	// the source.
 	watchWait = 20 * time.Second
 	// watchSlack: see watchWait. It is longer than readerSlack, as nobody waits for it.
 	watchSlack = 700 * time.Millisecond
 	// probeWait and probeSlack are for a source that is down, so that the end of its
-	// trouble is noticed within 0.7 s.
+	// trouble is noticed soon.
 	probeWait = 100 * time.Millisecond
 	// probeSlack: see probeWait.
 	probeSlack = 600 * time.Millisecond
 	// snapshotTimeout bounds the time to the head of the whole, which a source that is
 	// slow gives after a second or two.
 	snapshotTimeout = 3 * time.Second
-	// answerTimeout bounds the rest of an answer whose head has come: a
-	// configuration with 1,868 routes more takes most of a second over 10 Mbit/s,
-	// for 80 nodes at once; the figure is above that for slower links.
+	// answerTimeout bounds the rest of an answer whose head has come: a large
+	// configuration takes seconds over a slow link that nodes share.
 	answerTimeout = 6 * time.Second
 )
 
 // How long a node pauses between its calls to the source.
 const (
 	// gatherChanges is how long changes gather between two watches, which saves calls to
-	// the source: of a release that changes a target every 100 ms more than half. Each
-	// change is late by as much.
+	// the source during a release. Each change is late by as much.
 	gatherChanges = 250 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failure, at a node without a
 	// configuration and at readers: such a node serves nobody until the source answers.
--- a/internal/gateway/membership/readers.go
+++ b/internal/gateway/membership/readers.go
@@ -7,15 +7,14 @@
 
 // How many members read the source.
 const (
-	// allRead is how many serving members all read: with few readers among nine
-	// members a change was in force 4.8 s after it was made.
+	// allRead is how many serving members all read: of so few the loss of some readers
+	// would make changes late.
 	allRead = 9
 	// minReaders is how many of more members read at least, so that the loss of two
 	// or three delays no change.
 	minReaders = 4
 	// membersPerReader is how many serving members there are for each further
-	// reader. Where all of 80 members read, their calls to the source cost more than
-	// anything else that the fleet used.
+	// reader, so that calls to the source hardly grow with the fleet.
 	membersPerReader = 40
 )
 
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -26,8 +26,7 @@
 // LapseGrace is how long after the source's last outage a target that vanished is
 // still used. Targets register themselves again within two of their heartbeats, about
 // 2 s; a node that can read the source again learns soon afterwards who drains, so the
-// time counts from the outage and not from the change. Counted from the change, with
-// 3 s, a target that had left was still used; much less drops targets that live.
+// time counts from the outage and not from the change.
 const LapseGrace = 2600 * time.Millisecond
 
 // Change is one change that the source reports.
