A target's earlier life in a copy does not replace the present one

What callers would see: requests at the address and in the state that a target had before it started again under its identity, until it has written its entry to the restored source anew.

Cause: of a target's lives only the listed one counted, and a life that another replaced was not among those that had gone.

Change: Edit.Put notes the life that it replaces as gone; a restored source that lists it is passed over, and the present life lapses until it is listed, as a target does that the copy lacks.

Messages are as before.

--- a/internal/gateway/directory/edit.go
+++ b/internal/gateway/directory/edit.go
@@ -13,7 +13,7 @@
 	targets map[string]Target
 	// evacuated are the data centres that take no new work after the changes so far.
 	evacuated map[string]bool
-	// removed are the targets that were dropped, as they were then.
+	// removed are the targets that were dropped, or began another life, as they were then.
 	removed []Target
 }
 
@@ -36,6 +36,9 @@
 		if t.Born == known.Born && t.State != Draining && (known.State == Draining || known.State == Returned) {
 			t.State, t.StateUntil = known.State, known.StateUntil
 		}
+		if t.Born != known.Born {
+			e.removed = append(e.removed, known)
+		}
 	}
 	e.changed()[t.ID] = t
 }
@@ -48,7 +51,7 @@
 	}
 }
 
-// Removed returns the targets that were dropped, as they were then.
+// Removed returns the targets that were dropped, or began another life, as they were then.
 func (e *Edit) Removed() []Target { return e.removed }
 
 // Expire ends the states whose time is over: targets that have Lapsed are dropped, those
--- a/internal/gateway/view/departures.go
+++ b/internal/gateway/view/departures.go
@@ -41,14 +41,20 @@
 	return departures{byLife: next}
 }
 
-// returning decides in which state a target is taken in that a source lists after it came
-// back from an older copy. The input is whether the target had gone in that life: then it
-// drains if it drained before, and has Returned otherwise. Wrongly taken for ready, it gets
-// work that it no longer takes; wrongly held, it is missed for returnGrace.
-func (d departures) returning(now time.Time, t directory.Target) directory.Target {
+// returning decides what is taken in of a target that a source lists after it came back
+// from an older copy. The inputs are whether that life of the target had gone, and what the
+// directory knows of its identity. A life that had gone drains if it drained before, and has
+// Returned otherwise; one after which the target began another is passed over: the present
+// life has lapsed until it is listed. Wrongly taken for ready, a target gets work that it no
+// longer takes; wrongly held, it is missed for returnGrace.
+func (d departures) returning(now time.Time, t directory.Target, present *directory.Directory) directory.Target {
 	known, is := d.byLife[t.Life()]
+	is = is && now.Sub(known.at) <= departedFor
+	if other, lives := present.Target(t.ID); is && lives {
+		return lapsing(now, other)
+	}
 	switch {
-	case !is || now.Sub(known.at) > departedFor || t.State != directory.Ready:
+	case !is || t.State != directory.Ready:
 	case known.announced:
 		t.State = directory.Draining
 	default:
@@ -56,3 +62,11 @@
 	}
 	return t
 }
+
+// lapsing returns a target that a restored source does not list in its present life.
+func lapsing(now time.Time, t directory.Target) directory.Target {
+	if t.State == directory.Ready {
+		t.State, t.StateUntil = directory.Lapsed, now.Add(LapseGrace)
+	}
+	return t
+}
--- a/internal/gateway/view/restored_test.go
+++ b/internal/gateway/view/restored_test.go
@@ -1,6 +1,7 @@
 package view_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -95,3 +96,35 @@
 		})
 	})
 }
+
+// TestEarlierLifeOfATarget guards against targets that are called as they were before they
+// started again, because a restored source lists their earlier life.
+func TestEarlierLifeOfATarget(t *testing.T) {
+	in := func(born int64) view.TargetChange {
+		return view.TargetChange{Target: directory.Target{ID: "a", Born: born, Service: "s", Address: fmt.Sprint("host:", born)}}
+	}
+	lives := func(v *view.View, born int64) {
+		got, known := v.Directory.Target("a")
+		convey.So(known, convey.ShouldBeTrue)
+		convey.So(got.Born, convey.ShouldEqual, born)
+	}
+	convey.Convey("Given a target that started again after the copy", t, func() {
+		v := view.New().WithChanges(now, view.Changes{Revision: 5, List: []view.Change{in(1)}}, never)
+		v = v.WithChanges(now, view.Changes{Revision: 6, List: []view.Change{in(2)}}, never)
+		v = v.WithSnapshot(now, afterRestore(in(1)), never)
+		convey.Convey("its present life is used until it has had time to register", func() {
+			lives(v, 2)
+			shouldBeIn(directory.Lapsed, v, "a")
+			convey.So(v.WithTime(now.Add(view.LapseGrace)).Directory.All(), convey.ShouldBeEmpty)
+		})
+		convey.Convey("and is ready when it has", func() {
+			v = v.WithChanges(now, view.Changes{Revision: view.NewRevision(1, 4), List: []view.Change{in(2)}}, never)
+			lives(v, 2)
+			shouldBeIn(directory.Ready, v, "a")
+		})
+		convey.Convey("as is a life that nobody knew", func() {
+			v = v.WithChanges(now, view.Changes{Revision: view.NewRevision(1, 4), List: []view.Change{in(3)}}, never)
+			lives(v, 3)
+		})
+	})
+}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -150,7 +150,7 @@
 		case TargetChange:
 			t := c.target(now)
 			if restored && !v.Directory.Lives(t.Life()) {
-				t = v.departed.returning(now, t)
+				t = v.departed.returning(now, t, v.Directory)
 			}
 			targets.Put(t)
 		case TargetGone:
