--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +15,8 @@
 
 const (
 	// planTimeout bounds announcing a request's stages to their coordinators. The request
-	// waits for it before admission. A coordinator that takes longer is overloaded or gone,
-	// and the request continues without its backlog.
+	// waits for it before admission. A coordinator that takes longer is late or gone, and the
+	// request is admitted or refused by how late it is (planQueue.leastBacklog).
 	planTimeout = 100 * time.Millisecond
 	// maxCoordinatorAttempts bounds how many members one group is sent to before this node
 	// runs it itself. Members with differing rosters converge within that many attempts.
@@ -26,9 +27,10 @@
 )
 
 // batchRouter implements relay.Batcher. It routes groups of items, plans and releases to the
-// member that coordinates their service, which may be this node. It has no state of its own.
-// If a member does not answer, this node continues without the plan, releases the results
-// itself, or sends the group to the next member.
+// member that coordinates their service, which may be this node. It owns the queues of the plans
+// and the lock that guards the list of them; there is one for each member that ever coordinated
+// a service. If a member does not answer, this node continues without the plan, releases the
+// results itself, or sends the group to the next member.
 type batchRouter struct {
 	now     func() time.Time
 	log     zerolog.Logger
@@ -38,6 +40,9 @@
 	joiner  *joiner
 	// exchange exchanges gossip with a member and reports whether it answered.
 	exchange func(ctx context.Context, member string) bool
+
+	mu    sync.Mutex
+	plans map[string]*planQueue
 }
 
 // Run implements relay.Batcher.
@@ -110,57 +115,92 @@
 	ctx, cancel := context.WithTimeout(ctx, planTimeout)
 	defer cancel()
 	backlogs := make([]time.Duration, len(stages))
-	var remote sync.WaitGroup
+	var all sync.WaitGroup
+	for member, indices := range b.groupByCoordinator(stages) {
+		all.Go(func() {
+			answers := b.planQueue(member).plan(ctx, request, selectStages(stages, indices))
+			for k, i := range indices {
+				backlogs[i] = relay.UnknownBacklog
+				if answers != nil {
+					backlogs[i] = answers[k]
+				}
+			}
+		})
+	}
+	all.Wait()
+	return backlogs
+}
+
+// AwaitBacklogs implements relay.Batcher.
+func (b *batchRouter) AwaitBacklogs(ctx context.Context, request string, stages []relay.PlannedStage, backlogs []time.Duration) ([]time.Duration, bool) {
+	filled := slices.Clone(backlogs)
+	var all sync.WaitGroup
 	for member, indices := range b.groupByCoordinator(stages) {
-		if member != "" {
-			remote.Go(func() { b.planAt(ctx, member, request, stages, indices, backlogs) })
+		if backlogs[indices[0]] != relay.UnknownBacklog {
 			continue
 		}
-		for _, i := range indices {
-			backlogs[i] = b.local.plan(ctx, request, stages[i])
-		}
+		all.Go(func() {
+			answers := b.planQueue(member).awaitLate(ctx, request)
+			for k, i := range indices {
+				if answers != nil {
+					filled[i] = answers[k]
+				}
+			}
+		})
 	}
-	remote.Wait()
-	return backlogs
+	all.Wait()
+	return filled, !slices.Contains(filled, relay.UnknownBacklog)
 }
 
-// planAt announces the stages with the given indices to the member that coordinates them and
-// stores their backlogs. They stay 0, for unknown, if the member does not answer.
-func (b *batchRouter) planAt(
-	ctx context.Context, member, request string, stages []relay.PlannedStage, indices []int, backlogs []time.Duration,
-) {
-	estimates, err := b.peers.planStages(ctx, member, request, selectStages(stages, indices))
-	if err != nil {
-		b.log.Debug().Str("request", request).Str("member", member).Err(err).Msg("items: planning stages at a member failed")
-		return
+// PlansWait implements relay.Batcher.
+func (b *batchRouter) PlansWait(stages []relay.PlannedStage) bool {
+	for member := range b.groupByCoordinator(stages) {
+		if b.planQueue(member).full() {
+			return true
+		}
 	}
-	for k, i := range indices {
-		backlogs[i] = estimates[k]
+	return false
+}
+
+// LeastBacklogs implements relay.Batcher.
+func (b *batchRouter) LeastBacklogs(stages []relay.PlannedStage) []time.Duration {
+	backlogs := make([]time.Duration, len(stages))
+	for i, s := range stages {
+		backlogs[i] = b.planQueue(b.members.remoteCoordinator(s.Service)).leastBacklog(s.Service)
 	}
+	return backlogs
 }
 
-// Cancel implements relay.Batcher.
-func (b *batchRouter) Cancel(request string, stages []relay.PlannedStage) {
+// Cancel implements relay.Batcher. A cancellation that is lost costs little: the plan expires
+// when its stage is past due.
+func (b *batchRouter) Cancel(request string, stages []relay.PlannedStage, backlogs []time.Duration) {
 	for member, indices := range b.groupByCoordinator(stages) {
-		if member != "" {
-			go b.cancelAt(member, request, selectStages(stages, indices))
-			continue
-		}
-		for _, i := range indices {
-			b.local.cancel(request, stages[i])
-		}
+		// A member answers all stages of a request or none.
+		answered := backlogs[indices[0]] != relay.UnknownBacklog
+		b.planQueue(member).cancel(request, selectStages(stages, indices), answered)
 	}
 }
 
-// cancelAt cancels planned stages at the member that coordinates them. A plan that is not
-// cancelled expires when its stage is past due.
-func (b *batchRouter) cancelAt(member, request string, stages []relay.PlannedStage) {
-	ctx, cancel := context.WithTimeout(context.Background(), planTimeout)
-	defer cancel()
-	if err := b.peers.cancelStages(ctx, member, request, stages); err != nil {
-		b.log.Debug().Str("request", request).Str("member", member).Err(err).
-			Msg("items: cancelling a plan at a member failed")
+// planQueue returns the queue of the plans for a member; the empty address stands for this
+// node, whose own plans are held back like those of others.
+func (b *batchRouter) planQueue(member string) *planQueue {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q := b.plans[member]
+	if q == nil {
+		send := func(ctx context.Context, plans []requestPlan) ([][]time.Duration, error) {
+			if member == "" {
+				return b.local.plan(ctx, plans)
+			}
+			return b.peers.sendPlans(ctx, member, plans)
+		}
+		if b.plans == nil {
+			b.plans = map[string]*planQueue{}
+		}
+		q = newPlanQueue(b.now, b.log.With().Str("member", member).Logger(), send)
+		b.plans[member] = q
 	}
+	return q
 }
 
 // groupByCoordinator groups the indices of stages by the member that coordinates their
--- a/internal/gateway/batching/estimate.go
+++ b/internal/gateway/batching/estimate.go
@@ -81,6 +81,15 @@
 	return s
 }
 
+// TimeFor returns how long the targets take for a number of items; 0 while every target is
+// unusable or backs off.
+func (s State) TimeFor(items int) time.Duration {
+	if s.ItemsPerSecond <= 0 {
+		return 0
+	}
+	return durationFor(items, s.ItemsPerSecond)
+}
+
 // durationFor returns how long a number of items takes at a rate.
 func durationFor(items int, perSecond float64) time.Duration {
 	return time.Duration(float64(items) / perSecond * float64(time.Second))
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -43,12 +43,6 @@
 // handBack hands groups back because another node coordinates the service from now on.
 type handBack struct{}
 
-// planStage announces a plan. The backlog ahead of it is sent to the channel.
-type planStage struct {
-	plan    batching.Plan
-	backlog chan time.Duration
-}
-
 // stateRequest asks for the state.
 type stateRequest struct{ state chan batching.State }
 
@@ -92,9 +86,8 @@
 	switch msg := ctx.Message().(type) {
 	case *pendingGroup:
 		c.submitGroup(msg)
-	case *planStage:
-		msg.backlog <- c.core.State(c.now()).Backlog
-		c.handle(msg.plan)
+	case *planStages:
+		c.plan(msg)
 	case stateRequest:
 		msg.state <- c.core.State(c.now())
 	case cancelGroup:
--- /dev/null
+++ b/internal/gateway/coordinatorplans.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/batching"
+	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+)
+
+// planStages announces the planned stages of a service, or withdraws them. done is closed when
+// the backlogs of all stages are set.
+type planStages struct {
+	// received is when the member's message arrived.
+	received time.Time
+	stages   []stagePlan
+	done     chan struct{}
+}
+
+// stagePlan is one planned stage, or its cancellation.
+type stagePlan struct {
+	plan      batching.Plan
+	cancelled bool
+	// backlog receives the backlog ahead of the stage. A cancellation sets none.
+	backlog *time.Duration
+}
+
+func (m *planStages) add(p requestPlan, s relay.PlannedStage, backlog *time.Duration) {
+	m.stages = append(m.stages, stagePlan{
+		plan:      batching.Plan{Request: p.request, Stage: s.Stage, Items: s.Items, Due: s.Due},
+		cancelled: p.cancelled, backlog: backlog,
+	})
+}
+
+// plan passes planned stages to the core and sets their backlogs. The time that the message
+// waited for its turn counts as backlog too, since the items of the stages will wait as long.
+// The state is determined once for all stages, which makes a plan in a large message cheaper
+// than one of its own.
+func (c *coordinator) plan(m *planStages) {
+	now := c.now()
+	s := c.core.State(now)
+	late, ahead := now.Sub(m.received), 0
+	for _, p := range m.stages {
+		if p.cancelled {
+			c.handle(batching.CancelPlan{Request: p.plan.Request, Stage: p.plan.Stage})
+			continue
+		}
+		*p.backlog = late + s.Backlog + s.TimeFor(ahead)
+		ahead += p.plan.Items
+		c.handle(p.plan)
+	}
+	close(m.done)
+}
--- /dev/null
+++ b/internal/gateway/coordinatorplans_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+	"github.com/honeydyke/honeydyke/internal/wire"
+)
+
+// servePlans has a member without other members handle a message with plans.
+func servePlans(g *Gateway, body []byte) (status int, answer string) {
+	r := httptest.NewRequest(http.MethodPost, wire.PathPlan, bytes.NewReader(body))
+	w := httptest.NewRecorder()
+	g.servers.peers.Handler.ServeHTTP(w, r)
+	return w.Code, strings.TrimSpace(w.Body.String())
+}
+
+// TestCoordinatorPlans guards against plans of one message that do not see each other, and
+// against a coordinator whose own lateness is missing in its backlog.
+func TestCoordinatorPlans(t *testing.T) {
+	due := time.Now().Add(time.Hour)
+	plan := func(request string, items int) requestPlan {
+		return requestPlan{request: request, stages: []relay.PlannedStage{{Service: "s", Items: items, Due: due}}}
+	}
+	convey.Convey("Given a coordinator", t, func() {
+		g := newSingleTargetGateway(t, noTargets{})
+		convey.Convey("a plan is behind those before it in the same message", func() {
+			answers, err := g.coordinators.plan(t.Context(), []requestPlan{plan("a", 4), plan("b", 4), plan("c", 1)})
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(answers[0][0], convey.ShouldBeLessThan, time.Second)
+			convey.So(answers[1][0]-answers[0][0], convey.ShouldEqual, time.Minute)
+			convey.So(answers[2][0]-answers[0][0], convey.ShouldEqual, 2*time.Minute)
+		})
+		convey.Convey("a cancelled plan is not", func() {
+			cancelled := plan("a", 4)
+			cancelled.cancelled = true
+			_, err := g.coordinators.plan(t.Context(), []requestPlan{plan("a", 4), cancelled})
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(g.coordinators.states(t.Context())["s"].Planned, convey.ShouldEqual, 0)
+		})
+		convey.Convey("the time for which the message waited for its turn is part of the backlog", func() {
+			c := newCoordinator(g.coordinators.coordinatorConfig, "s")
+			var backlog time.Duration
+			m := &planStages{received: g.now().Add(-time.Second), done: make(chan struct{})}
+			m.add(plan("a", 1), plan("a", 1).stages[0], &backlog)
+			c.plan(m)
+			convey.So(backlog, convey.ShouldBeGreaterThanOrEqualTo, time.Second)
+		})
+	})
+}
+
+// TestPlansOfMixedVersions guards against plans that members of an earlier and of this version
+// do not understand of each other. The earlier version's messages are in testdata.
+func TestPlansOfMixedVersions(t *testing.T) {
+	earlier, err := os.ReadFile("testdata/earlier-plan.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	earlierAnswer, err := os.ReadFile("testdata/earlier-backlogs.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	convey.Convey("A plan of the earlier version is answered as that version expects it", t, func() {
+		status, answer := servePlans(newSingleTargetGateway(t, noTargets{}), earlier)
+		convey.So(status, convey.ShouldEqual, http.StatusOK)
+		convey.So(answer, convey.ShouldEqual, strings.TrimSpace(string(earlierAnswer)))
+	})
+	convey.Convey("A single plan is sent as by the earlier version", t, func() {
+		now := time.Now()
+		stages := []relay.PlannedStage{{Service: "s", Stage: 1, Items: 2, Due: now.Add(1500 * time.Millisecond)}, {Service: "s", Stage: 2, Items: 4, Due: now.Add(2 * time.Second)}}
+		body, err := json.Marshal(encodePlans(now, []requestPlan{{request: "r", stages: stages}}))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(body), convey.ShouldEqual, strings.TrimSpace(string(earlier)))
+	})
+	convey.Convey("The earlier version's answer to several plans counts for the first", t, func() {
+		member := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(earlierAnswer) }))
+		defer member.Close()
+		p := requestPlan{request: "r", stages: []relay.PlannedStage{{Service: "s"}, {Service: "s"}}}
+		answers, err := newPeerClient(time.Now).sendPlans(t.Context(), strings.TrimPrefix(member.URL, "http://"), []requestPlan{p, p, p})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(answers, convey.ShouldResemble, [][]time.Duration{{0, 30 * time.Second}})
+	})
+}
--- a/internal/gateway/coordinators.go
+++ b/internal/gateway/coordinators.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
@@ -136,25 +137,34 @@
 	}
 }
 
-// plan announces a planned stage to its coordinator and returns the backlog ahead of it; 0,
-// for unknown, if ctx is done first.
-func (c *coordinators) plan(ctx context.Context, request string, s relay.PlannedStage) time.Duration {
-	p := &planStage{
-		plan:    batching.Plan{Request: request, Stage: s.Stage, Items: s.Items, Due: s.Due},
-		backlog: make(chan time.Duration, 1),
+// plan passes plans to the coordinators of their services, and returns the backlogs of the
+// stages of each. It fails if ctx is done first.
+func (c *coordinators) plan(ctx context.Context, plans []requestPlan) ([][]time.Duration, error) {
+	received := c.now()
+	byService := map[string]*planStages{}
+	backlogs := make([][]time.Duration, len(plans))
+	for i, p := range plans {
+		backlogs[i] = make([]time.Duration, len(p.stages))
+		for k, s := range p.stages {
+			m := byService[s.Service]
+			if m == nil {
+				m = &planStages{received: received, done: make(chan struct{})}
+				byService[s.Service] = m
+			}
+			m.add(p, s, &backlogs[i][k])
+		}
 	}
-	c.system.Root.Send(c.getOrSpawn(s.Service), p)
-	select {
-	case d := <-p.backlog:
-		return d
-	case <-ctx.Done():
-		return 0
+	for service, m := range byService {
+		c.system.Root.Send(c.getOrSpawn(service), m)
 	}
-}
-
-// cancel cancels a planned stage.
-func (c *coordinators) cancel(request string, s relay.PlannedStage) {
-	c.system.Root.Send(c.getOrSpawn(s.Service), batching.CancelPlan{Request: request, Stage: s.Stage})
+	for _, m := range byService {
+		select {
+		case <-m.done:
+		case <-ctx.Done():
+			return nil, errors.Wrap(ctx.Err(), "the coordinators did not answer")
+		}
+	}
+	return backlogs, nil
 }
 
 // states returns the states of the coordinators by service, without those that have not
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// TestCoordinatorRecovers guards against a coordinator that stays overloaded after a burst. A
-// backlog that is not answered within planTimeout counts as none, so an overloaded
+// TestCoordinatorRecovers guards against a coordinator that stays overloaded after a burst. If
+// a backlog that is not answered within planTimeout counts as none, an overloaded
 // coordinator bounds its load least, and plans that nothing waits for any more delay it
 // further.
 //
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -116,24 +116,23 @@
 	return c.call(ctx, http.MethodPost, member, wire.PathRelease, in, nil)
 }
 
-// planStages announces planned stages to their coordinator and returns the backlog of each.
-func (c *peerClient) planStages(ctx context.Context, member, request string, stages []relay.PlannedStage) ([]time.Duration, error) {
+// sendPlans sends plans to the member that coordinates their services, and returns the
+// backlogs of the stages of each. A member of an earlier version answers only the first plan.
+func (c *peerClient) sendPlans(ctx context.Context, member string, plans []requestPlan) ([][]time.Duration, error) {
 	var out message.ItemBacklogs
-	err := c.call(ctx, http.MethodPost, member, wire.PathPlan, encodePlan(c.now(), request, stages), &out)
-	if err != nil {
+	if err := c.call(ctx, http.MethodPost, member, wire.PathPlan, encodePlans(c.now(), plans), &out); err != nil {
 		return nil, err
 	}
-	if len(out.BacklogMs) != len(stages) {
-		return nil, errors.Errorf("member %s returned %d backlogs for %d stages", member, len(out.BacklogMs), len(stages))
+	answers := decodeBacklogs(out)
+	if len(answers) > 1 && len(answers) != len(plans) {
+		return nil, errors.Errorf("member %s answered %d of %d plans", member, len(answers), len(plans))
 	}
-	return decodeBacklogs(out), nil
-}
-
-// cancelStages cancels planned stages at their coordinator.
-func (c *peerClient) cancelStages(ctx context.Context, member, request string, stages []relay.PlannedStage) error {
-	in := encodePlan(c.now(), request, stages)
-	in.Cancelled = true
-	return c.call(ctx, http.MethodPost, member, wire.PathPlan, in, nil)
+	for i, backlogs := range answers {
+		if len(backlogs) != len(plans[i].stages) {
+			return nil, errors.Errorf("member %s returned %d backlogs for %d stages", member, len(backlogs), len(plans[i].stages))
+		}
+	}
+	return answers, nil
 }
 
 // placePrompt has a member choose the engine for a prompt. The engine is empty if there is
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -95,28 +95,73 @@
 	return results
 }
 
-func encodePlan(now time.Time, request string, stages []relay.PlannedStage) message.ItemPlan {
-	plan := message.ItemPlan{Request: request, Stages: make([]message.PlannedStage, len(stages))}
+// encodePlans encodes plans, of which there must be at least one. A member of an earlier
+// version decodes only the first.
+func encodePlans(now time.Time, plans []requestPlan) message.ItemPlan {
+	first := plans[0]
+	out := message.ItemPlan{Request: first.request, Cancelled: first.cancelled, Stages: encodeStages(now, first.stages)}
+	for _, p := range plans[1:] {
+		out.More = append(out.More, message.RequestPlan{Request: p.request, Cancelled: p.cancelled, Stages: encodeStages(now, p.stages)})
+	}
+	return out
+}
+
+func decodePlans(now time.Time, in message.ItemPlan) []requestPlan {
+	plans := []requestPlan{{request: in.Request, cancelled: in.Cancelled, stages: decodeStages(now, in.Stages)}}
+	for _, p := range in.More {
+		plans = append(plans, requestPlan{request: p.Request, cancelled: p.Cancelled, stages: decodeStages(now, p.Stages)})
+	}
+	return plans
+}
+
+func encodeStages(now time.Time, stages []relay.PlannedStage) []message.PlannedStage {
+	list := make([]message.PlannedStage, len(stages))
 	for i, s := range stages {
-		plan.Stages[i] = message.PlannedStage{Service: s.Service, Stage: s.Stage, Items: s.Items, DueMs: millisUntil(now, s.Due)}
+		list[i] = message.PlannedStage{Service: s.Service, Stage: s.Stage, Items: s.Items, DueMs: millisUntil(now, s.Due)}
 	}
-	return plan
+	return list
 }
 
-func decodePlan(now time.Time, in message.ItemPlan) []relay.PlannedStage {
-	stages := make([]relay.PlannedStage, len(in.Stages))
-	for i, s := range in.Stages {
+func decodeStages(now time.Time, list []message.PlannedStage) []relay.PlannedStage {
+	stages := make([]relay.PlannedStage, len(list))
+	for i, s := range list {
 		stages[i] = relay.PlannedStage{Service: s.Service, Stage: s.Stage, Items: s.Items, Due: now.Add(millis(s.DueMs))}
 	}
 	return stages
 }
 
-func decodeBacklogs(in message.ItemBacklogs) []time.Duration {
-	backlogs := make([]time.Duration, len(in.BacklogMs))
-	for i, ms := range in.BacklogMs {
-		backlogs[i] = millis(ms)
+// encodeBacklogs encodes the answers to plans, of which there must be at least one.
+func encodeBacklogs(answers [][]time.Duration) message.ItemBacklogs {
+	out := message.ItemBacklogs{BacklogMs: encodeMillis(answers[0])}
+	for _, backlogs := range answers[1:] {
+		out.More = append(out.More, message.RequestBacklogs{BacklogMs: encodeMillis(backlogs)})
+	}
+	return out
+}
+
+// decodeBacklogs returns the answers to plans. A member of an earlier version answers one.
+func decodeBacklogs(in message.ItemBacklogs) [][]time.Duration {
+	answers := [][]time.Duration{decodeMillis(in.BacklogMs)}
+	for _, more := range in.More {
+		answers = append(answers, decodeMillis(more.BacklogMs))
+	}
+	return answers
+}
+
+func encodeMillis(list []time.Duration) []int {
+	out := make([]int, len(list))
+	for i, d := range list {
+		out[i] = int(d.Milliseconds())
 	}
-	return backlogs
+	return out
+}
+
+func decodeMillis(list []int) []time.Duration {
+	out := make([]time.Duration, len(list))
+	for i, ms := range list {
+		out[i] = millis(ms)
+	}
+	return out
 }
 
 func encodePrompt(service string, q placement.Prompt) message.PromptPlace {
--- a/internal/gateway/peermessages_test.go
+++ b/internal/gateway/peermessages_test.go
@@ -29,12 +29,16 @@
 		g.Due, g.Deadline = received.Add(time.Second), received.Add(-time.Second)
 		convey.So(got, convey.ShouldResemble, g)
 	})
-	convey.Convey("So are those of a plan, and its backlogs are durations", t, func() {
-		stages := []relay.PlannedStage{{Service: "s", Stage: 1, Items: 2, Due: sent.Add(time.Minute)}}
-		got := decodePlan(received, encodePlan(sent, "r", stages))
-		stages[0].Due = received.Add(time.Minute)
-		convey.So(got, convey.ShouldResemble, stages)
-		convey.So(decodeBacklogs(message.ItemBacklogs{BacklogMs: []int{250, 0}}), convey.ShouldResemble, []time.Duration{250 * time.Millisecond, 0})
+	convey.Convey("So are those of plans, and their backlogs are durations", t, func() {
+		plans := []requestPlan{
+			{request: "r", stages: []relay.PlannedStage{{Service: "s", Stage: 1, Items: 2, Due: sent.Add(time.Minute)}}},
+			{request: "gone", cancelled: true, stages: []relay.PlannedStage{{Service: "s", Stage: 3, Items: 4, Due: sent.Add(time.Second)}}},
+		}
+		got := decodePlans(received, encodePlans(sent, plans))
+		plans[0].stages[0].Due, plans[1].stages[0].Due = received.Add(time.Minute), received.Add(time.Second)
+		convey.So(got, convey.ShouldResemble, plans)
+		answers := [][]time.Duration{{250 * time.Millisecond, 0}, {time.Second}}
+		convey.So(decodeBacklogs(encodeBacklogs(answers)), convey.ShouldResemble, answers)
 	})
 	convey.Convey("Results and refusals keep their content", t, func() {
 		results := []batching.Result{{Handle: "h", Target: "t", DataCentre: "d"}}
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -120,15 +120,13 @@
 	if !readJSON(w, r, &in) {
 		return
 	}
-	out := message.ItemBacklogs{BacklogMs: make([]int, len(in.Stages))}
-	for i, stage := range decodePlan(s.now(), in) {
-		if in.Cancelled {
-			s.coordinators.cancel(in.Request, stage)
-			continue
-		}
-		out.BacklogMs[i] = int(s.coordinators.plan(r.Context(), in.Request, stage).Milliseconds())
+	// The error is that the member has gone, or waits no longer.
+	answers, err := s.coordinators.plan(r.Context(), decodePlans(s.now(), in))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
 	}
-	writeJSON(w, out)
+	writeJSON(w, encodeBacklogs(answers))
 }
 
 func (s *peerServer) servePlace(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/gateway/planqueue.go
@@ -0,0 +1,265 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+)
+
+const (
+	// planMessageTimeout bounds the wait for the answer to a message with plans. It frees the
+	// place of a message to a member that is frozen, and is longer than a member that is only
+	// overloaded takes.
+	planMessageTimeout = 5 * time.Second
+	// lateLogInterval is how often a node logs that a coordinator is late.
+	lateLogInterval = time.Second
+)
+
+// requestPlan announces the stages of a request, or withdraws their announcement.
+type requestPlan struct {
+	request   string
+	stages    []relay.PlannedStage
+	cancelled bool
+}
+
+// planSender sends plans to a coordinator and returns the backlogs of the stages of each. A
+// coordinator of an earlier version answers only the first plan.
+type planSender func(ctx context.Context, plans []requestPlan) ([][]time.Duration, error)
+
+// planQueue sends this node's plans to one coordinator. Plans that arrive while as many
+// messages are outstanding as planWindow allows wait, and go together in the next message. A
+// plan that is given up before that is not sent at all.
+//
+// It owns the waiting plans, the outstanding messages and the newest answers, and the lock
+// that guards them. If the coordinator fails, the plans of the message end without backlogs.
+type planQueue struct {
+	now  func() time.Time
+	log  zerolog.Logger
+	send planSender
+
+	mu      sync.Mutex
+	waiting []*queuedPlan
+	// outstanding holds the plans of the messages that have no answer yet.
+	outstanding map[int][]*queuedPlan
+	window      planWindow
+	// backlogs holds the newest backlog that was answered for each service.
+	backlogs map[string]answeredBacklog
+	// loggedAt is when it was last logged that the coordinator is late, and unanswered the
+	// number of plans that ended without a backlog since.
+	loggedAt   time.Time
+	unanswered int
+}
+
+// answeredBacklog is the backlog of a service when it was answered.
+type answeredBacklog struct {
+	backlog time.Duration
+	at      time.Time
+}
+
+// least returns the least that is left of the backlog.
+func (b answeredBacklog) least(now time.Time) time.Duration {
+	return max(b.backlog-now.Sub(b.at), 0)
+}
+
+// queuedPlan is a plan that waits to be sent or answered.
+type queuedPlan struct {
+	requestPlan
+	// backlogs receives the answer; nil for none.
+	backlogs chan []time.Duration
+	// givenUp is whether nothing waits for the answer any more.
+	givenUp bool
+	// withdrawn is whether a cancellation is sent once the plan's message has ended, so that it
+	// cannot overtake the plan.
+	withdrawn bool
+}
+
+func newPlanQueue(now func() time.Time, log zerolog.Logger, send planSender) *planQueue {
+	return &planQueue{
+		now: now, log: log, send: send,
+		outstanding: map[int][]*queuedPlan{}, backlogs: map[string]answeredBacklog{},
+	}
+}
+
+// plan announces the stages of a request and returns their backlogs; nil if there is no
+// answer before ctx is done.
+func (q *planQueue) plan(ctx context.Context, request string, stages []relay.PlannedStage) []time.Duration {
+	p := &queuedPlan{requestPlan: requestPlan{request: request, stages: stages}, backlogs: make(chan []time.Duration, 1)}
+	q.add(p)
+	select {
+	case backlogs := <-p.backlogs:
+		return backlogs
+	case <-ctx.Done():
+		q.giveUp(p, ctx.Err() == context.DeadlineExceeded)
+		return nil
+	}
+}
+
+// awaitLate waits for the answer to a plan that was given up after it had been sent. It returns
+// nil if there is none, or if ctx is done first.
+func (q *planQueue) awaitLate(ctx context.Context, request string) []time.Duration {
+	q.mu.Lock()
+	p := q.findOutstanding(request)
+	q.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	select {
+	case backlogs := <-p.backlogs:
+		return backlogs
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// findOutstanding returns the plan of a request that has been sent and not answered; nil if there
+// is none. The caller must hold the lock.
+func (q *planQueue) findOutstanding(request string) *queuedPlan {
+	for _, plans := range q.outstanding {
+		for _, p := range plans {
+			if p.request == request && !p.cancelled {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+// cancel withdraws the plan of a request. answered is whether plan returned backlogs; if not,
+// the plan may never have been sent.
+func (q *planQueue) cancel(request string, stages []relay.PlannedStage, answered bool) {
+	if answered {
+		q.add(cancellation(request, stages))
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if p := q.findOutstanding(request); p != nil {
+		p.withdrawn = true
+	}
+}
+
+func cancellation(request string, stages []relay.PlannedStage) *queuedPlan {
+	return &queuedPlan{requestPlan: requestPlan{request: request, stages: stages, cancelled: true}, backlogs: make(chan []time.Duration, 1)}
+}
+
+func (q *planQueue) add(p *queuedPlan) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = append(q.waiting, p)
+	q.sendNext()
+}
+
+// giveUp drops a plan that nothing waits for any more, unless it has been sent. timedOut is
+// whether that is because the answer took too long.
+func (q *planQueue) giveUp(p *queuedPlan, timedOut bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p.givenUp = true
+	q.waiting = slices.DeleteFunc(q.waiting, func(other *queuedPlan) bool { return other == p })
+	if timedOut {
+		q.window.timedOut()
+		q.unanswered++
+		q.logLate()
+	}
+}
+
+// sendNext sends the waiting plans if the window is open. The caller must hold the lock.
+func (q *planQueue) sendNext() {
+	if len(q.waiting) == 0 || !q.window.open() {
+		return
+	}
+	id := q.window.sent(q.now())
+	q.outstanding[id], q.waiting = q.waiting, nil
+	go q.exchange(id, q.outstanding[id])
+}
+
+// exchange sends a message and distributes its answer.
+func (q *planQueue) exchange(id int, plans []*queuedPlan) {
+	message := make([]requestPlan, len(plans))
+	for i, p := range plans {
+		message[i] = p.requestPlan
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), planMessageTimeout)
+	defer cancel()
+	answers, err := q.send(ctx, message)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.outstanding, id)
+	q.window.ended(id)
+	if err != nil {
+		q.log.Debug().Int("plans", len(plans)).Err(err).Msg("items: planning stages at a member failed")
+		answers = make([][]time.Duration, len(plans))
+	}
+	q.distribute(plans, answers)
+	q.sendNext()
+}
+
+// distribute passes on the answers to the first plans of a message, and lets the others wait
+// for the next one. The caller must hold the lock.
+func (q *planQueue) distribute(plans []*queuedPlan, answers [][]time.Duration) {
+	var again []*queuedPlan
+	for i, p := range plans {
+		switch {
+		case i < len(answers):
+			p.backlogs <- answers[i]
+			q.record(p, answers[i])
+			if p.withdrawn {
+				again = append(again, cancellation(p.request, p.stages))
+			}
+		case p.givenUp:
+			p.backlogs <- nil
+		default:
+			again = append(again, p)
+		}
+	}
+	q.waiting = append(again, q.waiting...)
+}
+
+// record keeps the backlogs that were answered. The caller must hold the lock.
+func (q *planQueue) record(p *queuedPlan, backlogs []time.Duration) {
+	if p.cancelled {
+		return
+	}
+	now := q.now()
+	for i, d := range backlogs {
+		q.backlogs[p.stages[i].Service] = answeredBacklog{backlog: d, at: now}
+	}
+}
+
+// full reports whether a plan would have to wait for an earlier message.
+func (q *planQueue) full() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.window.open()
+}
+
+// leastBacklog returns the least that the backlog of a service can be while its coordinator is
+// late: how late it is, plus what is left of the backlog that it answered last. It is 0 if the
+// coordinator answers in time.
+func (q *planQueue) leastBacklog(service string) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	delay := q.window.delay(now)
+	if delay == 0 {
+		return 0
+	}
+	return delay + q.backlogs[service].least(now)
+}
+
+// logLate logs that plans were not answered in time, at most once per lateLogInterval. The
+// caller must hold the lock.
+func (q *planQueue) logLate() {
+	now := q.now()
+	if now.Sub(q.loggedAt) < lateLogInterval {
+		return
+	}
+	q.log.Info().Int("unanswered", q.unanswered).Int("waiting", len(q.waiting)).Int("outstanding", len(q.outstanding)).
+		Dur("delay", q.window.delay(now)).Msg("items: coordinator is late")
+	q.loggedAt, q.unanswered = now, 0
+}
--- /dev/null
+++ b/internal/gateway/planqueue_test.go
@@ -0,0 +1,306 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+)
+
+// fakeCoordinator answers plans one message at a time, in simulated time.
+type fakeCoordinator struct {
+	// processor holds a value while a message is handled. Simulated time does not pass while
+	// a goroutine waits for a mutex.
+	processor chan struct{}
+	// messageCost and planCost are the processor time of a message and of each of its plans.
+	messageCost, planCost time.Duration
+	// earlier is whether it answers only the first plan of a message.
+	earlier bool
+	err     error
+
+	mu sync.Mutex
+	// received holds the messages, most the highest number of them at once.
+	received     [][]requestPlan
+	atOnce, most int
+}
+
+func (f *fakeCoordinator) send(_ context.Context, plans []requestPlan) ([][]time.Duration, error) {
+	f.mu.Lock()
+	f.received = append(f.received, plans)
+	f.atOnce++
+	f.most = max(f.most, f.atOnce)
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		f.atOnce--
+		f.mu.Unlock()
+	}()
+	f.processor <- struct{}{}
+	time.Sleep(f.cost(len(plans)))
+	<-f.processor
+	if f.err != nil {
+		return nil, f.err
+	}
+	answers := make([][]time.Duration, len(plans))
+	for i, p := range plans {
+		answers[i] = make([]time.Duration, len(p.stages))
+		for k := range p.stages {
+			answers[i][k] = time.Second
+		}
+	}
+	if f.earlier {
+		return answers[:1], nil
+	}
+	return answers, nil
+}
+
+// cost returns the processor time of a message with n plans.
+func (f *fakeCoordinator) cost(n int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.messageCost + time.Duration(n)*f.planCost
+}
+
+// setCosts changes how slow the coordinator is.
+func (f *fakeCoordinator) setCosts(message, plan time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.messageCost, f.planCost = message, plan
+}
+
+// sent returns the requests of each message, with a minus before a cancellation.
+func (f *fakeCoordinator) sent() [][]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all [][]string
+	for _, plans := range f.received {
+		var names []string
+		for _, p := range plans {
+			if p.cancelled {
+				names = append(names, "-"+p.request)
+				continue
+			}
+			names = append(names, p.request)
+		}
+		all = append(all, names)
+	}
+	return all
+}
+
+var oneStage = []relay.PlannedStage{{Service: "s", Items: 1}}
+
+// planInTime announces a request and returns its backlogs, or nil if there is no answer in
+// time.
+func planInTime(q *planQueue, request string) []time.Duration {
+	ctx, cancel := context.WithTimeout(context.Background(), planTimeout)
+	defer cancel()
+	return q.plan(ctx, request, oneStage)
+}
+
+// planAll announces requests at the same moment and returns how many were answered.
+func planAll(q *planQueue, requests ...string) int {
+	var mu sync.Mutex
+	answered := 0
+	var all sync.WaitGroup
+	for _, request := range requests {
+		all.Go(func() {
+			backlogs := planInTime(q, request)
+			mu.Lock()
+			defer mu.Unlock()
+			if backlogs != nil {
+				answered++
+			}
+		})
+		synctest.Wait()
+	}
+	all.Wait()
+	return answered
+}
+
+// inSimulatedTime runs a test with a queue for the coordinator.
+func inSimulatedTime(t *testing.T, name string, f *fakeCoordinator, test func(q *planQueue)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f.processor = make(chan struct{}, 1)
+		convey.Convey(name, t, func() { test(newPlanQueue(time.Now, zerolog.Nop(), f.send)) })
+		// Messages that are still outstanding end.
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestPlanQueue guards against plans that pile up at a late coordinator.
+func TestPlanQueue(t *testing.T) {
+	f := &fakeCoordinator{messageCost: 20 * time.Millisecond}
+	inSimulatedTime(t, "Plans that arrive while the window is full go together in the next message", f, func(q *planQueue) {
+		convey.So(planAll(q, "a", "b", "c", "d", "e"), convey.ShouldEqual, 5)
+		convey.So(f.sent(), convey.ShouldResemble, [][]string{{"a"}, {"b"}, {"c", "d", "e"}})
+		convey.So(f.most, convey.ShouldEqual, maxOutstandingPlans)
+		convey.So(q.leastBacklog("s"), convey.ShouldEqual, 0)
+	})
+	f = &fakeCoordinator{messageCost: time.Second}
+	inSimulatedTime(t, "Plans that are given up before they are sent are not sent", f, func(q *planQueue) {
+		convey.So(planAll(q, "a", "b", "c", "d"), convey.ShouldEqual, 0)
+		time.Sleep(10 * time.Second)
+		convey.So(f.sent(), convey.ShouldResemble, [][]string{{"a"}, {"b"}})
+	})
+	f = &fakeCoordinator{messageCost: time.Millisecond, err: errors.New("refused")}
+	inSimulatedTime(t, "A plan whose coordinator fails ends at once, and nothing is known of its delay", f, func(q *planQueue) {
+		begun := time.Now()
+		convey.So(planInTime(q, "a"), convey.ShouldBeNil)
+		convey.So(time.Since(begun), convey.ShouldEqual, time.Millisecond)
+		convey.So(q.leastBacklog("s"), convey.ShouldEqual, 0)
+	})
+}
+
+// TestLateAnswer guards against late answers that are lost.
+func TestLateAnswer(t *testing.T) {
+	f := &fakeCoordinator{messageCost: 150 * time.Millisecond}
+	inSimulatedTime(t, "The answer to a plan that was given up can be awaited", f, func(q *planQueue) {
+		convey.So(planInTime(q, "a"), convey.ShouldBeNil)
+		convey.So(q.awaitLate(context.Background(), "a"), convey.ShouldResemble, []time.Duration{time.Second})
+	})
+	f = &fakeCoordinator{messageCost: 150 * time.Millisecond}
+	inSimulatedTime(t, "but not that to a plan that was never sent", f, func(q *planQueue) {
+		convey.So(planAll(q, "a", "b", "c"), convey.ShouldEqual, 0)
+		convey.So(q.awaitLate(context.Background(), "c"), convey.ShouldBeNil)
+	})
+	f = &fakeCoordinator{messageCost: 60 * time.Millisecond, earlier: true}
+	inSimulatedTime(t, "nor one that an earlier version never gives", f, func(q *planQueue) {
+		planAll(q, "a", "b", "c", "d")
+		convey.So(q.awaitLate(context.Background(), "d"), convey.ShouldBeNil)
+	})
+}
+
+// TestPlansToEarlierVersion guards against plans that a coordinator of an earlier version
+// never answers, since it decodes one plan of a message.
+func TestPlansToEarlierVersion(t *testing.T) {
+	f := &fakeCoordinator{messageCost: 20 * time.Millisecond, earlier: true}
+	inSimulatedTime(t, "It gets the plans that it did not answer once more", f, func(q *planQueue) {
+		convey.So(planAll(q, "a", "b", "c", "d"), convey.ShouldEqual, 4)
+		convey.So(f.sent(), convey.ShouldResemble, [][]string{{"a"}, {"b"}, {"c", "d"}, {"d"}})
+		convey.So(f.most, convey.ShouldEqual, maxOutstandingPlans)
+	})
+	f = &fakeCoordinator{messageCost: 45 * time.Millisecond, earlier: true}
+	inSimulatedTime(t, "but not those that were given up meanwhile", f, func(q *planQueue) {
+		convey.So(planAll(q, "a", "b", "c", "d"), convey.ShouldEqual, 2)
+		time.Sleep(time.Second)
+		convey.So(f.sent(), convey.ShouldResemble, [][]string{{"a"}, {"b"}, {"c", "d"}})
+	})
+}
+
+// TestPlanCancelled guards against cancellations that overtake their plan, or that are sent
+// for a plan that never was.
+func TestPlanCancelled(t *testing.T) {
+	f := &fakeCoordinator{messageCost: 20 * time.Millisecond}
+	inSimulatedTime(t, "The cancellation of a plan is sent after its answer", f, func(q *planQueue) {
+		planAll(q, "a")
+		q.cancel("a", oneStage, true)
+		time.Sleep(time.Second)
+		convey.So(f.sent(), convey.ShouldResemble, [][]string{{"a"}, {"-a"}})
+	})
+	f = &fakeCoordinator{messageCost: time.Second}
+	inSimulatedTime(t, "The cancellation of a plan that is late waits for its answer", f, func(q *planQueue) {
+		planAll(q, "a")
+		q.cancel("a", oneStage, false)
+		synctest.Wait()
+		convey.So(f.sent(), convey.ShouldResemble, [][]string{{"a"}})
+		time.Sleep(10 * time.Second)
+		convey.So(f.sent(), convey.ShouldResemble, [][]string{{"a"}, {"-a"}})
+	})
+	f = &fakeCoordinator{messageCost: time.Second}
+	inSimulatedTime(t, "There is none for a plan that was never sent", f, func(q *planQueue) {
+		planAll(q, "a", "b", "c")
+		q.cancel("c", oneStage, false)
+		time.Sleep(10 * time.Second)
+		convey.So(f.sent(), convey.ShouldResemble, [][]string{{"a"}, {"b"}})
+	})
+}
+
+// TestLeastBacklog guards against a backlog that counts as none because it was not answered.
+func TestLeastBacklog(t *testing.T) {
+	f := &fakeCoordinator{messageCost: 20 * time.Millisecond}
+	inSimulatedTime(t, "The least backlog behind a late coordinator is its delay and what is left of the last backlog", f, func(q *planQueue) {
+		convey.So(planInTime(q, "a"), convey.ShouldResemble, []time.Duration{time.Second})
+		f.setCosts(3*time.Second, 0)
+		convey.So(planInTime(q, "b"), convey.ShouldBeNil)
+		convey.So(q.leastBacklog("s"), convey.ShouldEqual, time.Second)
+		convey.So(q.leastBacklog("other"), convey.ShouldEqual, planTimeout)
+		convey.So(q.full(), convey.ShouldBeFalse)
+		time.Sleep(2 * time.Second)
+		convey.So(q.leastBacklog("s"), convey.ShouldEqual, planTimeout+2*time.Second)
+		convey.So(planInTime(q, "c"), convey.ShouldBeNil)
+		convey.So(q.full(), convey.ShouldBeTrue)
+		time.Sleep(2 * time.Second)
+		convey.So(q.leastBacklog("s"), convey.ShouldEqual, 0)
+	})
+}
+
+// TestPlansAfterSlowdown guards against a coordinator that stays late after a slowdown. In
+// simulated time, nodes send plans to one coordinator whose processor is slower for a while;
+// 3 s later nine tenths of the plans have to be answered in time again.
+func TestPlansAfterSlowdown(t *testing.T) {
+	const (
+		messageCost, planCost = 2 * time.Millisecond, 200 * time.Microsecond
+		settling, observation = 3 * time.Second, time.Second
+	)
+	rapid.Check(t, func(rt *rapid.T) {
+		nodes := rapid.IntRange(3, 60).Draw(rt, "nodes")
+		slower := rapid.IntRange(2, 50).Draw(rt, "slower")
+		lasts := time.Duration(rapid.IntRange(1, 5).Draw(rt, "seconds")) * time.Second
+		earlier := rapid.Bool().Draw(rt, "earlier")
+		// Four fifths of what the coordinator can do with a message for each plan.
+		pause := time.Duration(nodes) * (messageCost + planCost) * 5 / 4
+		synctest.Test(t, func(*testing.T) {
+			f := &fakeCoordinator{processor: make(chan struct{}, 1), messageCost: messageCost, planCost: planCost, earlier: earlier}
+			queues := make([]*planQueue, nodes)
+			for i := range queues {
+				queues[i] = newPlanQueue(time.Now, zerolog.Nop(), f.send)
+			}
+			sendFor(queues, pause, time.Second)
+			f.setCosts(messageCost*time.Duration(slower), planCost*time.Duration(slower))
+			sendFor(queues, pause, lasts)
+			f.setCosts(messageCost, planCost)
+			sendFor(queues, pause, settling)
+			if asked, answered := sendFor(queues, pause, observation); answered < asked*9/10 {
+				rt.Fatalf("%d of %d plans answered in time", answered, asked)
+			}
+			if f.most > nodes*maxOutstandingPlans {
+				rt.Fatalf("%d messages were outstanding", f.most)
+			}
+		})
+	})
+}
+
+// sendFor has each node announce a request after each pause, for d, and counts the answers in
+// time.
+func sendFor(queues []*planQueue, pause, d time.Duration) (asked, answered int) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for i, q := range queues {
+		all.Go(func() {
+			time.Sleep(pause * time.Duration(i) / time.Duration(len(queues)))
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(pause) {
+				all.Go(func() {
+					backlogs := planInTime(q, fmt.Sprint(i))
+					mu.Lock()
+					defer mu.Unlock()
+					asked++
+					if backlogs != nil {
+						answered++
+					}
+				})
+			}
+		})
+	}
+	all.Wait()
+	return asked, answered
+}
--- /dev/null
+++ b/internal/gateway/planwindow.go
@@ -0,0 +1,64 @@
+package gateway
+
+import "time"
+
+// maxOutstandingPlans bounds the messages with plans that a coordinator has not answered to
+// this node. With two, a coordinator that is busy has the next one at hand, and one lost
+// packet does not hold up all plans.
+const maxOutstandingPlans = 2
+
+// planWindow bounds the plan messages that are outstanding at one coordinator, and estimates
+// how late that coordinator is. A message is outstanding until its answer arrives, even if
+// nothing waits for it any more, because the coordinator still has to handle it. So the
+// queue at a coordinator is bounded by the number of nodes, whatever their clients do.
+//
+// The zero value is an open window. It is not safe for concurrent use.
+type planWindow struct {
+	// sentAt holds when each outstanding message was sent, by the message's ID.
+	sentAt map[int]time.Time
+	lastID int
+	// late is whether a plan has timed out since the last message ended.
+	late bool
+}
+
+// open reports whether another message may be sent.
+func (w *planWindow) open() bool { return len(w.sentAt) < maxOutstandingPlans }
+
+// sent records that a message is sent and returns its ID.
+func (w *planWindow) sent(now time.Time) int {
+	if w.sentAt == nil {
+		w.sentAt = map[int]time.Time{}
+	}
+	w.lastID++
+	w.sentAt[w.lastID] = now
+	return w.lastID
+}
+
+// ended records that a message was answered or failed.
+func (w *planWindow) ended(id int) {
+	delete(w.sentAt, id)
+	w.late = false
+}
+
+// timedOut records that the wait for a plan's answer is over.
+func (w *planWindow) timedOut() { w.late = true }
+
+// oldest returns when the oldest outstanding message was sent; false if there is none.
+func (w *planWindow) oldest() (sentAt time.Time, ok bool) {
+	for _, at := range w.sentAt {
+		if !ok || at.Before(sentAt) {
+			sentAt, ok = at, true
+		}
+	}
+	return sentAt, ok
+}
+
+// delay returns how late the coordinator is at least: the age of the oldest outstanding
+// message. It is 0 as long as no plan has timed out since the last message ended.
+func (w *planWindow) delay(now time.Time) time.Duration {
+	sentAt, ok := w.oldest()
+	if !ok || !w.late {
+		return 0
+	}
+	return now.Sub(sentAt)
+}
--- /dev/null
+++ b/internal/gateway/planwindow_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// TestPlanWindow guards against a coordinator that is overloaded and gets more work because
+// of it: the lateness that it shows must not be lost.
+func TestPlanWindow(t *testing.T) {
+	start := time.Now()
+	after := func(d time.Duration) time.Time { return start.Add(d) }
+	convey.Convey("A window is open until maxOutstandingPlans messages are outstanding", t, func() {
+		w := planWindow{}
+		var first int
+		for i := range maxOutstandingPlans {
+			convey.So(w.open(), convey.ShouldBeTrue)
+			if id := w.sent(start); i == 0 {
+				first = id
+			}
+		}
+		convey.So(w.open(), convey.ShouldBeFalse)
+		convey.Convey("also after the wait for an answer is over", func() {
+			w.timedOut()
+			convey.So(w.open(), convey.ShouldBeFalse)
+		})
+		convey.Convey("and again once one has ended", func() {
+			w.ended(first)
+			convey.So(w.open(), convey.ShouldBeTrue)
+		})
+	})
+	convey.Convey("Nothing is known of a delay until a plan times out", t, func() {
+		w := planWindow{}
+		id := w.sent(start)
+		convey.So(w.delay(after(time.Second)), convey.ShouldEqual, 0)
+		w.timedOut()
+		convey.So(w.delay(after(time.Second)), convey.ShouldEqual, time.Second)
+		convey.Convey("it grows with the age of the oldest message", func() {
+			w.sent(after(time.Second))
+			convey.So(w.delay(after(3*time.Second)), convey.ShouldEqual, 3*time.Second)
+		})
+		convey.Convey("and is unknown again once a message has ended", func() {
+			w.sent(after(time.Second))
+			w.ended(id)
+			convey.So(w.delay(after(2*time.Second)), convey.ShouldEqual, 0)
+			w.timedOut()
+			convey.So(w.delay(after(2*time.Second)), convey.ShouldEqual, time.Second)
+		})
+	})
+}
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
@@ -10,34 +12,120 @@
 )
 
 // admit plans the request's stages with their services, and admits or refuses the request
-// (rules.Admit). It returns how long the stages should take. The plans of a refused
-// request are cancelled.
-func (s *Server) admit(ctx context.Context, r *resolvedRequest) (time.Duration, *verdict.Error) {
-	retried := s.timeouts.observe(r.route.Name, r.req.Timeout)
-	plan := r.plan()
-	if len(plan) == 0 {
-		return 0, nil
-	}
-	backlogs := s.cfg.Batcher.Plan(ctx, r.req.ID, plan)
+// (rules.Admit). The plans of a refused request are cancelled.
+//
+// A request whose plan would have to wait behind others at a late coordinator, and that could
+// not be done even if that coordinator had no more work than it last reported, is refused
+// without being announced.
+func (s *Server) admit(ctx context.Context, r *resolvedRequest) (*admission, *verdict.Error) {
+	a := &admission{plan: r.plan(), retried: s.timeouts.observe(r.route.Name, r.req.Timeout)}
+	if len(a.plan) == 0 {
+		return a, nil
+	}
+	if s.cfg.Batcher.PlansWait(a.plan) {
+		if refused, ok := s.decide(r, a, s.cfg.Batcher.LeastBacklogs(a.plan)).(refusedAdmission); ok {
+			return nil, s.refuse(r, refused)
+		}
+	}
+	a.backlogs = s.cfg.Batcher.Plan(ctx, r.req.ID, a.plan)
+	backlogs := a.backlogs
+	if a.unknown() {
+		backlogs = fillUnknown(backlogs, s.cfg.Batcher.LeastBacklogs(a.plan))
+	}
+	if refused, ok := s.decide(r, a, backlogs).(refusedAdmission); ok {
+		s.cfg.Batcher.Cancel(r.req.ID, a.plan, a.backlogs)
+		return nil, s.refuse(r, refused)
+	}
+	a.estimated = r.stages.Total(backlogs)
+	return a, nil
+}
+
+// admission is what a request was admitted by.
+type admission struct {
+	plan []PlannedStage
+	// backlogs are those that were answered in time, in the order of the plan.
+	backlogs []time.Duration
+	// retried is whether the request was refused before.
+	retried bool
+	// estimated is how long the stages should take.
+	estimated time.Duration
+}
+
+// unknown reports whether a coordinator did not answer in time.
+func (a *admission) unknown() bool { return slices.Contains(a.backlogs, UnknownBacklog) }
+
+// fillUnknown returns the backlogs with the least that they can be in place of those that
+// are unknown.
+func fillUnknown(backlogs, least []time.Duration) []time.Duration {
+	filled := slices.Clone(backlogs)
+	for i, d := range filled {
+		if d == UnknownBacklog {
+			filled[i] = least[i]
+		}
+	}
+	return filled
+}
+
+// refusedAdmission is the error of a request that is refused by the backlogs of its stages.
+type refusedAdmission struct{ Refused }
+
+func (e refusedAdmission) Error() string {
+	return fmt.Sprintf("the stages would take %v", e.Estimated)
+}
+
+// decide admits a request by the backlogs of its planned stages, or returns a
+// refusedAdmission.
+func (s *Server) decide(r *resolvedRequest, a *admission, backlogs []time.Duration) error {
 	in := rules.Admission{
 		Estimated: r.stages.Total(backlogs), Alone: r.stages.Total(nil),
 		Left: r.times.Objective.Sub(s.cfg.Now()), Objective: r.route.Objective,
-		Priority: r.route.Priority, Retried: retried,
+		Priority: r.route.Priority, Retried: a.retried,
 	}
 	refused, ok := rules.Admit(in).(rules.Refused)
 	if !ok {
-		return in.Estimated, nil
+		return nil
+	}
+	return refusedAdmission{Refused{
+		Stages: a.plan, Backlogs: backlogs, Estimated: in.Estimated, Left: in.Left, Comparison: refused.Comparison, Retried: a.retried,
+	}}
+}
+
+// runStages runs the stages of an admitted request. If a coordinator that was late answers
+// meanwhile, and its backlog shows that the request should not have been admitted, the
+// request is refused then instead of being held until its deadline.
+func (s *Server) runStages(ctx context.Context, d *delivery, a *admission) *verdict.Error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if a.unknown() {
+		go s.cancelOnceKnown(ctx, cancel, d.resolvedRequest, a)
+	}
+	err := d.runner.results.run(ctx)
+	if err == nil {
+		return nil
+	}
+	if refused, ok := context.Cause(ctx).(refusedAdmission); ok {
+		return s.refuse(d.resolvedRequest, refused)
+	}
+	return err
+}
+
+// cancelOnceKnown waits for the backlogs that were not answered in time. If they refuse the
+// request, it cancels the request's stages with the refusal as the cause.
+func (s *Server) cancelOnceKnown(ctx context.Context, cancel context.CancelCauseFunc, r *resolvedRequest, a *admission) {
+	backlogs, known := s.cfg.Batcher.AwaitBacklogs(ctx, r.req.ID, a.plan, a.backlogs)
+	if !known {
+		return
+	}
+	if err := s.decide(r, a, backlogs); err != nil {
+		s.cfg.Batcher.Cancel(r.req.ID, a.plan, backlogs)
+		cancel(err)
 	}
-	s.cfg.Batcher.Cancel(r.req.ID, plan)
-	return 0, s.refuse(r, Refused{
-		Stages: plan, Backlogs: backlogs, Estimated: in.Estimated, Left: in.Left, Comparison: refused.Comparison, Retried: retried,
-	})
 }
 
 // refuse reports a refusal and returns its error.
-func (s *Server) refuse(r *resolvedRequest, d Refused) *verdict.Error {
-	s.cfg.Observer.Decided(r.req.ID, d)
-	return verdict.New(verdict.NotRun, verdict.ReasonOverload, "the stages would take %v", d.Estimated).
+func (s *Server) refuse(r *resolvedRequest, d refusedAdmission) *verdict.Error {
+	s.cfg.Observer.Decided(r.req.ID, d.Refused)
+	return verdict.New(verdict.NotRun, verdict.ReasonOverload, "%v", d).
 		WithRetryAfter(retryAfter(r.times.ResponseDeadline.Sub(s.cfg.Now())))
 }
 
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,6 +51,16 @@
 	handles int
 	// backlog is that of each service.
 	backlog time.Duration
+	// leastBacklog is that of each service while its coordinator is late.
+	leastBacklog time.Duration
+	// lateOnceAsked becomes the leastBacklog when stages are announced.
+	lateOnceAsked time.Duration
+	// lateBacklog is the backlog of each service that is answered late; nil for none.
+	lateBacklog chan time.Duration
+	// groupsWait is what groups wait for; nil for nothing.
+	groupsWait chan struct{}
+	// announced counts the stages that were ever announced.
+	announced int
 	// planned counts the stages that were planned and not cancelled.
 	planned int
 	// ended are the targets that have crashed.
@@ -126,7 +137,14 @@
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("reset") }
 
-func (f *fakePorts) Run(_ context.Context, service string, g relay.Group, _ func()) ([]batching.Result, *verdict.Error) {
+func (f *fakePorts) Run(ctx context.Context, service string, g relay.Group, _ func()) ([]batching.Result, *verdict.Error) {
+	if f.groupsWait != nil {
+		select {
+		case <-f.groupsWait:
+		case <-ctx.Done():
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "withdrawn")
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.groups = append(f.groups, g)
@@ -158,10 +176,42 @@
 	}
 }
 
+func (f *fakePorts) AwaitBacklogs(ctx context.Context, _ string, _ []relay.PlannedStage, backlogs []time.Duration) ([]time.Duration, bool) {
+	select {
+	case late := <-f.lateBacklog:
+		filled := slices.Clone(backlogs)
+		for i := range filled {
+			filled[i] = late
+		}
+		return filled, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+// PlansWait reports that plans wait as soon as the coordinator is known to be late.
+func (f *fakePorts) PlansWait([]relay.PlannedStage) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leastBacklog > 0
+}
+
+func (f *fakePorts) LeastBacklogs(stages []relay.PlannedStage) []time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	least := make([]time.Duration, len(stages))
+	for i := range least {
+		least[i] = f.leastBacklog
+	}
+	return least
+}
+
 func (f *fakePorts) Plan(_ context.Context, _ string, stages []relay.PlannedStage) []time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.planned += len(stages)
+	f.announced += len(stages)
+	f.leastBacklog += f.lateOnceAsked
 	backlogs := make([]time.Duration, len(stages))
 	for i := range backlogs {
 		backlogs[i] = f.backlog
@@ -169,7 +219,7 @@
 	return backlogs
 }
 
-func (f *fakePorts) Cancel(_ string, stages []relay.PlannedStage) {
+func (f *fakePorts) Cancel(_ string, stages []relay.PlannedStage, _ []time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.planned -= len(stages)
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -141,12 +141,25 @@
 	// Release releases results at their targets.
 	Release(service string, results []batching.Result)
 	// Plan announces the stages that a request will run, and returns each service's
-	// backlog: how long it takes for work that is already planned or queued; 0 if unknown.
+	// backlog: how long it takes for work that is already planned or queued;
+	// UnknownBacklog if its coordinator did not answer in time.
 	Plan(ctx context.Context, request string, stages []PlannedStage) []time.Duration
-	// Cancel withdraws plans.
-	Cancel(request string, stages []PlannedStage)
+	// AwaitBacklogs waits for the backlogs that Plan returned as unknown, and returns all. It
+	// returns false if some stay unknown, because ctx is done or there will be no answer.
+	AwaitBacklogs(ctx context.Context, request string, stages []PlannedStage, backlogs []time.Duration) ([]time.Duration, bool)
+	// PlansWait reports whether plans for these stages have to wait because a coordinator has
+	// not answered earlier ones.
+	PlansWait(stages []PlannedStage) bool
+	// LeastBacklogs returns, for stages of services whose coordinator is late, the least
+	// that their backlogs can be; 0 for the others.
+	LeastBacklogs(stages []PlannedStage) []time.Duration
+	// Cancel withdraws the plans of a request; backlogs are those that Plan returned.
+	Cancel(request string, stages []PlannedStage, backlogs []time.Duration)
 }
 
+// UnknownBacklog is the backlog of a service whose coordinator did not answer.
+const UnknownBacklog time.Duration = -1
+
 // Quarantine tracks the requests that crash the targets that run them; quarantine.Tracker
 // implements it. Its methods are called concurrently and must not block.
 type Quarantine interface {
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -123,9 +123,11 @@
 	if err := s.refuseEvacuated(r); err != nil {
 		return err
 	}
-	if outcome.Planned, err = s.admit(ctx, r); err != nil {
+	admitted, err := s.admit(ctx, r)
+	if err != nil {
 		return err
 	}
+	outcome.Planned = admitted.estimated
 	d := s.newDelivery(r, out, outcome)
 	defer context.AfterFunc(s.stopping, func() {
 		if !d.response.started.Load() {
@@ -134,7 +136,7 @@
 	})()
 	defer func() { outcome.Recomputed = d.runner.recomputes }()
 	defer func() { d.runner.results.releaseAll() }()
-	if err := d.runner.results.run(ctx); err != nil {
+	if err := s.runStages(ctx, d, admitted); err != nil {
 		return d.finalError(err)
 	}
 	outcome.StagesTook = s.cfg.Now().Sub(req.Arrived)
--- a/internal/gateway/relay/rules/admission.go
+++ b/internal/gateway/relay/rules/admission.go
@@ -27,7 +27,8 @@
 type Admission struct {
 	// Estimated is how long all stages take behind the work that other requests have
 	// planned, and Alone how long they take without it (Stages.Total). The backlogs in
-	// Estimated are current; an unknown backlog counts as 0.
+	// Estimated are current; in place of an unknown one stands the least that it can be,
+	// which is 0 if nothing is known of its coordinator.
 	Estimated, Alone time.Duration
 	// Left is the time to the objective now, and Objective what it was on arrival.
 	Left, Objective time.Duration
@@ -77,7 +78,8 @@
 // refusals take 1.0 s or more, and one in ten takes over 2.5 s
 // (docs/design/heaviest-days.md).
 //
-// Without known backlogs every request is admitted. A wrong admission makes this request
+// A coordinator that fails without an answer has a backlog of 0, and every request is
+// admitted. A wrong admission makes this request
 // late and delays those behind it; a wrong refusal costs the client one retry and makes
 // its response late.
 func Admit(a Admission) AdmissionDecision {
--- a/internal/gateway/relay/stages_test.go
+++ b/internal/gateway/relay/stages_test.go
@@ -8,6 +8,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
+	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -179,3 +180,54 @@
 		convey.So(groups, convey.ShouldEqual, 3)
 	})
 }
+
+// TestLateCoordinator guards against requests that are admitted because a late coordinator
+// does not answer with its backlog, and that keep it late.
+func TestLateCoordinator(t *testing.T) {
+	convey.Convey("Given a coordinator that does not answer", t, func() {
+		f, s := setup(chainRoute(), true)
+		f.backlog = relay.UnknownBacklog
+		convey.Convey("a request is admitted if nothing is known of its backlog", func() {
+			convey.So(s.Serve(t.Context(), request(1, 4, 2), &fakeClient{}), convey.ShouldBeNil)
+			convey.So(f.announced, convey.ShouldEqual, 3)
+		})
+		convey.Convey("a request that it may still serve is announced and admitted", func() {
+			f.leastBacklog = 200 * time.Millisecond
+			convey.So(s.Serve(t.Context(), request(1, 4, 2), &fakeClient{}), convey.ShouldBeNil)
+			convey.So(f.announced, convey.ShouldEqual, 3)
+		})
+		convey.Convey("a request that it cannot serve in time is refused at once, unannounced", func() {
+			f.leastBacklog = 3 * time.Second
+			err := s.Serve(t.Context(), request(1, 4, 2), &fakeClient{})
+			convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonOverload)
+			convey.So(err.Verdict(), convey.ShouldEqual, verdict.NotRun)
+			convey.So(err.RetryAfter(), convey.ShouldBeGreaterThan, 0)
+			convey.So(f.announced, convey.ShouldEqual, 0)
+			convey.So(f.groups, convey.ShouldBeEmpty)
+		})
+		convey.Convey("a request that was admitted is refused once a late answer shows that it takes too long", func() {
+			f.lateBacklog, f.groupsWait = make(chan time.Duration, 1), make(chan struct{})
+			f.lateBacklog <- 3 * time.Second
+			err := s.Serve(t.Context(), request(1, 4, 2), &fakeClient{})
+			convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonOverload)
+			convey.So(err.Verdict(), convey.ShouldEqual, verdict.NotRun)
+			convey.So(err.RetryAfter(), convey.ShouldBeGreaterThan, 0)
+			convey.So(f.planned, convey.ShouldEqual, 0)
+			convey.So(f.calls, convey.ShouldBeEmpty)
+		})
+		convey.Convey("and goes on if the late answer shows that it does not", func() {
+			f.lateBacklog, f.groupsWait = make(chan time.Duration, 1), make(chan struct{})
+			f.lateBacklog <- 200 * time.Millisecond
+			time.AfterFunc(20*time.Millisecond, func() { close(f.groupsWait) })
+			convey.So(s.Serve(t.Context(), request(1, 4, 2), &fakeClient{}), convey.ShouldBeNil)
+		})
+		convey.Convey("a request is refused if that turns out while it waits for the answer, and its plan is cancelled", func() {
+			f.lateOnceAsked = 3 * time.Second
+			err := s.Serve(t.Context(), request(1, 4, 2), &fakeClient{})
+			convey.So(err.Reason(), convey.ShouldEqual, verdict.ReasonOverload)
+			convey.So(f.announced, convey.ShouldEqual, 3)
+			convey.So(f.planned, convey.ShouldEqual, 0)
+			convey.So(f.groups, convey.ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -193,6 +193,9 @@
 	// For each stage, how long its service takes for what was planned or submitted
 	// before.
 	BacklogMs []int `json:"backlogMs"`
+
+	// The answers to the plans of further requests, in their order.
+	More []RequestBacklogs `json:"more,omitempty,omitzero"`
 }
 
 // ItemGroup asks the node that forms a service's calls for the items of one stage
@@ -245,6 +248,10 @@
 	// Cancelled corresponds to the JSON schema field "cancelled".
 	Cancelled bool `json:"cancelled,omitempty,omitzero"`
 
+	// Plans of further requests. A member of an earlier version ignores them and does
+	// not answer them.
+	More []RequestPlan `json:"more,omitempty,omitzero"`
+
 	// Request corresponds to the JSON schema field "request".
 	Request string `json:"request"`
 
@@ -571,6 +578,24 @@
 const RefusalVerdictNotRun RefusalVerdict = "not-run"
 const RefusalVerdictRan RefusalVerdict = "ran"
 
+// RequestBacklogs answers a RequestPlan.
+type RequestBacklogs struct {
+	// As in ItemBacklogs.
+	BacklogMs []int `json:"backlogMs"`
+}
+
+// RequestPlan is the plan of one more request in an ItemPlan, or its cancellation.
+type RequestPlan struct {
+	// Cancelled corresponds to the JSON schema field "cancelled".
+	Cancelled bool `json:"cancelled,omitempty,omitzero"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Stages corresponds to the JSON schema field "stages".
+	Stages []PlannedStage `json:"stages"`
+}
+
 // ResultBytes is how many bytes of a request's results lie in one data centre.
 type ResultBytes struct {
 	// Bytes corresponds to the JSON schema field "bytes".
