placement: failures age while a target is not called

What callers saw: a target that had refused requests for some seconds and was well again got 125 requests in 16 s, its two equal neighbours 888 and 1,164, which carried its load; one that had refused once got 8 of 4,481 in 28 s.

Cause: LeastLoaded multiplies a target's latency by 1 plus four times its failure rate. The latency decayed to the time of each selection, the failure rate only when the target's next call ended, so that a target that was left out because of it kept it for good.

Evidence: TestRecoveredTarget, three equal targets of which one fails until 8 s: 0 of 640 calls from 12 s to 28 s on the code before, at least half of a fair part now.

Why it works: the failure rate is decayed to the time of each selection, as the latency is, in both rules that use it (LeastLoaded, ByPrefix), so that it no longer depends on a call that it prevents.

The check "Failures do not decay until the next call ends" held the fault itself. The one in its place holds the half-life on both sides, to 10 microseconds of cost.

--- a/internal/gateway/placement/byprefix.go
+++ b/internal/gateway/placement/byprefix.go
@@ -92,6 +92,6 @@
 	outstanding, slots := s.outstanding(now), s.slots(configuredSlots)
 	cost := fullCost * outstanding / slots
 	cost += busyCost * max(outstanding-busyShare*slots, 0)
-	cost += failureCost * s.failureRate
+	cost += failureCost * s.failureRateAt(now)
 	return cost
 }
--- a/internal/gateway/placement/leastloaded.go
+++ b/internal/gateway/placement/leastloaded.go
@@ -26,11 +26,11 @@
 // false if no usable target is left.
 //
 // Targets are compared by tier, then by cost in seconds. The cost is the target's latency,
-// which decays with statsHalfLife, times 1 plus the outstanding calls per slot, times 1
+// times 1 plus the outstanding calls per slot, times 1
 // plus failurePenalty times the failure rate, plus otherDataCentreCostSeconds if
-// applicable. Latency and failure rate only cover this node's own calls, and the failure
-// rate does not decay until the next call ends. Outstanding calls include those of other
-// nodes while the target's last report is not older than maxLoadAge.
+// applicable. Latency and failure rate only cover this node's own calls, and both decay with
+// statsHalfLife. Outstanding calls include those of other nodes while the target's last report
+// is not older than maxLoadAge.
 //
 // Without any statistics the first target of the list in the node's own data centre is
 // selected. If there is a Subset, its targets come first. A poor selection costs the
@@ -41,7 +41,7 @@
 	i, found := best(now, targets, q.Exclude, q.filter(now), func(i int, c *directory.Target) score {
 		s := t.statsOf(c.Incarnation())
 		latencySeconds := max(s.latencySeconds*decayFactor(now, s.updatedAt), minLatencySeconds)
-		cost := latencySeconds * (1 + s.outstanding(now)/s.slots(c.Slots)) * (1 + failurePenalty*s.failureRate)
+		cost := latencySeconds * (1 + s.outstanding(now)/s.slots(c.Slots)) * (1 + failurePenalty*s.failureRateAt(now))
 		if c.DataCentre != q.DataCentre {
 			cost += otherDataCentreCostSeconds
 		}
--- a/internal/gateway/placement/targets.go
+++ b/internal/gateway/placement/targets.go
@@ -16,9 +16,8 @@
 	// quick succession lead to an ejection (ejectionThreshold).
 	failureWeight = 2 * latencyWeight
 	// statsHalfLife is the half-life of a latency or failure rate, so that a target that was slow
-	// is tried again after a few seconds. The latency is decayed to the time of each selection.
-	// The failure rate only decays when the next call ends, so that a target that failed keeps
-	// its failure rate while it is not called.
+	// or failed is tried again after a few seconds. Both are decayed to the time of each
+	// selection: a target that is not called because of them would never improve otherwise.
 	statsHalfLife = 3 * time.Second
 	// maxLoadAge is the maximum age of a load report. After that only this node's own calls
 	// are taken into account. A plain call takes about 20 ms, so that an older report does not
@@ -55,7 +54,8 @@
 	latencySeconds float64
 	// failureRate is the moving average of failures, from 0 (none) to 1 (all calls fail).
 	failureRate float64
-	// updatedAt is the time of the last update of latencySeconds and failureRate.
+	// updatedAt is the time of the last update of latencySeconds and failureRate, from which
+	// on both decay.
 	updatedAt time.Time
 	// load is the last load report, and loadAt its time.
 	load   Load
@@ -93,7 +93,7 @@
 func (t *TargetTable) RecordEnd(now time.Time, l directory.Incarnation, took time.Duration, failed bool) {
 	s := t.statsOf(l)
 	s.inflight--
-	s.failureRate *= decayFactor(now, s.updatedAt)
+	s.failureRate = s.failureRateAt(now)
 	s.updatedAt = now
 	if s.latencySeconds == 0 {
 		s.latencySeconds = took.Seconds()
@@ -124,6 +124,11 @@
 	}
 }
 
+// failureRateAt returns the failure rate, decayed to now.
+func (s *stats) failureRateAt(now time.Time) float64 {
+	return s.failureRate * decayFactor(now, s.updatedAt)
+}
+
 // decayFactor returns the factor by which a value has decayed since updatedAt, given
 // statsHalfLife. It returns 0 if the value was never set.
 func decayFactor(now, updatedAt time.Time) float64 {
