placement: an old latency does not regain its weight at the next call

What callers saw: one slow answer, such as one over a new connection, kept a well target out for minutes. In a failed run of TestLimitedTargets a node passed over such a target at 6.6 to 4.3 ms for as long as it was observed, its neighbour took 1 to 2 ms.

Cause: the average response time decayed while a target was not called, but the next call was averaged with the value before the decay. After an answer of 100 ms beside a neighbour of 2 ms the next call comes after 17 s and sets the average to 80 ms, and so on.

One that takes 200 ms beside 20 ms gets less than one in a hundred.

--- a/internal/gateway/placement/leastloaded.go
+++ b/internal/gateway/placement/leastloaded.go
@@ -40,7 +40,7 @@
 	subset := q.Subset.mask(targets, q.DataCentre)
 	i, found := best(now, targets, q.Exclude, q.filter(now), func(i int, c *directory.Target) score {
 		s := t.statsOf(c.Incarnation())
-		latencySeconds := max(s.latencySeconds*decayFactor(now, s.updatedAt), minLatencySeconds)
+		latencySeconds := max(s.latencyAt(now), minLatencySeconds)
 		cost := latencySeconds * (1 + s.outstanding(now)/s.slots(c.Slots)) * (1 + failurePenalty*s.failureRateAt(now))
 		if c.DataCentre != q.DataCentre {
 			cost += otherDataCentreCostSeconds
--- a/internal/gateway/placement/leastloaded_test.go
+++ b/internal/gateway/placement/leastloaded_test.go
@@ -143,6 +143,33 @@
 	})
 }
 
+// TestSlowAnswer guards against a target that is left out for minutes because of one slow answer,
+// such as one over a new connection: its latency aged while it was not called, and was as high as
+// before after its next call.
+func TestSlowAnswer(t *testing.T) {
+	convey.Convey("A target with one slow answer is used again after some seconds", t, func() {
+		table := placement.NewTargetTable()
+		targets := pair(directory.Ready)
+		recordCall(table, now, "t0", 100*time.Millisecond, false)
+		calls := 0
+		counts := callSteadily(table, now.Add(20*time.Second), 10*time.Second, targets, func(time.Time, string) (time.Duration, bool) {
+			calls++
+			return 2*time.Millisecond + time.Duration(calls%7)*100*time.Microsecond, false
+		})
+		convey.So(counts["t0"], convey.ShouldBeGreaterThan, (counts["t0"]+counts["t1"])/4)
+	})
+	convey.Convey("A target that is always slow gets few calls", t, func() {
+		table := placement.NewTargetTable()
+		counts := callSteadily(table, now, 30*time.Second, pair(directory.Ready), func(_ time.Time, id string) (time.Duration, bool) {
+			if id == "t0" {
+				return 200 * time.Millisecond, false
+			}
+			return 20 * time.Millisecond, false
+		})
+		convey.So(counts["t0"], convey.ShouldBeLessThan, (counts["t0"]+counts["t1"])/100)
+	})
+}
+
 // TestStatsDecay verifies how statistics decay and expire.
 func TestStatsDecay(t *testing.T) {
 	q := placement.Query{DataCentre: "d0"}
--- a/internal/gateway/placement/targets.go
+++ b/internal/gateway/placement/targets.go
@@ -89,11 +89,12 @@
 
 // RecordEnd records the end of a call and its duration. A call counts as failed only if the target
 // is at fault: it did not respond, its response was incomplete or invalid, or its response
-// reports a problem of the target.
+// reports a problem of the target. Earlier results are decayed first, so that they do not regain
+// the weight that they lost while the target was not called.
 func (t *TargetTable) RecordEnd(now time.Time, l directory.Incarnation, took time.Duration, failed bool) {
 	s := t.statsOf(l)
 	s.inflight--
-	s.failureRate = s.failureRateAt(now)
+	s.failureRate, s.latencySeconds = s.failureRateAt(now), s.latencyAt(now)
 	s.updatedAt = now
 	if s.latencySeconds == 0 {
 		s.latencySeconds = took.Seconds()
@@ -124,6 +125,11 @@
 	}
 }
 
+// latencyAt returns the average response time in seconds, decayed to now.
+func (s *stats) latencyAt(now time.Time) float64 {
+	return s.latencySeconds * decayFactor(now, s.updatedAt)
+}
+
 // failureRateAt returns the failure rate, decayed to now.
 func (s *stats) failureRateAt(now time.Time) float64 {
 	return s.failureRate * decayFactor(now, s.updatedAt)
