backpressure: a sender asks a target whose limit nobody confirms

What callers saw: a target whose limit had ended went on getting what the limit allowed, 2 to 7 requests in 4 s, while its neighbours carried its load.

Cause: the end of a limit is told only in an answer, and only a sender may ask. Placing by cost left out a target whose last answer had been slow, and nothing else made its sender ask; the others held the limit for as long.

Evidence: the costs of each selection and the limits of each node, ten times a second, in a run of TestLimitedTargets that failed: it is the plain service's target, its sender had a token and passed it over at 4.0 ms against 1 to 2.6 ms, and a substitute heard the end after 5.0 s.

Change: a sender that holds a token prefers a healthy target whose limit nobody has confirmed for a second. It takes the token, so that the bound on what the target gets is as before (TestLimitHolds).

--- a/internal/gateway/backpressure/doc.go
+++ b/internal/gateway/backpressure/doc.go
@@ -25,6 +25,10 @@
 // support limits. If all members substituted at once, they would send a burst after a
 // period without load.
 //
+// A target tells the end of its limit only in a response. So a sender prefers a target for its
+// next request if nobody has confirmed the limit for probeInterval, whatever other targets
+// cost.
+//
 // If the bucket of a target is empty, the request goes to another target. If there is none,
 // the request is refused as not run, with a time after which to retry.
 //
--- a/internal/gateway/backpressure/gate.go
+++ b/internal/gateway/backpressure/gate.go
@@ -58,6 +58,25 @@
 	return list
 }
 
+// Unconfirmed returns the IDs of the targets in d that this node may send to although they have
+// a limit, and whose limit nobody has confirmed for probeInterval. A target tells the end of its
+// limit only in a response, so that one of them should get the next request.
+func (g Gate) Unconfirmed(d *directory.Directory) []string {
+	if g.tracker.empty() {
+		return nil
+	}
+	g.tracker.mu.Lock()
+	defer g.tracker.mu.Unlock()
+	now := g.tracker.cfg.Now()
+	var list []string
+	for _, target := range g.tracker.table.limited() {
+		if d.IsCurrent(target) && g.tracker.table.unconfirmed(now, target) && g.allows(target) {
+			list = append(list, target.ID)
+		}
+	}
+	return list
+}
+
 // Allows reports whether a target may get a request now.
 func (g Gate) Allows(target directory.Incarnation) bool {
 	if g.tracker.empty() {
--- a/internal/gateway/backpressure/model_test.go
+++ b/internal/gateway/backpressure/model_test.go
@@ -403,3 +403,40 @@
 		}
 	}
 }
+
+// TestUnconfirmed verifies when a sender of a limited target should send it the next request,
+// whatever its cost: if nobody has confirmed the limit for a second and the sender may send.
+// Without it a target whose limit had ended was not asked for seconds, because it had been slow.
+func TestUnconfirmed(t *testing.T) {
+	m := newModel(1, 1)
+	n, target := m.nodes[0], m.target.Incarnation()
+	listed := directory.New(m.target)
+	expect := func(want bool, when string) {
+		t.Helper()
+		if got := len(n.gate.Unconfirmed(listed)) > 0; got != want {
+			t.Errorf("%s: unconfirmed is %v", when, got)
+		}
+	}
+	announce := func(l backpressure.Limit) {
+		m.now = m.now.Add(time.Millisecond)
+		n.tracker.Observe(target, backpressure.Signal{Sent: m.now, Limit: l})
+	}
+	expect(false, "without a limit")
+	announce(backpressure.Limit{Set: true, PerSecond: 1})
+	n.gate.Blocked(listed)
+	m.now = m.now.Add(1500 * time.Millisecond)
+	expect(false, "while the sender has no token")
+	m.now = m.now.Add(500 * time.Millisecond)
+	expect(true, "once it has one")
+	n.gate.Take(target)
+	expect(false, "after the request")
+	m.now = m.now.Add(5 * time.Second)
+	announce(backpressure.Limit{Set: true, PerSecond: 1})
+	m.now = m.now.Add(900 * time.Millisecond)
+	expect(false, "soon after a confirmation")
+	m.now = m.now.Add(100 * time.Millisecond)
+	expect(true, "a second after it")
+	announce(backpressure.Limit{})
+	m.now = m.now.Add(5 * time.Second)
+	expect(false, "after the end of the limit")
+}
--- a/internal/gateway/backpressure/table.go
+++ b/internal/gateway/backpressure/table.go
@@ -21,6 +21,10 @@
 	limitPerSender = 2
 	// senderBurst is the number of requests that a sender may send at once.
 	senderBurst = 1
+	// probeInterval is the time without a confirmation of a limit after which a sender prefers
+	// the target for its next request, whatever the target's cost: otherwise a target that was
+	// slow would not be asked, and the end of its limit not be heard.
+	probeInterval = time.Second
 	// minSenderRate is the minimum rate of a sender in requests a second. It is not 0, so that
 	// a response can announce the end of a limit of 0.
 	minSenderRate = 0.1
@@ -147,6 +151,12 @@
 	return e != nil && e.Set && sent.After(e.at)
 }
 
+// unconfirmed reports whether the last report of a target's limit is older than probeInterval.
+func (t *table) unconfirmed(now time.Time, target directory.Incarnation) bool {
+	e := t.entries[target]
+	return e != nil && e.Set && now.Sub(e.at) >= probeInterval
+}
+
 // heldBack reports whether a target may get no requests from this node because it is leaving,
 // even if the source says otherwise, or is paused.
 func (t *table) heldBack(now time.Time, target directory.Incarnation) bool {
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -95,6 +95,9 @@
 	// Exclude lists the IDs of targets that must not be selected, for example because they
 	// have been tried.
 	Exclude []string
+	// Prefer lists the IDs of targets that LeastLoaded selects first if they are healthy,
+	// whatever their cost.
+	Prefer []string
 	// Key is the hash of the prompt's shared part. 0 means that there is none.
 	Key uint64
 	// SharedTokens is the length of the prompt's shared part in tokens.
--- a/internal/gateway/placement/leastloaded.go
+++ b/internal/gateway/placement/leastloaded.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
@@ -49,6 +50,9 @@
 		if subset != nil && !subset[i] {
 			tier = max(tier, tierOutsideSubset)
 		}
+		if slices.Contains(q.Prefer, c.ID) {
+			cost = 0
+		}
 		return score{tier: tier, cost: cost}
 	})
 	target, found := targetAt(targets, i, found)
--- a/internal/gateway/placement/leastloaded_test.go
+++ b/internal/gateway/placement/leastloaded_test.go
@@ -48,6 +48,13 @@
 			recordCall(table, now, "t0", 10*time.Millisecond, false)
 			recordCall(table, now, "t1", 9*time.Millisecond, false)
 		}, engines(2), placement.Query{DataCentre: "d0"}, "t0"},
+		{"the preferred one, although it is slower", func(table *placement.TargetTable) {
+			recordCall(table, now, "t0", 400*time.Millisecond, false)
+			recordCall(table, now, "t1", time.Millisecond, false)
+		}, pair(directory.Ready), placement.Query{DataCentre: "d0", Prefer: []string{"t0"}}, "t0"},
+		{"the other one if the preferred one is ejected", func(table *placement.TargetTable) {
+			table.Eject(now, incarnation("t0"))
+		}, pair(directory.Ready), placement.Query{DataCentre: "d0", Prefer: []string{"t0"}}, "t1"},
 		{
 			"the one with fewer outstanding calls", func(table *placement.TargetTable) { table.RecordStart(incarnation("t0")) },
 			pair(directory.Ready),
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -128,7 +128,10 @@
 // chooseLocally chooses a target by the information of this node alone.
 func (c *chooser) chooseLocally(inputs map[string]int64, exclude []string) (directory.Target, bool) {
 	list := c.view().Directory.Service(c.service.Name)
-	q := placement.Query{DataCentre: c.dataCentre, Exclude: exclude, InputBytes: inputs, MayAssign: c.sendsToCold}
+	q := placement.Query{
+		DataCentre: c.dataCentre, Exclude: exclude, Prefer: c.gate.Unconfirmed(c.view().Directory),
+		InputBytes: inputs, MayAssign: c.sendsToCold,
+	}
 	if c.service.Engine {
 		// Many nodes may choose by themselves at the same time, such as after the loss of
 		// the Placer, and they do not know of each other's prompts.
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -59,6 +59,8 @@
 	lateBacklog chan time.Duration
 	// groupsWait is what groups wait for; nil for nothing.
 	groupsWait chan struct{}
+	// unconfirmed lists the targets whose limit has to be confirmed.
+	unconfirmed []string
 	// announced counts the stages that were ever announced.
 	announced int
 	// planned counts the stages that were planned and not cancelled.
@@ -278,8 +280,9 @@
 }
 
 // Blocked, Take, HeldBack and PauseLeft let all targets get all requests, except for the
-// targets in heldBack.
+// targets in heldBack. Unconfirmed returns the targets in unconfirmed.
 func (f *fakePorts) Blocked(*directory.Directory) []string         { return nil }
+func (f *fakePorts) Unconfirmed(*directory.Directory) []string     { return f.unconfirmed }
 func (f *fakePorts) Take(directory.Incarnation) bool               { return true }
 func (f *fakePorts) HeldBack(target directory.Incarnation) bool    { return f.heldBack[target.ID] }
 func (f *fakePorts) PauseLeft(directory.Incarnation) time.Duration { return 0 }
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -185,6 +185,9 @@
 	// Blocked lists the targets of a directory that may not get a request from this node
 	// now.
 	Blocked(d *directory.Directory) []string
+	// Unconfirmed lists the targets of a directory that may get a request from this node now
+	// and should, to learn whether their limit still holds.
+	Unconfirmed(d *directory.Directory) []string
 	// Take reports whether a target may get a request now, and counts the request if so.
 	Take(target directory.Incarnation) bool
 	// HeldBack reports, just before a request is sent, whether its target must not get it.
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -132,3 +132,16 @@
 		})
 	})
 }
+
+// TestUnconfirmedLimit guards against a limited target that is not asked whether its limit still
+// holds, because another one responds faster.
+func TestUnconfirmedLimit(t *testing.T) {
+	convey.Convey("A request goes to the target whose limit has to be confirmed", t, func() {
+		f, s := setup(&catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2}, false)
+		for _, id := range []string{"t0", "t1"} {
+			f.calls, f.unconfirmed = nil, []string{id}
+			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
+			convey.So(f.calls[0].Target.ID, convey.ShouldEqual, id)
+		}
+	})
+}
