matrix: sign bundles before the call that publishes them

What was seen: three cells in which a bundle was published ended by the deadline or a spent retry budget, though nothing stood in the way. No caller of the product sees it: the harness made the target silent.

Cause: a publication is a step of a target's call, and the target signed the bundle in that step. A node takes a target for stalled after 150 ms of silence there.

Change: a cell signs its bundles before its request starts, and the step only publishes them. The faults, the bound of 150 ms, the cells and the checks are as before.

--- a/internal/harness/lab/lab.go
+++ b/internal/harness/lab/lab.go
@@ -84,7 +84,8 @@
 	if err != nil {
 		return err
 	}
-	if err := l.startPlatform(signed); err != nil {
+	l.Plan = signed.Plan
+	if err := l.startPlatform(signed.signed); err != nil {
 		return err
 	}
 	if err := l.startNodes(); err != nil {
@@ -129,32 +130,54 @@
 	return opts
 }
 
-// sign makes b the plan of the lab and returns the signed bundle.
-func (l *Lab) sign(b bundle.Bundle) ([]byte, error) {
+// SignedBundle is a bundle that is ready to be published.
+type SignedBundle struct {
+	// Plan is the bundle's.
+	Plan   *bundle.Plan
+	signed []byte
+}
+
+// sign returns the signed bundle.
+func (l *Lab) sign(b bundle.Bundle) (*SignedBundle, error) {
 	// Steps between bundles are made of lines, as operators write them.
 	text, err := json.MarshalIndent(b, "", " ")
 	if err != nil {
 		return nil, err
 	}
-	if l.Plan, err = bundle.Parse("lab", text); err != nil {
+	plan, err := bundle.Parse("lab", text)
+	if err != nil {
+		return nil, err
+	}
+	signed, err := json.Marshal(bundle.Signed{Text: string(text)}.WithSignature(bundle.Sign(approver, l.key, text)))
+	if err != nil {
 		return nil, err
 	}
-	signed := bundle.Signed{Text: string(text)}.WithSignature(bundle.Sign(approver, l.key, text))
-	return json.Marshal(signed)
+	return &SignedBundle{Plan: plan, signed: signed}, nil
+}
+
+// SignNext signs the bundle that follows the one of a plan, after change.
+func (l *Lab) SignNext(plan *bundle.Plan, change func(*bundle.Bundle)) (*SignedBundle, error) {
+	b := plan.Bundle()
+	b.Number++
+	b.Previous = plan.Digest()
+	change(&b)
+	return l.sign(b)
+}
+
+// PublishSigned puts a signed bundle into the configuration service.
+func (l *Lab) PublishSigned(s *SignedBundle) {
+	l.Plan = s.Plan
+	l.Configuration.Put(s.signed)
 }
 
 // Publish signs the next number of the bundle after change and puts it into
 // the configuration service.
 func (l *Lab) Publish(change func(*bundle.Bundle)) error {
-	b := l.Plan.Bundle()
-	b.Number++
-	b.Previous = l.Plan.Digest()
-	change(&b)
-	signed, err := l.sign(b)
+	s, err := l.SignNext(l.Plan, change)
 	if err != nil {
 		return err
 	}
-	l.Configuration.Put(signed)
+	l.PublishSigned(s)
 	return nil
 }
 
--- a/internal/harness/matrix/matrix.go
+++ b/internal/harness/matrix/matrix.go
@@ -196,6 +196,8 @@
 	lab *lab.Lab
 	// spare is a node that no cell harms.
 	spare *lab.Member
+	// signed holds the bundles that the next publications publish, in this order.
+	signed []*lab.SignedBundle
 }
 
 func newRunner(ctx context.Context) (*runner, error) {
--- a/internal/harness/matrix/run.go
+++ b/internal/harness/matrix/run.go
@@ -52,6 +52,9 @@
 			return err
 		}
 	}
+	if err := t.signBundles(); err != nil {
+		return err
+	}
 	t.place()
 	t.request(ctx)
 	t.checkNodes()
@@ -92,6 +95,30 @@
 	}
 }
 
+// signBundles signs a bundle for each publication of the cell. A publication is a step of a
+// target's call, and a target that signs meanwhile is silent for longer than a node waits for
+// it when the machine is busy.
+func (t *trial) signBundles() error {
+	published := 0
+	for _, p := range t.cell.Faults {
+		if p.Fault == Publish {
+			published++
+		}
+	}
+	for len(t.signed) < published {
+		plan := t.lab.Plan
+		if n := len(t.signed); n > 0 {
+			plan = t.signed[n-1].Plan
+		}
+		s, err := t.lab.SignNext(plan, func(b *bundle.Bundle) { b.Objective.CostWeight += costStep })
+		if err != nil {
+			return err
+		}
+		t.signed = append(t.signed, s)
+	}
+	return nil
+}
+
 // strike brings a fault of a node or of the platform about.
 func (t *trial) strike(fault standin.Fault, pool string) {
 	switch fault {
@@ -102,9 +129,8 @@
 	case PauseEntry:
 		t.clock.skip(pauseLength)
 	case Publish:
-		// A bundle that is not published leaves the cell without its fault; the checks
-		// stay the same.
-		_ = t.lab.Publish(func(b *bundle.Bundle) { b.Objective.CostWeight += costStep })
+		t.lab.PublishSigned(t.signed[0])
+		t.signed = t.signed[1:]
 	case Leave:
 		for _, target := range t.lab.Pool(pool)[1:] {
 			target.Leave()
