gateway: the least backlog behind a late coordinator is its delay alone

Cause: the estimate in place of an unanswered backlog added what was left of the last answer to the coordinator's delay. The targets work that off while the coordinator is late, and the answer holds its lateness already, so that the sum is no least.

Change: the least backlog is the age of the oldest message, without the time for which the node itself was stalled.

--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -166,7 +166,7 @@
 func (b *batchRouter) LeastBacklogs(stages []relay.PlannedStage) []time.Duration {
 	backlogs := make([]time.Duration, len(stages))
 	for i, s := range stages {
-		backlogs[i] = b.planQueue(b.members.remoteCoordinator(s.Service)).leastBacklog(s.Service)
+		backlogs[i] = b.planQueue(b.members.remoteCoordinator(s.Service)).leastBacklog()
 	}
 	return backlogs
 }
--- a/internal/gateway/planqueue.go
+++ b/internal/gateway/planqueue.go
@@ -35,8 +35,7 @@
 // messages are outstanding as planWindow allows wait, and go together in the next message. A
 // plan that is given up before that is not sent at all.
 //
-// It owns the waiting plans, the outstanding messages and the newest answers, and the lock
-// that guards them. If the coordinator fails, the plans of the message end without backlogs.
+// It owns the waiting plans, the outstanding messages, and the lock that guards them. If the coordinator fails, the plans of the message end without backlogs.
 type planQueue struct {
 	now  func() time.Time
 	log  zerolog.Logger
@@ -47,25 +46,12 @@
 	// outstanding holds the plans of the messages that have no answer yet.
 	outstanding map[int][]*queuedPlan
 	window      planWindow
-	// backlogs holds the newest backlog that was answered for each service.
-	backlogs map[string]answeredBacklog
 	// loggedAt is when it was last logged that the coordinator is late, and unanswered the
 	// number of plans that ended without a backlog since.
 	loggedAt   time.Time
 	unanswered int
 }
 
-// answeredBacklog is the backlog of a service when it was answered.
-type answeredBacklog struct {
-	backlog time.Duration
-	at      time.Time
-}
-
-// least returns the least that is left of the backlog.
-func (b answeredBacklog) least(now time.Time) time.Duration {
-	return max(b.backlog-now.Sub(b.at), 0)
-}
-
 // queuedPlan is a plan that waits to be sent or answered.
 type queuedPlan struct {
 	requestPlan
@@ -81,7 +67,7 @@
 func newPlanQueue(now func() time.Time, log zerolog.Logger, send planSender) *planQueue {
 	return &planQueue{
 		now: now, log: log, send: send,
-		outstanding: map[int][]*queuedPlan{}, backlogs: map[string]answeredBacklog{},
+		outstanding: map[int][]*queuedPlan{},
 	}
 }
 
@@ -94,7 +80,7 @@
 	case backlogs := <-p.backlogs:
 		return backlogs
 	case <-ctx.Done():
-		q.giveUp(p, ctx.Err() == context.DeadlineExceeded)
+		q.giveUp(ctx, p)
 		return nil
 	}
 }
@@ -154,15 +140,15 @@
 	q.sendNext()
 }
 
-// giveUp drops a plan that nothing waits for any more, unless it has been sent. timedOut is
-// whether that is because the answer took too long.
-func (q *planQueue) giveUp(p *queuedPlan, timedOut bool) {
+// giveUp drops a plan that nothing waits for any more because ctx is done, unless it has been
+// sent.
+func (q *planQueue) giveUp(ctx context.Context, p *queuedPlan) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p.givenUp = true
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *queuedPlan) bool { return other == p })
-	if timedOut {
-		q.window.timedOut()
+	if deadline, ok := ctx.Deadline(); ok && ctx.Err() == context.DeadlineExceeded {
+		q.window.timedOut(time.Since(deadline))
 		q.unanswered++
 		q.logLate()
 	}
@@ -207,7 +193,6 @@
 		switch {
 		case i < len(answers):
 			p.backlogs <- answers[i]
-			q.record(p, answers[i])
 			if p.withdrawn {
 				again = append(again, cancellation(p.request, p.stages))
 			}
@@ -220,17 +205,6 @@
 	q.waiting = append(again, q.waiting...)
 }
 
-// record keeps the backlogs that were answered. The caller must hold the lock.
-func (q *planQueue) record(p *queuedPlan, backlogs []time.Duration) {
-	if p.cancelled {
-		return
-	}
-	now := q.now()
-	for i, d := range backlogs {
-		q.backlogs[p.stages[i].Service] = answeredBacklog{backlog: d, at: now}
-	}
-}
-
 // full reports whether a plan would have to wait for an earlier message.
 func (q *planQueue) full() bool {
 	q.mu.Lock()
@@ -239,17 +213,12 @@
 }
 
 // leastBacklog returns the least that the backlog of a service can be while its coordinator is
-// late: how late it is, plus what is left of the backlog that it answered last. It is 0 if the
-// coordinator answers in time.
-func (q *planQueue) leastBacklog(service string) time.Duration {
+// late: how late it is. It is 0 if the coordinator answers in time. An earlier answer is not added,
+// since the targets work off what it counted while the coordinator is late.
+func (q *planQueue) leastBacklog() time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.now()
-	delay := q.window.delay(now)
-	if delay == 0 {
-		return 0
-	}
-	return delay + q.backlogs[service].least(now)
+	return q.window.delay(q.now())
 }
 
 // logLate logs that plans were not answered in time, at most once per lateLogInterval. The
--- a/internal/gateway/planwindow.go
+++ b/internal/gateway/planwindow.go
@@ -19,6 +19,8 @@
 	lastID int
 	// late is whether a plan has timed out since the last message ended.
 	late bool
+	// ownDelay is how late this node itself noticed that, because it was stalled.
+	ownDelay time.Duration
 }
 
 // open reports whether another message may be sent.
@@ -37,11 +39,14 @@
 // ended records that a message was answered or failed.
 func (w *planWindow) ended(id int) {
 	delete(w.sentAt, id)
-	w.late = false
+	w.late, w.ownDelay = false, 0
 }
 
-// timedOut records that the wait for a plan's answer is over.
-func (w *planWindow) timedOut() { w.late = true }
+// timedOut records that the wait for a plan's answer is over, and how much later than it should
+// have this node noticed that.
+func (w *planWindow) timedOut(ownDelay time.Duration) {
+	w.late, w.ownDelay = true, max(w.ownDelay, ownDelay)
+}
 
 // oldest returns when the oldest outstanding message was sent; false if there is none.
 func (w *planWindow) oldest() (sentAt time.Time, ok bool) {
@@ -54,11 +59,12 @@
 }
 
 // delay returns how late the coordinator is at least: the age of the oldest outstanding
-// message. It is 0 as long as no plan has timed out since the last message ended.
+// message, without the time for which this node was stalled. It is 0 as long as no plan has
+// timed out since the last message ended.
 func (w *planWindow) delay(now time.Time) time.Duration {
 	sentAt, ok := w.oldest()
 	if !ok || !w.late {
 		return 0
 	}
-	return now.Sub(sentAt)
+	return max(now.Sub(sentAt)-w.ownDelay, 0)
 }
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -15,8 +15,7 @@
 // (rules.Admit). The plans of a refused request are cancelled.
 //
 // A request whose plan would have to wait behind others at a late coordinator, and that could
-// not be done even if that coordinator had no more work than it last reported, is refused
-// without being announced.
+// not be done after that coordinator's delay alone, is refused without being announced.
 func (s *Server) admit(ctx context.Context, r *resolvedRequest) (*admission, *verdict.Error) {
 	a := &admission{plan: r.plan(), retried: s.timeouts.observe(r.route.Name, r.req.Timeout)}
 	if len(a.plan) == 0 {
