paths: log, count and list the targets that a node cannot connect to

The incident's logs could not tell a broken path from a target that is gone: both are 'dial-failed' of a request, and 'target process ended' was logged for 48 targets and batches of which none had ended. A node now logs the first failure to connect to a target and the next success, counts the targets in honeydyke_unreachable_targets and lists them in the state. At a node whose paths are broken all targets are listed, at the others none; a target that is gone is listed at all nodes. Calls go as before: the adapter's client connects through gateway.targetPaths, which dials and records the result.

No change of messages between members.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -87,10 +87,13 @@
 	return g
 }
 
+// dialFunc connects to an address.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // dialGuarded returns a dial function of guarded connections.
-func dialGuarded(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialGuarded(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -23,6 +23,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -86,9 +87,12 @@
 	once   *http.Client
 	scheme string
 	tls    *tls.Config
-	// dial bounds the time to connect to a target.
-	dial time.Duration
-	now  func() time.Time
+	// dial bounds the time to connect to a target, dialer applies it.
+	dial   time.Duration
+	dialer *net.Dialer
+	// paths connects to the targets of Exchange; nil to use the dialer.
+	paths Paths
+	now   func() time.Time
 	// stall is the longest silence of a stream.
 	stall time.Duration
 }
@@ -121,6 +125,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.dialer = tcpconn.Dialer(c.dial)
 	c.shared = c.newHTTPClient(false)
 	c.once = c.newHTTPClient(true)
 	return c
@@ -132,7 +137,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	transport := &http.Transport{
-		DialContext:         dialGuarded(tcpconn.Dialer(c.dial)),
+		DialContext:         dialGuarded(c.connect),
 		TLSClientConfig:     c.tls,
 		Protocols:           protocols,
 		DisableCompression:  true,
@@ -183,7 +188,7 @@
 // Refuses says whether an instance refuses connections to an address: it runs, and no
 // process listens there. It sends nothing; a connection that is taken is closed.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
-	conn, err := tcpconn.Dialer(c.dial).DialContext(ctx, "tcp", address)
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -195,14 +200,14 @@
 // Permit is asked just before the first byte of a request is written.
 type Permit func() error
 
-// Exchange sends a request as it is, once, and returns the head of the answer.
+// Exchange sends a request to a target as it is, once, and returns the head of the answer.
 // The error is nil or says whether the request may have reached the target. spoil
 // keeps the connection from carrying another request; it is for answers that
 // cannot be trusted.
-func (c *Client) Exchange(req *http.Request, permit Permit) (resp *http.Response, spoil func(), failure *verdict.Error) {
+func (c *Client) Exchange(req *http.Request, t Target, permit Permit) (resp *http.Response, spoil func(), failure *verdict.Error) {
 	var sent attempt
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.take(guardOf(info.Conn), permit) }}
-	ctx := httptrace.WithClientTrace(req.Context(), trace)
+	ctx := httptrace.WithClientTrace(withTarget(req.Context(), t), trace)
 	resp, err := c.shared.Do(req.WithContext(ctx))
 	if err != nil {
 		return nil, nil, sent.failure(req, err)
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -33,6 +33,7 @@
 	quarantine   *quarantine.Tracker
 	backpressure *backpressure.Tracker
 	speeds       *targetSpeeds
+	paths        *targetPaths
 }
 
 func (s *adminServer) handler() http.Handler {
@@ -71,6 +72,7 @@
 		Targets: encodeTargets(s.now(), v.Directory), Services: []message.BatchState{}, Members: s.members.list(),
 		Evacuations: describeEvacuations(s.now(), v.Evacuations), Held: s.quarantine.HeldRequests().Requests,
 		Limits: s.backpressure.Limits(), Holds: s.backpressure.Holds(), Speeds: s.speeds.list(ctx),
+		Unreachable: s.paths.unreachable(),
 	}
 	batches := s.coordinators.states(ctx)
 	for _, service := range slices.Sorted(maps.Keys(batches)) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,10 +31,12 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
+	"github.com/honeydyke/honeydyke/internal/gateway/reachability"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/targetspeed"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/tcpconn"
 	"github.com/honeydyke/honeydyke/pkg/settings"
 )
 
@@ -62,6 +64,8 @@
 	admin        *adminServer
 	metrics      *metrics
 	speeds       *targetSpeeds
+	paths        *targetPaths
+	dialTarget   dialFunc
 
 	listeners *listeners
 	servers   servers
@@ -80,12 +84,18 @@
 // boottime.
 func WithClock(now func() time.Time) Option { return func(g *Gateway) { g.now = now } }
 
+// WithTargetDialer sets the function that connects to targets. The default dials TCP.
+func WithTargetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(g *Gateway) { g.dialTarget = dial }
+}
+
 // New returns a gateway that listens but serves nothing until Run. The settings must have a
 // gateway section. Port 0 in an address picks a free port.
 func New(cfg *settings.Settings, ports Ports, opts ...Option) (*Gateway, error) {
 	g := &Gateway{
 		cfg: cfg, ports: ports, log: zerolog.Nop(), now: boottime.New().Now,
 		health: newSourceHealth(), shutdown: &shutdownState{}, metrics: newMetrics(),
+		dialTarget: tcpconn.Dialer(TargetDialTimeout).DialContext,
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -107,6 +117,8 @@
 // createParts creates the parts that depend on the members and the view.
 func (g *Gateway) createParts(started time.Time) {
 	peers := newPeerClient(g.now)
+	g.paths = &targetPaths{now: g.now, log: g.log, metrics: g.metrics, dial: g.dialTarget, table: reachability.NewTable()}
+	g.ports.Targets.UsePaths(g.paths)
 	g.follower = &sourceFollower{
 		source: g.ports.Source, views: g.views, members: g.members, health: g.health, peers: peers,
 		metrics: g.metrics, log: g.log, now: g.now,
@@ -157,6 +169,7 @@
 	g.admin = &adminServer{
 		now: g.now, dataCentre: g.cfg.DataCentre, views: g.views, health: g.health, members: g.members,
 		shutdown: g.shutdown, callers: g.callers, speeds: g.speeds, coordinators: g.coordinators, metrics: g.metrics, quarantine: g.quarantine, backpressure: g.backpressure,
+		paths: g.paths,
 	}
 	peers := &peerServer{
 		now: g.now, views: g.views, gossip: g.gossip, coordinators: g.coordinators, prompts: g.prompts, quarantine: g.quarantine,
@@ -178,6 +191,7 @@
 	g.relay.Prune(v.Directory)
 	g.prompts.prune(v.Directory)
 	g.backpressure.Prune(v.Directory)
+	g.paths.prune(v.Directory)
 	g.metrics.recordView(g.now(), v)
 	g.gossip.publishStatus()
 	g.gossip.trigger()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,9 @@
 	// heldRequests is the number of requests that this node holds back because they crash
 	// their targets.
 	heldRequests tally.Gauge
+	// unreachableTargets is the number of targets that this node could not connect to when it
+	// last tried.
+	unreachableTargets tally.Gauge
 	// limitedTargets is the number of targets that are known to ask for a limit.
 	limitedTargets tally.Gauge
 	// evacuatedDataCentres is the number of data centres that this node considers evacuated,
@@ -48,6 +51,7 @@
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
 		targetEnds: scope.Counter("target_ends"), heldRequests: scope.Gauge("held_requests"),
+		unreachableTargets:   scope.Gauge("unreachable_targets"),
 		limitedTargets:       scope.Gauge("limited_targets"),
 		rejectedEntries:      scope.Counter("source_entries_refused"),
 		evacuatedDataCentres: scope.Gauge("evacuated_data_centres"), coldTargets: scope.Gauge("cold_targets"),
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/delivery"
 	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
@@ -56,6 +57,9 @@
 	// OnSignal registers a function to call with the signals in the header of every answer.
 	// It is called once, before all other methods.
 	OnSignal(receive func(directory.Target, backpressure.Signal))
+	// UsePaths makes all later calls connect through p. It is called once, before all other
+	// methods.
+	UsePaths(p delivery.Paths)
 	// RunBatch runs items at a target and returns one outcome per item, in order.
 	RunBatch(ctx context.Context, c BatchCall) (BatchAnswer, *verdict.Error)
 	// Inspect asks a target of a batch service what it is running and holding.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -147,6 +147,9 @@
 	// Targets corresponds to the JSON schema field "targets".
 	Targets []ViewTarget `json:"targets"`
 
+	// Targets that this node could not connect to when it last tried.
+	Unreachable []UnreachableTarget `json:"unreachable,omitempty,omitzero"`
+
 	// Version of the configuration in force; 0 for none.
 	Version int `json:"version"`
 }
@@ -1035,6 +1038,19 @@
 	Spent int `json:"spent"`
 }
 
+// UnreachableTarget is a target that a node could not connect to when it last
+// tried.
+type UnreachableTarget struct {
+	// Error corresponds to the JSON schema field "error".
+	Error string `json:"error"`
+
+	// Time since the first of these failures.
+	SinceMs int `json:"sinceMs"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target string `json:"target"`
+}
+
 // ViewEvacuation is what is known of a data centre that is or was evacuated.
 type ViewEvacuation struct {
 	// Whether its targets take no new work.
