Known red: tests of nodes that are cut off from their targets

With all nodes cut off, requests with stages are held for seconds (TestAllNodesCutOffFromTargets).

The tests cut the paths of single nodes by a dialer of their own, which gateway.WithTargetDialer sets; the check whether a target's process has ended dials in the same way.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -185,10 +185,10 @@
 	return &answer, nil
 }
 
-// Refuses says whether an instance refuses connections to an address: it runs, and no
+// Refuses says whether an instance refuses connections to a target: it runs, and no
 // process listens there. It sends nothing; a connection that is taken is closed.
-func (c *Client) Refuses(ctx context.Context, address string) bool {
-	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+func (c *Client) Refuses(ctx context.Context, t Target) bool {
+	conn, err := c.connect(withTarget(ctx, t), "tcp", t.Address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/delivery/refuses_test.go
+++ b/internal/delivery/refuses_test.go
@@ -17,18 +17,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := ln.Addr().String()
+	target := delivery.Target{Address: ln.Addr().String()}
 	c := delivery.New(delivery.WithDialTimeout(time.Second))
 	convey.Convey("A process that listens has not ended", t, func() {
-		convey.So(c.Refuses(t.Context(), address), convey.ShouldBeFalse)
+		convey.So(c.Refuses(t.Context(), target), convey.ShouldBeFalse)
 	})
 	convey.Convey("Nothing is known when the question is ended before an answer", t, func() {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		convey.So(c.Refuses(ctx, address), convey.ShouldBeFalse)
+		convey.So(c.Refuses(ctx, target), convey.ShouldBeFalse)
 	})
 	convey.Convey("A port at which nothing listens refuses", t, func() {
 		convey.So(ln.Close(), convey.ShouldBeNil)
-		convey.So(c.Refuses(t.Context(), address), convey.ShouldBeTrue)
+		convey.So(c.Refuses(t.Context(), target), convey.ShouldBeTrue)
 	})
 }
--- a/internal/gateway/targetpaths.go
+++ b/internal/gateway/targetpaths.go
@@ -35,7 +35,9 @@
 
 // Direct implements delivery.Paths.
 func (p *targetPaths) Direct(ctx context.Context, t delivery.Target) (net.Conn, error) {
-	conn, err := p.dial(ctx, "tcp", t.Address)
+	dialCtx, cancel := context.WithTimeout(ctx, TargetDialTimeout)
+	defer cancel()
+	conn, err := p.dial(dialCtx, "tcp", t.Address)
 	switch {
 	case err == nil:
 		p.connected(t)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -9,6 +9,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,6 +62,11 @@
 	}
 }
 
+// WithTargetDialer sets the function that connects to targets; TCP by default.
+func WithTargetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(o *options) { o.gateway = append(o.gateway, gateway.WithTargetDialer(dial)) }
+}
+
 // WithClock sets the clock, which must be monotonic; by default one that goes on while the
 // machine is suspended.
 func WithClock(now func() time.Time) Option {
