paths: calls go through members when a node's own paths are broken

What callers saw: at nodes that lost their paths to all targets 7 of 116 first attempts were served, at the others 121 of 200, because a node among the cut coordinated two batch services and failed all groups.

Cause: a node knew one path to a target, its own, and took the failure of the path for that of the target. Evidence: every failure at the cut nodes was dial-failed at targets that served other nodes in the same second; the coordinator's batches failed at 5 of 5 targets while three members reached them.

Change: a node that cannot connect to a target asks another member for a tunnel, which connects and passes the bytes on. The call stays the node's: permit before the first byte, verdict, deadline, budget and cancellation are as they were, and a tunnel that breaks off never looks like the end of an answer. Members never ask further members. A path is broken when a member connects and this node does not; two broken paths with nothing heard since cut the node off. Silent paths are checked by a connection, and calls that may be repeated are sent again.

Messages: one new path between members, GET /peer/v1/tunnel. A member of an earlier build answers 404 and is not asked for 10 s; rolling back needs nothing.

--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -34,6 +34,13 @@
 	a.conn.Store(conn)
 }
 
+// spoil closes the connection of the call, if it has one.
+func (a *attempt) spoil() {
+	if conn := a.conn.Load(); conn != nil {
+		conn.spoil()
+	}
+}
+
 // Rule: what a call without an answer may claim.
 //
 // Inputs, in the order in which they count: whether the transport gave the call a
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -82,9 +82,11 @@
 
 // Client sends calls. Create it with New.
 type Client struct {
-	// shared reuses connections; once makes a new one for each call.
+	// shared reuses connections; once and detour make a new one for each call, detour through
+	// another node.
 	shared *http.Client
 	once   *http.Client
+	detour *http.Client
 	scheme string
 	tls    *tls.Config
 	// dial bounds the time to connect to a target, dialer applies it.
@@ -126,18 +128,19 @@
 		opt(c)
 	}
 	c.dialer = tcpconn.Dialer(c.dial)
-	c.shared = c.newHTTPClient(false)
-	c.once = c.newHTTPClient(true)
+	c.shared = c.newHTTPClient(c.connect, false)
+	c.once = c.newHTTPClient(c.connect, true)
+	c.detour = c.newHTTPClient(c.connectDetour, true)
 	return c
 }
 
 // newHTTPClient returns a client that sends a request once: it follows no
 // redirect and speaks no HTTP/2, whose transport re-sends refused requests.
-func (c *Client) newHTTPClient(fresh bool) *http.Client {
+func (c *Client) newHTTPClient(dial dialFunc, fresh bool) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	transport := &http.Transport{
-		DialContext:         dialGuarded(c.connect),
+		DialContext:         dialGuarded(dial),
 		TLSClientConfig:     c.tls,
 		Protocols:           protocols,
 		DisableCompression:  true,
@@ -188,6 +191,9 @@
 // Refuses says whether an instance refuses connections to a target: it runs, and no
 // process listens there. It sends nothing; a connection that is taken is closed.
 func (c *Client) Refuses(ctx context.Context, t Target) bool {
+	if c.paths != nil {
+		return c.paths.HasEnded(ctx, t)
+	}
 	conn, err := c.connect(withTarget(ctx, t), "tcp", t.Address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
@@ -204,20 +210,19 @@
 // The error is nil or says whether the request may have reached the target. spoil
 // keeps the connection from carrying another request; it is for answers that
 // cannot be trusted.
-func (c *Client) Exchange(req *http.Request, t Target, permit Permit) (resp *http.Response, spoil func(), failure *verdict.Error) {
-	var sent attempt
+func (c *Client) Exchange(req *http.Request, s Sending) (resp *http.Response, spoil func(), failure *verdict.Error) {
+	return c.exchange(req.WithContext(withTarget(req.Context(), s.Target)), s)
+}
+
+// exchangeBy is Exchange by one HTTP client. It records in sent what became of the request.
+func exchangeBy(client *http.Client, req *http.Request, permit Permit, sent *attempt) (*http.Response, func(), *verdict.Error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.take(guardOf(info.Conn), permit) }}
-	ctx := httptrace.WithClientTrace(withTarget(req.Context(), t), trace)
-	resp, err := c.shared.Do(req.WithContext(ctx))
+	ctx := httptrace.WithClientTrace(req.Context(), trace)
+	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
 		return nil, nil, sent.failure(req, err)
 	}
-	conn := sent.conn.Load()
-	return resp, func() {
-		if conn != nil {
-			conn.spoil()
-		}
-	}, nil
+	return resp, sent.spoil, nil
 }
 
 // send writes the call and checks the answer's header. On an error nothing is
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -183,7 +183,7 @@
 		convey.Convey("and so does that of a request sent as it is", func() {
 			req, err := http.NewRequest(http.MethodPost, "http://"+address+call.Path, http.NoBody)
 			convey.So(err, convey.ShouldBeNil)
-			_, _, failure := delivery.New().Exchange(req, delivery.Target{Address: req.URL.Host}, func() error { return nil })
+			_, _, failure := delivery.New().Exchange(req, delivery.Sending{Permit: func() error { return nil }})
 			saysWhere(failure, address)
 		})
 	})
--- a/internal/delivery/paths.go
+++ b/internal/delivery/paths.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net"
+	"net/http"
+
+	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
 // Target is the target of a call.
@@ -17,12 +20,56 @@
 type Paths interface {
 	// Direct connects to a target from this node.
 	Direct(ctx context.Context, t Target) (net.Conn, error)
+	// Detour connects to a target through another node. Its connection carries one call.
+	Detour(ctx context.Context, t Target) (net.Conn, error)
+	// Broken reports whether only a detour can reach a target.
+	Broken(t Target) bool
+	// OnSilence arranges that lost is called once if the direct path to a target turns out to
+	// lose what is sent, until release is called.
+	OnSilence(t Target, lost func()) (release func())
+	// HasEnded reports whether the process of a target has provably ended.
+	HasEnded(ctx context.Context, t Target) bool
 }
 
 // UsePaths connects to the targets of Exchange through p. It must be called before any call
 // is sent.
 func (c *Client) UsePaths(p Paths) { c.paths = p }
 
+// Sending describes how Exchange sends a request.
+type Sending struct {
+	Target Target
+	// Permit is asked just before the first byte of the request is written.
+	Permit Permit
+	// Repeatable is set if the request may be sent again. It is given up before its answer
+	// begins if the direct path to the target turns out to lose what is sent, instead of when
+	// the connection times out.
+	Repeatable bool
+}
+
+// exchange sends a request on a direct connection or, if there is none, through a detour: a
+// request without a connection has not left.
+func (c *Client) exchange(req *http.Request, s Sending) (*http.Response, func(), *verdict.Error) {
+	if c.paths == nil {
+		return exchangeBy(c.shared, req, s.Permit, new(attempt))
+	}
+	if !c.paths.Broken(s.Target) {
+		resp, spoil, err := c.exchangeDirectly(req, s)
+		if err == nil || err.Reason() != verdict.ReasonDial {
+			return resp, spoil, err
+		}
+	}
+	return exchangeBy(c.detour, req, s.Permit, new(attempt))
+}
+
+func (c *Client) exchangeDirectly(req *http.Request, s Sending) (*http.Response, func(), *verdict.Error) {
+	sent := new(attempt)
+	if s.Repeatable {
+		release := c.paths.OnSilence(s.Target, sent.spoil)
+		defer release()
+	}
+	return exchangeBy(c.shared, req, s.Permit, sent)
+}
+
 type targetKey struct{}
 
 // withTarget returns a context for a call to a target.
@@ -30,6 +77,12 @@
 	return context.WithValue(ctx, targetKey{}, t)
 }
 
+// connectDetour connects to the target of a call through another node.
+func (c *Client) connectDetour(ctx context.Context, _, _ string) (net.Conn, error) {
+	t, _ := ctx.Value(targetKey{}).(Target)
+	return c.paths.Detour(ctx, t)
+}
+
 // connect connects to the target of a call, or to the address of a call without one.
 func (c *Client) connect(ctx context.Context, network, address string) (net.Conn, error) {
 	if t, ok := ctx.Value(targetKey{}).(Target); ok && c.paths != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,6 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
-	"github.com/honeydyke/honeydyke/internal/gateway/reachability"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/targetspeed"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
@@ -65,6 +64,7 @@
 	metrics      *metrics
 	speeds       *targetSpeeds
 	paths        *targetPaths
+	tunnels      *tunnelServer
 	dialTarget   dialFunc
 
 	listeners *listeners
@@ -117,7 +117,7 @@
 // createParts creates the parts that depend on the members and the view.
 func (g *Gateway) createParts(started time.Time) {
 	peers := newPeerClient(g.now)
-	g.paths = &targetPaths{now: g.now, log: g.log, metrics: g.metrics, dial: g.dialTarget, table: reachability.NewTable()}
+	g.paths = newTargetPaths(g.now, g.log, g.metrics, g.dialTarget, newTunnelClient(g.now, g.members), g.views)
 	g.ports.Targets.UsePaths(g.paths)
 	g.follower = &sourceFollower{
 		source: g.ports.Source, views: g.views, members: g.members, health: g.health, peers: peers,
@@ -171,8 +171,10 @@
 		shutdown: g.shutdown, callers: g.callers, speeds: g.speeds, coordinators: g.coordinators, metrics: g.metrics, quarantine: g.quarantine, backpressure: g.backpressure,
 		paths: g.paths,
 	}
+	g.tunnels = &tunnelServer{log: g.log, views: g.views, paths: g.paths, shutdown: g.shutdown, metrics: g.metrics}
 	peers := &peerServer{
 		now: g.now, views: g.views, gossip: g.gossip, coordinators: g.coordinators, prompts: g.prompts, quarantine: g.quarantine,
+		tunnels: g.tunnels,
 	}
 	g.servers = servers{
 		callers: newServer(g.callers.countInFlight(g.ports.Callers(g.callers))),
@@ -237,6 +239,7 @@
 	go g.follower.run(work)
 	go g.gossip.run(work)
 	go g.join(work)
+	go g.paths.run(work)
 	if usesReportedSpeeds(g.cfg.Gateway.TargetSpeed) {
 		go g.speeds.run(work)
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/honeydyke/honeydyke/internal/gateway/membership"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
@@ -206,6 +210,20 @@
 	return m.roster.PeakSize()
 }
 
+// others returns the other members that serve and that are accepted, ordered by a hash of
+// this node and the member, so that nodes prefer different members.
+func (m *members) others(accept func(member string) bool) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := slices.DeleteFunc(m.roster.Serving(m.now()), func(member string) bool {
+		return member == m.self || !accept(member)
+	})
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(m.self+"/"+a), xxhash.Sum64String(m.self+"/"+b))
+	})
+	return list
+}
+
 // list returns all known members, for the state dump.
 func (m *members) list() []message.GossipMember {
 	m.mu.Lock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,9 @@
 	// unreachableTargets is the number of targets that this node could not connect to when it
 	// last tried.
 	unreachableTargets tally.Gauge
+	// detours counts the connections to targets through other members, and tunnels those of
+	// other members through this node.
+	detours, tunnels tally.Counter
 	// limitedTargets is the number of targets that are known to ask for a limit.
 	limitedTargets tally.Gauge
 	// evacuatedDataCentres is the number of data centres that this node considers evacuated,
@@ -51,7 +54,8 @@
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
 		targetEnds: scope.Counter("target_ends"), heldRequests: scope.Gauge("held_requests"),
-		unreachableTargets:   scope.Gauge("unreachable_targets"),
+		unreachableTargets: scope.Gauge("unreachable_targets"),
+		detours:            scope.Counter("detours"), tunnels: scope.Counter("tunnels"),
 		limitedTargets:       scope.Gauge("limited_targets"),
 		rejectedEntries:      scope.Counter("source_entries_refused"),
 		evacuatedDataCentres: scope.Gauge("evacuated_data_centres"), coldTargets: scope.Gauge("cold_targets"),
@@ -106,6 +110,10 @@
 
 func (m *metrics) recordRejectedEntry() { m.rejectedEntries.Inc(1) }
 
+func (m *metrics) recordDetour() { m.detours.Inc(1) }
+
+func (m *metrics) recordTunnel() { m.tunnels.Inc(1) }
+
 func (m *metrics) recordTargetEnd() { m.targetEnds.Inc(1) }
 
 // recordOverShare counts a plan that was marked because its organisation is over its share.
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -24,6 +24,7 @@
 	coordinators *coordinators
 	prompts      *promptPlacer
 	quarantine   *quarantine.Tracker
+	tunnels      *tunnelServer
 }
 
 func (s *peerServer) handler() http.Handler {
@@ -36,6 +37,7 @@
 	mux.HandleFunc("POST "+wire.PathRead, s.servePrefill)
 	mux.HandleFunc("GET "+wire.PathView, s.serveView)
 	mux.HandleFunc("GET "+wire.PathSuspects, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.quarantine.HeldRequests()) })
+	mux.HandleFunc("GET "+wire.PathTunnel, s.tunnels.serve)
 	return mux
 }
 
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -54,6 +54,8 @@
 	ID     string
 	// Payload is that of the Request.
 	Payload any
+	// Repeatable is set if the request may be sent to another target after this one.
+	Repeatable bool
 	// Deadline is the response deadline, after which the response is of no use.
 	Deadline time.Time
 	// Organisation is the holder of the client's API key; empty for none.
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -56,6 +56,7 @@
 	events := s.outcome.Events
 	answered := time.Duration(0)
 	call := s.call(target)
+	call.Repeatable = s.route.Retryable() && possibleRuns+1 < s.route.MaxAttempts
 	defer s.scheduleInputRelease()()
 	reply, err := s.upstream.Send(ctx, call)
 	if err == nil {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -110,7 +110,7 @@
 	defer giveUp.Stop()
 	// It fails only when ctx is done; the last log line shows how much was cut off.
 	_ = g.servers.callers.Shutdown(ctx)
-	g.pollUntil(steps.exit, func() bool { return g.callers.inFlight.Load() == 0 && g.coordinators.idle() })
+	g.pollUntil(steps.exit, func() bool { return g.callers.inFlight.Load() == 0 && g.coordinators.idle() && g.tunnels.idle() })
 	g.log.Info().Int64("cut", g.callers.inFlight.Load()).Dur("took", g.now().Sub(started)).Msg("stop: ended")
 }
 
--- a/internal/gateway/targetpaths.go
+++ b/internal/gateway/targetpaths.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/honeydyke/honeydyke/internal/delivery"
@@ -14,23 +18,55 @@
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
-// TargetDialTimeout bounds connecting to a target, which accepts a connection within some
-// milliseconds.
-const TargetDialTimeout = 300 * time.Millisecond
+const (
+	// TargetDialTimeout bounds connecting to a target, which accepts a connection within
+	// some milliseconds.
+	TargetDialTimeout = 300 * time.Millisecond
+	// probeInterval is how often this node tries to connect to targets whose paths are
+	// broken.
+	probeInterval = 500 * time.Millisecond
+	// cutOffProbes is how many targets are probed at a time while none is reachable, and
+	// maxProbes how many otherwise: after a cut all paths are probed soon.
+	cutOffProbes = 4
+	maxProbes    = 32
+	// recheckInterval is how long after a check that nobody could answer the path to a silent
+	// target is checked again.
+	recheckInterval = time.Second
+)
+
+// errDown means that no member reached a target lately.
+var errDown = errors.New("members did not reach the target")
 
 // dialFunc connects to an address.
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// targetPaths connects to targets. It implements delivery.Paths and owns the table of the
-// targets that this node cannot reach.
+// targetPaths connects to targets, directly or through other members. It implements
+// delivery.Paths and owns the table of the paths.
 type targetPaths struct {
 	now     func() time.Time
 	log     zerolog.Logger
 	metrics *metrics
 	dial    dialFunc
+	tunnels *tunnelClient
+	views   *viewKeeper
+
+	mu sync.Mutex
+	// running ends with the node; nil before run.
+	running context.Context
+	table   *reachability.Table
+	// cutOff is whether the table said so after the last change.
+	cutOff bool
+	// checks holds the targets for which a check is scheduled.
+	checks map[string]bool
+	// onSilence holds what to call when a path turns out to lose what is sent, by target.
+	onSilence map[string]map[*func()]bool
+}
 
-	mu    sync.Mutex
-	table *reachability.Table
+func newTargetPaths(now func() time.Time, log zerolog.Logger, m *metrics, dial dialFunc, tunnels *tunnelClient, views *viewKeeper) *targetPaths {
+	return &targetPaths{
+		now: now, log: log, metrics: m, dial: dial, tunnels: tunnels, views: views,
+		table: reachability.NewTable(), checks: map[string]bool{}, onSilence: map[string]map[*func()]bool{},
+	}
 }
 
 // Direct implements delivery.Paths.
@@ -41,19 +77,181 @@
 	switch {
 	case err == nil:
 		p.connected(t)
+		return &directConn{Conn: conn, paths: p, target: t}, nil
 	case ctx.Err() == nil:
 		p.failed(t, err)
 	}
+	return nil, err
+}
+
+// Detour implements delivery.Paths.
+func (p *targetPaths) Detour(ctx context.Context, t delivery.Target) (net.Conn, error) {
+	if !p.mayDetour(t) {
+		return nil, errDown
+	}
+	conn, err := p.tunnels.connect(ctx, t.ID)
+	switch {
+	case err == nil:
+		p.detoured(t)
+	case ctx.Err() == nil:
+		p.down(t)
+	}
 	return conn, err
 }
 
+// Broken implements delivery.Paths.
+func (p *targetPaths) Broken(t delivery.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Broken(t.ID)
+}
+
+// OnSilence implements delivery.Paths.
+func (p *targetPaths) OnSilence(t delivery.Target, lost func()) (release func()) {
+	key := &lost
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.onSilence[t.ID] == nil {
+		p.onSilence[t.ID] = map[*func()]bool{}
+	}
+	p.onSilence[t.ID][key] = true
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.onSilence[t.ID], key)
+		if len(p.onSilence[t.ID]) == 0 {
+			delete(p.onSilence, t.ID)
+		}
+	}
+}
+
+// HasEnded implements delivery.Paths: the instance of the target refuses connections.
+func (p *targetPaths) HasEnded(ctx context.Context, t delivery.Target) bool {
+	return errors.Is(p.probe(ctx, t), syscall.ECONNREFUSED)
+}
+
+// reachedByMember reports whether a member connects to a target.
+func (p *targetPaths) reachedByMember(ctx context.Context, t delivery.Target) bool {
+	conn, err := p.Detour(ctx, t)
+	if err == nil {
+		closeUnused(conn)
+	}
+	return err == nil
+}
+
+// closeUnused closes a connection on which nothing was sent, so that the error of its end
+// says nothing.
+func closeUnused(conn net.Conn) { _ = conn.Close() }
+
+// run probes broken paths until ctx is done.
+func (p *targetPaths) run(ctx context.Context) {
+	p.mu.Lock()
+	p.running = ctx
+	p.mu.Unlock()
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, t := range p.probes() {
+				go p.probe(ctx, t)
+			}
+		}
+	}
+}
+
+// probes returns the targets to probe now.
+func (p *targetPaths) probes() []delivery.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := maxProbes
+	if p.cutOff {
+		n = cutOffProbes
+	}
+	d := p.views.load().Directory
+	var list []delivery.Target
+	for _, id := range p.table.Probes(n) {
+		if t, known := d.Target(id); known {
+			list = append(list, delivery.Target{ID: t.ID, Address: t.Address})
+		}
+	}
+	return list
+}
+
+// probe tries to connect to a target; Direct records the result.
+func (p *targetPaths) probe(ctx context.Context, t delivery.Target) error {
+	conn, err := p.Direct(ctx, t)
+	if err == nil {
+		closeUnused(conn)
+	}
+	return err
+}
+
+// check finds out whether the path to a silent target is broken. Calls that wait for the
+// target then end if they may be sent again. If the instance refuses the connection, nothing
+// on the path is lost, and the open connections may live.
+func (p *targetPaths) check(ctx context.Context, t delivery.Target) {
+	err := p.probe(ctx, t)
+	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	if !p.reachedByMember(ctx, t) {
+		time.AfterFunc(recheckInterval, func() { p.checkDue(ctx, t) })
+		return
+	}
+	lost := p.waitingCalls(t)
+	p.log.Info().Str("target", t.ID).Int("calls", len(lost)).Msg("paths: path to target is silent, sending calls again")
+	for _, end := range lost {
+		(*end)()
+	}
+}
+
+// waitingCalls returns the calls to end for a path that loses what is sent.
+func (p *targetPaths) waitingCalls(t delivery.Target) []*func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.onSilence[t.ID]))
+}
+
+// scheduleCheck arranges that the path to a target is checked if the target leaves what was
+// sent without an answer. The caller must hold the lock.
+func (p *targetPaths) scheduleCheck(t delivery.Target) {
+	in, waiting := p.table.CheckIn(p.now(), t.ID)
+	if !waiting || p.running == nil || p.checks[t.ID] {
+		return
+	}
+	p.checks[t.ID] = true
+	ctx := p.running
+	time.AfterFunc(in, func() { p.checkDue(ctx, t) })
+}
+
+// checkDue runs a scheduled check, or schedules it again if it is not due yet.
+func (p *targetPaths) checkDue(ctx context.Context, t delivery.Target) {
+	if ctx.Err() != nil {
+		return
+	}
+	p.mu.Lock()
+	delete(p.checks, t.ID)
+	in, waiting := p.table.CheckIn(p.now(), t.ID)
+	if in > 0 {
+		p.scheduleCheck(t)
+	}
+	p.mu.Unlock()
+	if waiting && in == 0 {
+		p.check(ctx, t)
+	}
+}
+
 func (p *targetPaths) connected(t delivery.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if failure, failed := p.table.Connected(t.ID); failed {
-		p.log.Info().Str("target", t.ID).Str("address", t.Address).Dur("after", p.now().Sub(failure.Since)).
+	now := p.now()
+	if failure, failed := p.table.Connected(now, t.ID); failed {
+		p.log.Info().Str("target", t.ID).Str("address", t.Address).Dur("after", now.Sub(failure.Since)).
 			Msg("paths: target is reachable again")
-		p.updateMetrics()
+		p.changed()
 	}
 }
 
@@ -62,10 +260,61 @@
 	defer p.mu.Unlock()
 	if p.table.Failed(p.now(), t.ID, err) {
 		p.log.Warn().Str("target", t.ID).Str("address", t.Address).Err(err).Msg("paths: target cannot be reached from this node")
-		p.updateMetrics()
+		p.changed()
+	}
+}
+
+func (p *targetPaths) detoured(t delivery.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.metrics.recordDetour()
+	if p.table.Detoured(p.now(), t.ID) {
+		p.log.Warn().Str("target", t.ID).Str("address", t.Address).Msg("paths: target is reached through members")
+		p.changed()
 	}
 }
 
+func (p *targetPaths) down(t delivery.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Down(p.now(), t.ID)
+}
+
+func (p *targetPaths) mayDetour(t delivery.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.MayDetour(p.now(), t.ID)
+}
+
+func (p *targetPaths) sent(t delivery.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Sent(p.now(), t.ID)
+	p.scheduleCheck(t)
+}
+
+func (p *targetPaths) heard(t delivery.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Heard(p.now(), t.ID)
+}
+
+// changed logs and counts what a change of the table means. The caller must hold the lock.
+func (p *targetPaths) changed() {
+	failures := p.table.Failures()
+	p.metrics.unreachableTargets.Update(float64(len(failures)))
+	cutOff := p.table.CutOff()
+	if cutOff == p.cutOff {
+		return
+	}
+	p.cutOff = cutOff
+	if cutOff {
+		p.log.Warn().Int("unreachable", len(failures)).Msg("paths: this node is cut off from its targets, calling through members")
+		return
+	}
+	p.log.Info().Int("unreachable", len(failures)).Msg("paths: this node reaches targets again")
+}
+
 // prune drops the targets that have left.
 func (p *targetPaths) prune(d *directory.Directory) {
 	p.mu.Lock()
@@ -74,11 +323,7 @@
 		_, known := d.Target(id)
 		return known
 	})
-	p.updateMetrics()
-}
-
-func (p *targetPaths) updateMetrics() {
-	p.metrics.unreachableTargets.Update(float64(len(p.table.Failures())))
+	p.changed()
 }
 
 // unreachable returns the targets that cannot be reached, for the state dump.
@@ -88,7 +333,31 @@
 	now := p.now()
 	list := []message.UnreachableTarget{}
 	for _, f := range p.table.Failures() {
-		list = append(list, message.UnreachableTarget{Target: f.Target, SinceMs: int(now.Sub(f.Since).Milliseconds()), Error: f.Err})
+		list = append(list, message.UnreachableTarget{
+			Target: f.Target, SinceMs: int(now.Sub(f.Since).Milliseconds()), Error: f.Err, ThroughMembers: f.Broken,
+		})
 	}
 	return list
 }
+
+// directConn is a direct connection to a target that reports when bytes pass.
+type directConn struct {
+	net.Conn
+	paths  *targetPaths
+	target delivery.Target
+}
+
+// Read implements net.Conn.
+func (c *directConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.paths.heard(c.target)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *directConn) Write(b []byte) (int, error) {
+	c.paths.sent(c.target)
+	return c.Conn.Write(b)
+}
--- /dev/null
+++ b/internal/gateway/tunnel_test.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/tcpconn"
+	"github.com/honeydyke/honeydyke/internal/wire"
+)
+
+// tunnelMember is a member that serves tunnels to one target.
+type tunnelMember struct {
+	*tunnelServer
+	http    *httptest.Server
+	targets net.Listener
+}
+
+// tunnelTarget is the identity of the target of a tunnelMember.
+const tunnelTarget = "t-1"
+
+func newTunnelMember(t *testing.T) *tunnelMember {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	convey.So(err, convey.ShouldBeNil)
+	views := newViewKeeper(time.Now, zerolog.Nop(), func(*view.View) {})
+	views.current.Store(&view.View{Directory: directory.New(directory.Target{ID: tunnelTarget, Address: ln.Addr().String()})})
+	m := newMetrics()
+	paths := newTargetPaths(time.Now, zerolog.Nop(), m, tcpconn.Dialer(time.Second).DialContext, newTunnelClient(time.Now, newMembers(time.Now, "self", 1, nil, 0)), views)
+	s := &tunnelServer{log: zerolog.Nop(), views: views, paths: paths, shutdown: &shutdownState{}, metrics: m}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+wire.PathTunnel, s.serve)
+	member := &tunnelMember{tunnelServer: s, http: httptest.NewServer(mux), targets: ln}
+	t.Cleanup(func() {
+		member.http.Close()
+		_ = ln.Close()
+	})
+	return member
+}
+
+func (m *tunnelMember) address() string { return strings.TrimPrefix(m.http.URL, "http://") }
+
+// open opens a tunnel and returns both ends.
+func (m *tunnelMember) open(t *testing.T) (node, target net.Conn) {
+	node, err := dialTunnel(t.Context(), m.address(), tunnelTarget)
+	convey.So(err, convey.ShouldBeNil)
+	target, err = m.targets.Accept()
+	convey.So(err, convey.ShouldBeNil)
+	for _, c := range []net.Conn{node, target} {
+		convey.So(c.SetDeadline(time.Now().Add(5*time.Second)), convey.ShouldBeNil)
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	return node, target
+}
+
+// shouldRead holds what can be read from a connection up to its end, and the error there.
+func shouldRead(r io.Reader, text string, end error) {
+	got, err := io.ReadAll(r)
+	convey.So(string(got), convey.ShouldEqual, text)
+	convey.So(err, convey.ShouldEqual, end)
+}
+
+// TestTunnel guards against answers that seem complete although their tunnel was broken off,
+// and against targets that work on for a node that has gone.
+func TestTunnel(t *testing.T) {
+	convey.Convey("Given a tunnel", t, func() {
+		m := newTunnelMember(t)
+		node, target := m.open(t)
+		_, err := io.WriteString(node, "request")
+		convey.So(err, convey.ShouldBeNil)
+		request := make([]byte, len("request"))
+		_, err = io.ReadFull(target, request)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(request), convey.ShouldEqual, "request")
+		long := strings.Repeat("x", 3*maxFrame)
+		convey.Convey("the node reads all that the target sent, and its end", func() {
+			go func() {
+				_, _ = io.WriteString(target, long)
+				_ = target.Close()
+			}()
+			shouldRead(node, long, nil)
+		})
+		convey.Convey("the end of the member is not the end of the answer", func() {
+			_, err := io.WriteString(target, "part")
+			convey.So(err, convey.ShouldBeNil)
+			buf := make([]byte, len("part"))
+			_, err = io.ReadFull(node, buf)
+			convey.So(err, convey.ShouldBeNil)
+			// The process of the member ends: its connections close as they are.
+			convey.So(node.(*tunnelConn).Conn.(*net.TCPConn).CloseRead(), convey.ShouldBeNil)
+			shouldRead(node, "", io.ErrUnexpectedEOF)
+		})
+		convey.Convey("a connection that the target resets is not the end of the answer", func() {
+			convey.So(target.(*net.TCPConn).SetLinger(0), convey.ShouldBeNil)
+			convey.So(target.Close(), convey.ShouldBeNil)
+			_, err := io.ReadAll(node)
+			convey.So(err, convey.ShouldNotBeNil)
+		})
+		convey.Convey("the target's connection ends with the node's", func() {
+			convey.So(m.idle(), convey.ShouldBeFalse)
+			convey.So(node.Close(), convey.ShouldBeNil)
+			shouldRead(target, "", nil)
+			for end := time.Now().Add(time.Second); !m.idle() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			convey.So(m.idle(), convey.ShouldBeTrue)
+		})
+	})
+}
+
+// TestTunnelRefused guards against tunnels through members that are leaving or that do not
+// reach the target themselves: a call is passed on once at most.
+func TestTunnelRefused(t *testing.T) {
+	refused := func(m *tunnelMember, target string, want error) {
+		_, err := dialTunnel(t.Context(), m.address(), target)
+		convey.So(err, convey.ShouldEqual, want)
+		convey.So(m.idle(), convey.ShouldBeTrue)
+	}
+	convey.Convey("Given a member", t, func() {
+		m := newTunnelMember(t)
+		convey.Convey("that does not know the target", func() { refused(m, "other", errUnknownTarget) })
+		convey.Convey("that is leaving", func() {
+			m.shutdown.begin(time.Now())
+			refused(m, tunnelTarget, errNoTunnels)
+		})
+		convey.Convey("whose own path is broken", func() {
+			m.paths.table.Failed(time.Now(), tunnelTarget, io.EOF)
+			m.paths.table.Detoured(time.Now(), tunnelTarget)
+			refused(m, tunnelTarget, errPathBroken)
+		})
+		convey.Convey("that the target refuses", func() {
+			convey.So(m.targets.Close(), convey.ShouldBeNil)
+			refused(m, tunnelTarget, errTargetRefused)
+		})
+		convey.Convey("with as many tunnels as it serves", func() {
+			m.tunnelServer.open.Store(maxTunnels)
+			_, err := dialTunnel(t.Context(), m.address(), tunnelTarget)
+			convey.So(err, convey.ShouldEqual, errNoTunnels)
+		})
+	})
+	convey.Convey("A member of an earlier version does not know tunnels", t, func() {
+		old := httptest.NewServer(http.NewServeMux())
+		defer old.Close()
+		_, err := dialTunnel(t.Context(), strings.TrimPrefix(old.URL, "http://"), tunnelTarget)
+		convey.So(err, convey.ShouldEqual, errUnsupported)
+	})
+}
+
+// askedMembers is a way to members of which each answers in a given manner.
+type askedMembers struct {
+	mu     sync.Mutex
+	asked  []string
+	answer map[string]error
+}
+
+func (a *askedMembers) dial(ctx context.Context, member, _ string) (net.Conn, error) {
+	a.mu.Lock()
+	a.asked = append(a.asked, member)
+	err := a.answer[member]
+	a.mu.Unlock()
+	if err == errMemberSilent {
+		<-ctx.Done()
+		return nil, err
+	}
+	if err != nil {
+		return nil, err
+	}
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+// list returns the members that were asked since the last call.
+func (a *askedMembers) list() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := a.asked
+	a.asked = nil
+	return list
+}
+
+// TestMembersAskedForTunnels guards against calls that fail because the first members that
+// were asked are cut off too, and against asking members again that gave no tunnel.
+func TestMembersAskedForTunnels(t *testing.T) {
+	convey.Convey("Given three other members", t, func() {
+		now := time.Unix(1000, 0)
+		roster := newMembers(func() time.Time { return now }, "self", 1, nil, 0)
+		knowMembers(roster, "m1", "m2", "m3")
+		order := roster.others(func(string) bool { return true })
+		a := &askedMembers{answer: map[string]error{}}
+		c := newTunnelClient(func() time.Time { return now }, roster)
+		c.dial = a.dial
+		connects := func(want error, asked ...string) {
+			_, err := c.connect(t.Context(), "t")
+			convey.So(errorOf(err), convey.ShouldEqual, want)
+			convey.So(a.list(), convey.ShouldResemble, asked)
+		}
+		convey.Convey("the first one is asked while it gives tunnels", func() {
+			connects(nil, order[0])
+			connects(nil, order[0])
+		})
+		convey.Convey("the next one is asked when one gives none, and first from then on", func() {
+			a.answer[order[0]] = errPathBroken
+			connects(nil, order[0], order[1])
+			now = now.Add(noTunnelTime)
+			connects(nil, order[1])
+		})
+		convey.Convey("the next one is asked when one does not answer", func() {
+			a.answer[order[0]] = errMemberSilent
+			connects(nil, order[0], order[1])
+		})
+		convey.Convey("one that does not know tunnels is not asked for long", func() {
+			a.answer[order[0]] = errUnsupported
+			connects(nil, order[0], order[1])
+			c.last = ""
+			now = now.Add(noTunnelTime)
+			connects(nil, order[1])
+		})
+		convey.Convey("a refusal by the target counts when nobody reaches it", func() {
+			for _, m := range order {
+				a.answer[m] = errPathBroken
+			}
+			a.answer[order[1]] = errTargetRefused
+			connects(errTargetRefused, order...)
+			connects(errNoMember)
+		})
+	})
+}
+
+// knowMembers has a node hear of other members that serve.
+func knowMembers(m *members, addresses ...string) {
+	var g message.Gossip
+	for _, a := range addresses {
+		g.Members = append(g.Members, message.GossipMember{Address: a, Incarnation: 1, Beat: 1, Serving: true})
+	}
+	m.mergeAndReport(g)
+}
+
+// errorOf returns the error that an error wraps.
+func errorOf(err error) error { return errors.Cause(err) }
--- /dev/null
+++ b/internal/gateway/tunnelclient.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// tunnelTimeout bounds getting a tunnel.
+	tunnelTimeout = 700 * time.Millisecond
+	// tunnelTries is how many members are asked for a tunnel, and tunnelStagger how long the
+	// answer of one is awaited alone: many times what a member takes that reaches the target.
+	tunnelTries   = 8
+	tunnelStagger = 50 * time.Millisecond
+	// noTunnelTime is how long a member that gave no tunnel to a target, or none at all, is
+	// not asked again, and unsupportedTime how long one that does not know tunnels.
+	noTunnelTime    = 500 * time.Millisecond
+	unsupportedTime = 10 * time.Second
+)
+
+// errNoMember means that there is no member to ask for a tunnel.
+var errNoMember = errors.New("no member gives tunnels to the target")
+
+// tunnelClient gets tunnels to targets from other members.
+type tunnelClient struct {
+	now     func() time.Time
+	members *members
+	dial    func(ctx context.Context, member, target string) (net.Conn, error)
+
+	mu sync.Mutex
+	// avoided holds until when members are not asked.
+	avoided map[tunnelKey]time.Time
+	// last is the member that gave the last tunnel. It is asked first.
+	last string
+}
+
+// tunnelKey is a member and a target; the target is empty for all targets.
+type tunnelKey struct{ member, target string }
+
+// tunnelResult is what became of asking one member for a tunnel.
+type tunnelResult struct {
+	conn net.Conn
+	err  error
+}
+
+func newTunnelClient(now func() time.Time, m *members) *tunnelClient {
+	return &tunnelClient{now: now, members: m, dial: dialTunnel, avoided: map[tunnelKey]time.Time{}}
+}
+
+// connect connects to a target through a member. Members are asked one after the other, the
+// next when one fails or does not answer soon: some may be cut off from the target as well. A
+// tunnel that comes too late is closed; nothing was sent on it. The error is that of a member
+// which the target refused, if there is one.
+func (c *tunnelClient) connect(ctx context.Context, target string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
+	defer cancel()
+	members := c.candidates(target)
+	results := make(chan tunnelResult, len(members))
+	failure, asked := errNoMember, 0
+	for answered := 0; answered < len(members); {
+		var next <-chan time.Time
+		if asked < len(members) {
+			member := members[asked]
+			go func() { results <- c.ask(ctx, member, target) }()
+			asked++
+			next = time.After(tunnelStagger)
+		}
+		select {
+		case <-next:
+		case r := <-results:
+			answered++
+			if r.err == nil {
+				go closeTunnels(results, asked-answered)
+				return r.conn, nil
+			}
+			if !errors.Is(failure, errTargetRefused) {
+				failure = r.err
+			}
+		}
+	}
+	return nil, failure
+}
+
+// closeTunnels closes the tunnels among the next n results.
+func closeTunnels(results <-chan tunnelResult, n int) {
+	for range n {
+		if r := <-results; r.err == nil {
+			closeUnused(r.conn)
+		}
+	}
+}
+
+// ask asks a member for a tunnel.
+func (c *tunnelClient) ask(ctx context.Context, member, target string) tunnelResult {
+	conn, err := c.dial(ctx, member, target)
+	switch {
+	case err == nil:
+		c.gave(member)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		c.avoid(member, target, err)
+	}
+	return tunnelResult{conn: conn, err: errors.Wrap(err, member)}
+}
+
+// candidates returns the members to ask for a tunnel to a target, in order.
+func (c *tunnelClient) candidates(target string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	members := c.members.others(func(member string) bool {
+		return !now.Before(c.avoided[tunnelKey{member, ""}]) && !now.Before(c.avoided[tunnelKey{member, target}])
+	})
+	if i := slices.Index(members, c.last); i > 0 {
+		members = append([]string{c.last}, slices.Delete(members, i, i+1)...)
+	}
+	return members[:min(tunnelTries, len(members))]
+}
+
+// gave notes that a member gave a tunnel.
+func (c *tunnelClient) gave(member string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = member
+}
+
+// avoid notes that a member gave no tunnel: to any target, or to one that it does not reach.
+func (c *tunnelClient) avoid(member, target string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	maps.DeleteFunc(c.avoided, func(_ tunnelKey, until time.Time) bool { return until.Before(now) })
+	switch err {
+	case errUnsupported:
+		c.avoided[tunnelKey{member, ""}] = now.Add(unsupportedTime)
+	case errNoTunnels, errMemberSilent:
+		c.avoided[tunnelKey{member, ""}] = now.Add(noTunnelTime)
+	default:
+		c.avoided[tunnelKey{member, target}] = now.Add(noTunnelTime)
+	}
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -1049,6 +1049,9 @@
 
 	// Target corresponds to the JSON schema field "target".
 	Target string `json:"target"`
+
+	// Whether members reach the target, so that calls go through them.
+	ThroughMembers bool `json:"throughMembers,omitempty,omitzero"`
 }
 
 // ViewEvacuation is what is known of a data centre that is or was evacuated.
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -32,11 +32,10 @@
 
 // Dialer returns a dialer of such connections; connecting takes at most timeout.
 func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probes,
-		},
-		Control: limitSilence,
-	}
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: limitSilence}
+}
+
+// KeepAlive returns when an idle connection is probed.
+func KeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probes}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -52,6 +52,7 @@
 	PathRead      = "/peer/v1/read"
 	PathView      = "/peer/v1/view"
 	PathSuspects  = "/peer/v1/suspects"
+	PathTunnel    = "/peer/v1/tunnel"
 	PathState     = "/state"
 	PathReady     = "/readyz"
 	PathHealth    = "/healthz"
