paths: a node that reaches no target refuses requests at once

What callers saw: with all nodes cut off from all targets, requests with stages were held for 2.6 to 3.8 s and then refused as not run.

Cause: nothing told that no target can be reached. Groups were retried at the coordinator until their deadline, by a backlog that assumes that its targets work.

Change: a node is isolated when neither it nor a member connects to two targets, nothing was heard since, and a sample of three others and a member's connection fail too. It refuses requests as not run, with a time to retry after, ends the stages of those that wait, and reports that it does not serve, so that members without its fault take over its duties.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,9 +130,10 @@
 	g.ports.Targets.OnSignal(func(t directory.Target, s backpressure.Signal) { g.backpressure.Observe(t.Incarnation(), s) })
 	g.gossip = &gossiper{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, shutdown: g.shutdown,
-		quarantine: g.quarantine, backpressure: g.backpressure,
+		quarantine: g.quarantine, backpressure: g.backpressure, isolated: g.paths.isolated,
 		catchUpIfBehind: g.follower.catchUpIfBehind, triggered: make(chan struct{}, 1),
 	}
+	g.paths.onIsolation = g.onIsolation
 	g.joiner = newJoiner(g.members, g.gossip.exchange)
 	retries := retryPolicy(g.cfg.Gateway, func() int { return retrySharers(g.now().Sub(started), g.members.peakSize()) })
 	g.coordinators = &coordinators{views: g.views, services: map[string]*actor.PID{}, coordinatorConfig: coordinatorConfig{
@@ -153,7 +154,7 @@
 		DataCentre: g.cfg.DataCentre, Node: g.PeerAddress(), View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries, NodeCount: g.members.size,
 		TargetSample: targetSample(g.cfg.Gateway.TargetSpeed),
-		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Gate: g.backpressure.RequestGate(),
+		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Gate: g.backpressure.RequestGate(), Isolated: g.paths.isolated,
 	})
 	g.speeds = &targetSpeeds{log: g.log, sources: func(ctx context.Context) map[string][]targetspeed.View {
 		return map[string][]targetspeed.View{
@@ -212,6 +213,12 @@
 	g.gossip.trigger()
 }
 
+// onIsolation tells members whether this node reaches targets.
+func (g *Gateway) onIsolation() {
+	g.gossip.publishStatus()
+	g.gossip.trigger()
+}
+
 // CallerAddress returns the address that serves callers.
 func (g *Gateway) CallerAddress() string { return g.listeners.callers.Addr().String() }
 
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -44,7 +44,9 @@
 	// backpressure holds the limits that targets ask for, which members report to each other
 	// too.
 	backpressure *backpressure.Tracker
-	log          zerolog.Logger
+	// isolated returns a context that is done while this node reaches no target in any way.
+	isolated func() context.Context
+	log      zerolog.Logger
 	// catchUpIfBehind catches up with a member that is ahead of this node.
 	catchUpIfBehind func(context.Context)
 
@@ -57,7 +59,7 @@
 	v := g.views.load()
 	g.members.setStatus(func() membership.Status {
 		return membership.Status{
-			Serving: v.Catalog != nil, Leaving: g.shutdown.begun(), ReachesSource: g.health.isReachable(g.now()),
+			Serving: v.Catalog != nil && g.isolated().Err() == nil, Leaving: g.shutdown.begun(), ReachesSource: g.health.isReachable(g.now()),
 			Version: v.CatalogVersion(), Revision: int64(v.Revision),
 		}
 	})
--- a/internal/gateway/reachability/reachability.go
+++ b/internal/gateway/reachability/reachability.go
@@ -7,6 +7,9 @@
 //   - The path is broken if a member connects to a target to which this node cannot. Calls go
 //     through members until this node connects again.
 //   - The target is down if a member cannot connect either.
+//   - The node is isolated if several targets are down, nothing has come from any target since,
+//     neither directly nor through a member, and a sample of the others cannot be reached either.
+//     It can serve nothing until it reaches one.
 //   - The node is cut off if several paths broke and nothing has come from any target since.
 //     Then the paths that were not tried count as broken too, so that no call has to find out
 //     by waiting.
@@ -43,8 +46,11 @@
 	paths map[string]path
 	// broken holds since when the paths are broken that are.
 	broken map[string]time.Time
-	// heardAt is when something last came from any target directly.
-	heardAt time.Time
+	// heardAt is when something last came from any target directly, and detouredAt when a
+	// member last connected to one.
+	heardAt, detouredAt time.Time
+	// isolatedAt is when the node was last found to be isolated.
+	isolatedAt time.Time
 }
 
 // path is what is known of the path to one target.
@@ -53,8 +59,8 @@
 	// is the last one.
 	failedSince time.Time
 	err         string
-	// downUntil is until when no member is asked to connect.
-	downUntil time.Time
+	// downAt is when no member connected, and downUntil until when none is asked to.
+	downAt, downUntil time.Time
 	// triedAt is when this node last tried to connect.
 	triedAt time.Time
 	// waitingSince is when the first byte was sent that nothing was heard after; zero if
@@ -99,8 +105,9 @@
 // Detoured records that a member connected to a target, and reports whether that shows that
 // the path of this node is broken and was not known to be.
 func (t *Table) Detoured(now time.Time, target string) (newlyBroken bool) {
+	t.detouredAt = now
 	p := t.paths[target]
-	p.downUntil = time.Time{}
+	p.downAt, p.downUntil = time.Time{}, time.Time{}
 	t.paths[target] = p
 	if _, broken := t.broken[target]; broken || p.failedSince.IsZero() {
 		return false
@@ -112,10 +119,38 @@
 // Down records that no member connected to a target.
 func (t *Table) Down(now time.Time, target string) {
 	p := t.paths[target]
-	p.downUntil = now.Add(downTime)
+	p.downAt, p.downUntil = now, now.Add(downTime)
 	t.paths[target] = p
 }
 
+// MayBeIsolated reports whether the node may reach no target at all, so that a sample of them
+// should be tried.
+func (t *Table) MayBeIsolated() bool {
+	n := 0
+	for _, p := range t.paths {
+		if t.nothingSince(p.downAt) {
+			n++
+		}
+	}
+	return n >= cutOffPaths
+}
+
+// SetIsolated records that a sample of targets could not be reached either, when that was
+// tried from a time on.
+func (t *Table) SetIsolated(triedAt time.Time) {
+	if t.MayBeIsolated() && t.nothingSince(triedAt) {
+		t.isolatedAt = triedAt
+	}
+}
+
+// Isolated reports whether this node reaches no target in any way.
+func (t *Table) Isolated() bool { return t.nothingSince(t.isolatedAt) }
+
+// nothingSince reports whether no target was reached, in any way, after a time that is set.
+func (t *Table) nothingSince(at time.Time) bool {
+	return at.After(t.heardAt) && at.After(t.detouredAt)
+}
+
 // Sent records that bytes were sent to a target.
 func (t *Table) Sent(now time.Time, target string) {
 	p := t.paths[target]
--- a/internal/gateway/reachability/reachability_test.go
+++ b/internal/gateway/reachability/reachability_test.go
@@ -133,3 +133,39 @@
 		})
 	})
 }
+
+// TestIsolated guards against requests that wait although no target can be reached, and against
+// a node that refuses requests because a few targets have failed.
+func TestIsolated(t *testing.T) {
+	convey.Convey("Given a node that no member helped to reach two targets", t, func() {
+		table := reachability.NewTable()
+		table.Heard(at(0), "c")
+		table.Down(at(10), "a")
+		convey.So(table.MayBeIsolated(), convey.ShouldBeFalse)
+		table.Down(at(20), "b")
+		convey.So(table.MayBeIsolated(), convey.ShouldBeTrue)
+		convey.So(table.Isolated(), convey.ShouldBeFalse)
+		convey.Convey("it is isolated if a sample of targets is not reached either", func() {
+			table.SetIsolated(at(30))
+			convey.So(table.Isolated(), convey.ShouldBeTrue)
+			convey.Convey("until a target is heard", func() {
+				table.Heard(at(40), "c")
+				convey.So(table.Isolated(), convey.ShouldBeFalse)
+				convey.So(table.MayBeIsolated(), convey.ShouldBeFalse)
+			})
+			convey.Convey("until it connects to one", func() {
+				table.Connected(at(40), "c")
+				convey.So(table.Isolated(), convey.ShouldBeFalse)
+			})
+			convey.Convey("until a member connects to one", func() {
+				table.Detoured(at(40), "a")
+				convey.So(table.Isolated(), convey.ShouldBeFalse)
+			})
+		})
+		convey.Convey("it is not if a target was heard while the sample was tried", func() {
+			table.Heard(at(40), "c")
+			table.SetIsolated(at(30))
+			convey.So(table.Isolated(), convey.ShouldBeFalse)
+		})
+	})
+}
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -180,6 +180,7 @@
 func (s *Server) runStages(ctx context.Context, d *delivery, a *admission) *verdict.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer context.AfterFunc(s.cfg.Isolated(), func() { cancel(errIsolated) })()
 	late := make(chan []Quote, 1)
 	if a.unknown() {
 		go func() { late <- s.cancelOnceKnown(ctx, cancel, d.runner.results, a) }()
@@ -193,6 +194,9 @@
 	if refused, ok := context.Cause(ctx).(refusedAdmission); ok {
 		return s.refuse(d.resolvedRequest, refused)
 	}
+	if context.Cause(ctx) == errIsolated {
+		return s.refuseIsolated(d.resolvedRequest)
+	}
 	if w, withdrawn := WithdrawnCause(err); withdrawn {
 		cancel(nil)
 		return s.endWithdrawn(d, a, <-late, w, err)
@@ -267,6 +271,17 @@
 		WithRetryAfter(retryAfter(r.times.ResponseDeadline.Sub(s.cfg.Now())))
 }
 
+// errIsolated ends the stages of a request when no target can be reached.
+var errIsolated = errors.New("no target can be reached")
+
+// refuseIsolated refuses a request while this node reaches no target in any way. Without it
+// the request would wait for its deadline, and so would its client, who may reach a node that
+// serves it.
+func (s *Server) refuseIsolated(r *resolvedRequest) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "neither this node nor a member reaches a target").
+		WithRetryAfter(retryAfter(r.times.ResponseDeadline.Sub(s.cfg.Now())))
+}
+
 // services returns the services that the request needs, in the order of their use.
 func (r *resolvedRequest) services() []string {
 	var list []string
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -83,6 +83,8 @@
 	cancelledWith []relay.Quote
 	// ended are the targets that have crashed.
 	ended map[string]bool
+	// isolated is done while the node reaches no target; nil for never.
+	isolated context.Context
 	// heldBack are the targets that are held back once they have been chosen.
 	heldBack map[string]bool
 	// ends are the targets that were reported as crashed.
@@ -321,6 +323,13 @@
 func (f *fakePorts) HeldBack(target directory.Incarnation) bool    { return f.heldBack[target.ID] }
 func (f *fakePorts) PauseLeft(directory.Incarnation) time.Duration { return 0 }
 
+func (f *fakePorts) isolation() context.Context {
+	if f.isolated == nil {
+		return context.Background()
+	}
+	return f.isolated
+}
+
 // keepView returns the view unchanged.
 func keepView(v *view.View) *view.View { return v }
 
@@ -357,7 +366,7 @@
 	}
 	v := change(&view.View{Revision: 1, Catalog: c, Directory: directory.New(targets...)})
 	return f, relay.New(relay.Config{
-		DataCentre: "d", View: func() *view.View { return v }, Upstream: f, Batcher: f, Placer: f, Observer: f, Now: time.Now,
+		DataCentre: "d", View: func() *view.View { return v }, Upstream: f, Batcher: f, Placer: f, Observer: f, Now: time.Now, Isolated: f.isolation,
 		RetryPolicy: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, NodeCount: func() int { return 1 },
 		WarmUp: warmup.Margin{Overshoot: 1.5, Tolerance: 5}, SendsToCold: func(string) bool { return true },
 		Quarantine: q, Gate: f,
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -66,6 +66,8 @@
 	Quarantine Quarantine
 	// Gate controls which targets may get a request.
 	Gate Gate
+	// Isolated returns a context that is done while this node reaches no target in any way.
+	Isolated func() context.Context
 }
 
 // Server relays requests. Create it with New.
@@ -130,6 +132,9 @@
 	if err := s.refuseEvacuated(r); err != nil {
 		return err
 	}
+	if s.cfg.Isolated().Err() != nil {
+		return s.refuseIsolated(r)
+	}
 	defer func() { outcome.OverShare = r.overShare }()
 	admitted, err := s.admit(ctx, r)
 	if err != nil {
--- a/internal/gateway/targetpaths.go
+++ b/internal/gateway/targetpaths.go
@@ -32,9 +32,9 @@
 	// recheckInterval is how long after a check that nobody could answer the path to a silent
 	// target is checked again.
 	recheckInterval = time.Second
-	// endedCheckSamples is how many other targets are tried to tell a target that refuses
-	// connections from a broken path.
-	endedCheckSamples = 3
+	// sampledTargets is how many targets are tried to tell the failure of one from that of
+	// this node's paths.
+	sampledTargets = 3
 )
 
 // errDown means that no member reached a target lately.
@@ -59,6 +59,11 @@
 	table   *reachability.Table
 	// cutOff is whether the table said so after the last change.
 	cutOff bool
+	// isolation is done while this node is isolated.
+	isolation    context.Context
+	setIsolation context.CancelFunc
+	// onIsolation is called when an isolation begins or ends.
+	onIsolation func()
 	// checks holds the targets for which a check is scheduled.
 	checks map[string]bool
 	// onSilence holds what to call when a path turns out to lose what is sent, by target.
@@ -66,8 +71,10 @@
 }
 
 func newTargetPaths(now func() time.Time, log zerolog.Logger, m *metrics, dial dialFunc, tunnels *tunnelClient, views *viewKeeper) *targetPaths {
+	isolation, setIsolation := context.WithCancel(context.Background())
 	return &targetPaths{
 		now: now, log: log, metrics: m, dial: dial, tunnels: tunnels, views: views,
+		isolation: isolation, setIsolation: setIsolation, onIsolation: func() {},
 		table: reachability.NewTable(), checks: map[string]bool{}, onSilence: map[string]map[*func()]bool{},
 	}
 }
@@ -164,7 +171,12 @@
 // reachesAnother reports whether this node connects to another target than t. It is true if
 // there is none.
 func (p *targetPaths) reachesAnother(ctx context.Context, t delivery.Target) bool {
-	others := p.otherTargets(t)
+	others := p.sample(t.Address)
+	return len(others) == 0 || p.reachesAny(ctx, others)
+}
+
+// reachesAny reports whether this node connects to one of some targets.
+func (p *targetPaths) reachesAny(ctx context.Context, others []delivery.Target) bool {
 	results := make(chan bool, len(others))
 	for _, other := range others {
 		go func() {
@@ -180,17 +192,17 @@
 			return true
 		}
 	}
-	return len(others) == 0
+	return false
 }
 
-// otherTargets returns some targets at other addresses than t, in random order.
-func (p *targetPaths) otherTargets(t delivery.Target) []delivery.Target {
+// sample returns some targets at other addresses than the given one, at random.
+func (p *targetPaths) sample(except string) []delivery.Target {
 	var others []delivery.Target
 	for _, other := range p.views.load().Directory.All() {
-		if len(others) == endedCheckSamples {
+		if len(others) == sampledTargets {
 			break
 		}
-		if other.Address != t.Address {
+		if other.Address != except {
 			others = append(others, delivery.Target{ID: other.ID, Address: other.Address})
 		}
 	}
@@ -216,6 +228,9 @@
 			for _, t := range p.probes() {
 				go p.probe(ctx, t)
 			}
+			if p.mayBeIsolated() {
+				go p.findIsolation(ctx)
+			}
 		}
 	}
 }
@@ -247,6 +262,50 @@
 	return err
 }
 
+// findIsolation finds out whether this node reaches no target in any way: if it does not
+// connect to a sample of targets, and no member connects to the first of them.
+func (p *targetPaths) findIsolation(ctx context.Context) {
+	triedAt := p.now()
+	sample := p.sample("")
+	if len(sample) == 0 || p.reachesAny(ctx, sample) || p.reachedByMember(ctx, sample[0]) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.SetIsolated(triedAt)
+	p.changed()
+}
+
+func (p *targetPaths) mayBeIsolated() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.MayBeIsolated()
+}
+
+// isolated returns a context that is done while this node reaches no target in any way.
+func (p *targetPaths) isolated() context.Context {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isolation
+}
+
+// updateIsolation ends the context of isolated when an isolation begins, and renews it when
+// one ends. The caller must hold the lock.
+func (p *targetPaths) updateIsolation() {
+	isolated := p.table.Isolated()
+	if isolated == (p.isolation.Err() != nil) {
+		return
+	}
+	if isolated {
+		p.log.Warn().Msg("paths: neither this node nor a member reaches a target, refusing requests")
+		p.setIsolation()
+	} else {
+		p.log.Info().Msg("paths: a target can be reached again, accepting requests")
+		p.isolation, p.setIsolation = context.WithCancel(context.Background())
+	}
+	go p.onIsolation()
+}
+
 // check finds out whether the path to a silent target is broken. Calls that wait for the
 // target then end if they may be sent again. If the instance refuses the connection, nothing
 // on the path is lost, and the open connections may live.
@@ -311,6 +370,7 @@
 			Msg("paths: target is reachable again")
 		p.changed()
 	}
+	p.updateIsolation()
 }
 
 func (p *targetPaths) failed(t delivery.Target, err error) {
@@ -330,12 +390,17 @@
 		p.log.Warn().Str("target", t.ID).Str("address", t.Address).Msg("paths: target is reached through members")
 		p.changed()
 	}
+	p.updateIsolation()
 }
 
 func (p *targetPaths) down(t delivery.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.table.MayBeIsolated()
 	p.table.Down(p.now(), t.ID)
+	if !before && p.table.MayBeIsolated() && p.running != nil {
+		go p.findIsolation(p.running)
+	}
 }
 
 func (p *targetPaths) mayDetour(t delivery.Target) bool {
@@ -355,12 +420,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table.Heard(p.now(), t.ID)
+	p.updateIsolation()
 }
 
 // changed logs and counts what a change of the table means. The caller must hold the lock.
 func (p *targetPaths) changed() {
 	failures := p.table.Failures()
 	p.metrics.unreachableTargets.Update(float64(len(failures)))
+	p.updateIsolation()
 	cutOff := p.table.CutOff()
 	if cutOff == p.cutOff {
 		return
