--- a/internal/tcpconn/tcpconn_test.go
+++ b/internal/tcpconn/tcpconn_test.go
@@ -42,3 +42,34 @@
 		})
 	})
 }
+
+// TestPauseOfTheOtherEnd guards against connections that are lost because their other end paused
+// for a second while nothing was sent: with a limit of unacknowledged data, the operating system
+// gives a connection up at the first probe that finds nothing heard for that long, whatever the
+// count of probes.
+func TestPauseOfTheOtherEnd(t *testing.T) {
+	convey.Convey("A pause of two seconds ends no connection, whenever it begins", t, func() {
+		const pause = 2 * time.Second
+		for begins := time.Duration(0); begins <= 2*SilenceLimit; begins += 100 * time.Millisecond {
+			convey.So(lostAt(begins), convey.ShouldBeGreaterThanOrEqualTo, begins+pause)
+		}
+	})
+}
+
+// lostAt returns when the operating system gives up a connection on which nothing is sent and whose
+// other end answers nothing from a time on. Times count from the last byte that came.
+func lostAt(silentFrom time.Duration) time.Duration {
+	heard, unanswered := time.Duration(0), 0
+	for probe := probeAfter; ; probe += probeInterval {
+		if unanswered > 0 && probe-heard >= SilenceLimit {
+			return probe
+		}
+		if probe < silentFrom {
+			// The answer counts as a byte: the next probe is due probeAfter later.
+			heard, unanswered = probe, 0
+			probe += probeAfter - probeInterval
+			continue
+		}
+		unanswered++
+	}
+}
