backpressure: brittle targets are not made to refuse more than they bear

What callers saw: nothing yet; the platform's news says that replicas may be brittle, say so in all answers, and fall over when they have to turn more than a named number of requests away in a second for want of room.

Cause: a refusal cost the node that caused it nothing but an attempt; all nodes went on sending to a full target. In TestBrittleTargets a replica that bears 6 refusals a second got 28 and 29.

When no target may get a request, it is refused at once as before.

No messages between members. Members of an earlier build ignore the header, so that the bound holds for the part of the nodes that are of this one.

--- a/internal/gateway/backpressure/gate.go
+++ b/internal/gateway/backpressure/gate.go
@@ -143,5 +143,5 @@
 
 // allows is like Allows. The caller must hold the lock.
 func (g Gate) allows(target directory.Incarnation) bool {
-	return g.tracker.table.allows(g.tracker.cfg.Now(), target, g.share)
+	return g.tracker.table.allows(g.tracker.cfg.Now(), target, g.share, g.tracker.nodes())
 }
--- a/internal/gateway/backpressure/signal.go
+++ b/internal/gateway/backpressure/signal.go
@@ -11,6 +11,12 @@
 	Sent time.Time
 	// Limit is the request rate that the target accepts.
 	Limit Limit
+	// Brittle is set if the target crashes when it refuses too many requests.
+	Brittle Brittleness
+	// NoRoom reports that the target refused the request for want of room. Load is the load that
+	// it reported.
+	NoRoom bool
+	Load   Load
 	// Leaving reports that the target will stop soon and accepts no new requests.
 	Leaving bool
 	// Pause is the time for which the target wants no requests from this node. 0 means no
@@ -18,8 +24,11 @@
 	Pause time.Duration
 }
 
-// isEmpty reports whether the signal has no limit, pause or leave announcement.
-func (s Signal) isEmpty() bool { return !s.Limit.Set && !s.Leaving && s.Pause <= 0 }
+// isEmpty reports whether the signal has no limit, pause or leave announcement, and is not that
+// of a brittle target.
+func (s Signal) isEmpty() bool {
+	return !s.Limit.Set && !s.Leaving && s.Pause <= 0 && !s.Brittle.Set
+}
 
 // Limit is a request rate, summed over all nodes. The zero value means no limit.
 type Limit struct {
--- a/internal/gateway/backpressure/table.go
+++ b/internal/gateway/backpressure/table.go
@@ -55,6 +55,8 @@
 	// the end of the pause that it asked this node for.
 	leaving     bool
 	pausedUntil time.Time
+	// brittle is set while the target is brittle.
+	brittle *brittle
 	// bucket limits the requests that this node sends under the target's limit.
 	bucket *rate.Limiter
 	// unlistedSince is the time since which the target is not listed. It is zero while the target
@@ -62,8 +64,8 @@
 	unlistedSince time.Time
 }
 
-// table holds an entry for each target incarnation that is leaving, paused or limited, or
-// was paused or limited recently. It is not safe for concurrent use.
+// table holds an entry for each target incarnation that is leaving, paused, limited or brittle,
+// or was so recently. It is not safe for concurrent use.
 type table struct {
 	entries map[directory.Incarnation]*entry
 }
@@ -176,14 +178,38 @@
 	return max(e.pausedUntil.Sub(now), 0)
 }
 
-// allows reports whether a target may get a request: it is not held back, and either has no
-// limit, or this node is a sender for it and its bucket has a token.
-func (t *table) allows(now time.Time, target directory.Incarnation, share shareFunc) bool {
+// observeBrittle records an answer of a target that is or was brittle, and reports whether that
+// changed. An answer to a request that was sent before the last report of it ends nothing.
+func (t *table) observeBrittle(now time.Time, target directory.Incarnation, s Signal) (changed bool) {
+	e := t.getOrCreate(target, now)
+	switch {
+	case s.Brittle.Set:
+		if changed = e.brittle == nil; changed {
+			e.brittle = newBrittle()
+		}
+		e.brittle.answered(now, s)
+	case e.brittle != nil && s.Sent.After(e.brittle.confirmedAt):
+		e.brittle = nil
+		return true
+	}
+	return changed
+}
+
+// isBrittle reports whether a target is known to be brittle.
+func (t *table) isBrittle(target directory.Incarnation) bool {
+	e := t.entries[target]
+	return e != nil && e.brittle != nil
+}
+
+// allows reports whether a target may get a request: it is not held back, this node may cause a
+// refusal there if it is brittle, and either it has no limit, or this node is a sender for it and
+// its bucket has a token. nodes is how many nodes share what a brittle target can refuse.
+func (t *table) allows(now time.Time, target directory.Incarnation, share shareFunc, nodes int) bool {
 	e := t.entries[target]
 	switch {
 	case e == nil:
 		return true
-	case e.heldBack(now):
+	case e.heldBack(now), e.brittle != nil && !e.brittle.allows(now, nodes):
 		return false
 	case !e.Set:
 		return true
@@ -197,9 +223,16 @@
 
 // takeToken takes a token for a request that is sent to a target.
 func (t *table) takeToken(now time.Time, target directory.Incarnation) {
-	if e := t.entries[target]; e != nil && e.Set {
+	e := t.entries[target]
+	if e == nil {
+		return
+	}
+	if e.Set {
 		e.bucket.AllowN(now, 1)
 	}
+	if e.brittle != nil {
+		e.brittle.send(now)
+	}
 }
 
 // limited returns the targets with a limit, in no particular order.
@@ -241,7 +274,7 @@
 // target is leaving or paused.
 func (t *table) pruneEnded(now time.Time) {
 	maps.DeleteFunc(t.entries, func(_ directory.Incarnation, e *entry) bool {
-		return !e.Set && now.Sub(e.at) > endedRetention && !e.leaving && !now.Before(e.pausedUntil)
+		return !e.Set && now.Sub(e.at) > endedRetention && !e.leaving && e.brittle == nil && !now.Before(e.pausedUntil)
 	})
 }
 
--- a/internal/gateway/backpressure/tracker.go
+++ b/internal/gateway/backpressure/tracker.go
@@ -31,6 +31,8 @@
 	// Changed is called with the number of limited targets if other members should learn of
 	// a change at once. It must not call the Tracker.
 	Changed func(limited int)
+	// Nodes returns the number of live nodes; nil for one.
+	Nodes func() int
 	// Rank returns the number of eligible members that rank before this node for a role, and
 	// the number of eligible members. The latter is 0 if this node is not eligible.
 	Rank func(role string) (before, members int)
@@ -75,6 +77,9 @@
 	if s.Pause > 0 && t.table.pause(now, target, s.Pause) {
 		t.cfg.Log.Info().Str("target", target.String()).Dur("pause", s.Pause).Msg("backpressure: target requested a pause")
 	}
+	if s.Brittle.Set || t.table.isBrittle(target) {
+		t.observeBrittle(now, target, s)
+	}
 	if !s.Limit.Set && !t.table.endsLimit(target, s.Sent) {
 		return
 	}
@@ -83,6 +88,28 @@
 	}
 }
 
+// observeBrittle records an answer of a target that is or was brittle. The caller must hold the
+// lock.
+func (t *Tracker) observeBrittle(now time.Time, target directory.Incarnation, s Signal) {
+	if !t.table.observeBrittle(now, target, s) {
+		return
+	}
+	event := t.cfg.Log.Info().Str("target", target.String())
+	if s.Brittle.Set {
+		event.Float64("refusalsPerSecond", s.Brittle.RefusalsPerSecond).Msg("backpressure: target is brittle")
+	} else {
+		event.Msg("backpressure: target is no longer brittle")
+	}
+}
+
+// nodes returns how many nodes share what a brittle target can refuse.
+func (t *Tracker) nodes() int {
+	if t.cfg.Nodes == nil {
+		return 1
+	}
+	return t.cfg.Nodes()
+}
+
 // Holds returns the targets that told this node that they are leaving or want a pause,
 // sorted by name.
 func (t *Tracker) Holds() []message.TargetHold {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 	g.quarantine = quarantine.NewTracker(quarantine.Config{
 		Now: g.now, Log: g.log, OnChange: g.onQuarantineChange, OwnsRole: g.members.ownsRole,
 	})
-	g.backpressure = backpressure.NewTracker(backpressure.Config{Now: g.now, Log: g.log, Changed: g.onLimitsChange, Rank: g.members.rank})
+	g.backpressure = backpressure.NewTracker(backpressure.Config{Now: g.now, Log: g.log, Changed: g.onLimitsChange, Nodes: g.members.size, Rank: g.members.rank})
 	g.ports.Targets.OnSignal(func(t directory.Target, s backpressure.Signal) { g.backpressure.Observe(t.Incarnation(), s) })
 	g.gossip = &gossiper{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, shutdown: g.shutdown,
