paths: one file for each question; a cut that ends by bytes is logged at once

targetpaths.go held six things: connecting, what is recorded, checks of silent paths, ended targets, isolation and the loop. Each has a file now, as have the tunnel's protocol, its server and its client. The end of a cut was logged at the next change of the table instead of with the first byte from a target; probes stayed at four a round until then.

--- a/internal/gateway/targetpaths.go
+++ b/internal/gateway/targetpaths.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"net"
-	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,12 +26,6 @@
 	// maxProbes how many otherwise: after a cut all paths are probed soon.
 	cutOffProbes = 4
 	maxProbes    = 32
-	// recheckInterval is how long after a check that nobody could answer the path to a silent
-	// target is checked again.
-	recheckInterval = time.Second
-	// sampledTargets is how many targets are tried to tell the failure of one from that of
-	// this node's paths.
-	sampledTargets = 3
 )
 
 // errDown means that no member reached a target lately.
@@ -116,99 +107,6 @@
 	return p.table.Broken(t.ID)
 }
 
-// OnSilence implements delivery.Paths.
-func (p *targetPaths) OnSilence(t delivery.Target, lost func()) (release func()) {
-	key := &lost
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.onSilence[t.ID] == nil {
-		p.onSilence[t.ID] = map[*func()]bool{}
-	}
-	p.onSilence[t.ID][key] = true
-	return func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.onSilence[t.ID], key)
-		if len(p.onSilence[t.ID]) == 0 {
-			delete(p.onSilence, t.ID)
-		}
-	}
-}
-
-// HasEnded implements delivery.Paths. The process of a target has ended if its instance
-// refuses connections. A broken path may look the same, so that another target must be
-// reachable, if there is one, and no member may reach this one.
-func (p *targetPaths) HasEnded(ctx context.Context, t delivery.Target) bool {
-	if p.Broken(t) {
-		conn, err := p.Detour(ctx, t)
-		if err == nil {
-			closeUnused(conn)
-		}
-		return errors.Is(err, errTargetRefused)
-	}
-	conn, err := p.Direct(ctx, t)
-	if err == nil {
-		closeUnused(conn)
-		return false
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
-	}
-	reached := make(chan bool, 1)
-	go func() { reached <- p.reachedByMember(ctx, t) }()
-	return p.reachesAnother(ctx, t) && !<-reached
-}
-
-// reachedByMember reports whether a member connects to a target.
-func (p *targetPaths) reachedByMember(ctx context.Context, t delivery.Target) bool {
-	conn, err := p.Detour(ctx, t)
-	if err == nil {
-		closeUnused(conn)
-	}
-	return err == nil
-}
-
-// reachesAnother reports whether this node connects to another target than t. It is true if
-// there is none.
-func (p *targetPaths) reachesAnother(ctx context.Context, t delivery.Target) bool {
-	others := p.sample(t.Address)
-	return len(others) == 0 || p.reachesAny(ctx, others)
-}
-
-// reachesAny reports whether this node connects to one of some targets.
-func (p *targetPaths) reachesAny(ctx context.Context, others []delivery.Target) bool {
-	results := make(chan bool, len(others))
-	for _, other := range others {
-		go func() {
-			conn, err := p.Direct(ctx, other)
-			if err == nil {
-				closeUnused(conn)
-			}
-			results <- err == nil
-		}()
-	}
-	for range others {
-		if <-results {
-			return true
-		}
-	}
-	return false
-}
-
-// sample returns some targets at other addresses than the given one, at random.
-func (p *targetPaths) sample(except string) []delivery.Target {
-	var others []delivery.Target
-	for _, other := range p.views.load().Directory.All() {
-		if len(others) == sampledTargets {
-			break
-		}
-		if other.Address != except {
-			others = append(others, delivery.Target{ID: other.ID, Address: other.Address})
-		}
-	}
-	return others
-}
-
 // closeUnused closes a connection on which nothing was sent, so that the error of its end
 // says nothing.
 func closeUnused(conn net.Conn) { _ = conn.Close() }
@@ -262,105 +160,6 @@
 	return err
 }
 
-// findIsolation finds out whether this node reaches no target in any way: if it does not
-// connect to a sample of targets, and no member connects to the first of them.
-func (p *targetPaths) findIsolation(ctx context.Context) {
-	triedAt := p.now()
-	sample := p.sample("")
-	if len(sample) == 0 || p.reachesAny(ctx, sample) || p.reachedByMember(ctx, sample[0]) {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.table.SetIsolated(triedAt)
-	p.changed()
-}
-
-func (p *targetPaths) mayBeIsolated() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.table.MayBeIsolated()
-}
-
-// isolated returns a context that is done while this node reaches no target in any way.
-func (p *targetPaths) isolated() context.Context {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.isolation
-}
-
-// updateIsolation ends the context of isolated when an isolation begins, and renews it when
-// one ends. The caller must hold the lock.
-func (p *targetPaths) updateIsolation() {
-	isolated := p.table.Isolated()
-	if isolated == (p.isolation.Err() != nil) {
-		return
-	}
-	if isolated {
-		p.log.Warn().Msg("paths: neither this node nor a member reaches a target, refusing requests")
-		p.setIsolation()
-	} else {
-		p.log.Info().Msg("paths: a target can be reached again, accepting requests")
-		p.isolation, p.setIsolation = context.WithCancel(context.Background())
-	}
-	go p.onIsolation()
-}
-
-// check finds out whether the path to a silent target is broken. Calls that wait for the
-// target then end if they may be sent again. If the instance refuses the connection, nothing
-// on the path is lost, and the open connections may live.
-func (p *targetPaths) check(ctx context.Context, t delivery.Target) {
-	err := p.probe(ctx, t)
-	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-		return
-	}
-	if !p.reachedByMember(ctx, t) {
-		time.AfterFunc(recheckInterval, func() { p.checkDue(ctx, t) })
-		return
-	}
-	lost := p.waitingCalls(t)
-	p.log.Info().Str("target", t.ID).Int("calls", len(lost)).Msg("paths: path to target is silent, sending calls again")
-	for _, end := range lost {
-		(*end)()
-	}
-}
-
-// waitingCalls returns the calls to end for a path that loses what is sent.
-func (p *targetPaths) waitingCalls(t delivery.Target) []*func() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Collect(maps.Keys(p.onSilence[t.ID]))
-}
-
-// scheduleCheck arranges that the path to a target is checked if the target leaves what was
-// sent without an answer. The caller must hold the lock.
-func (p *targetPaths) scheduleCheck(t delivery.Target) {
-	in, waiting := p.table.CheckIn(p.now(), t.ID)
-	if !waiting || p.running == nil || p.checks[t.ID] {
-		return
-	}
-	p.checks[t.ID] = true
-	ctx := p.running
-	time.AfterFunc(in, func() { p.checkDue(ctx, t) })
-}
-
-// checkDue runs a scheduled check, or schedules it again if it is not due yet.
-func (p *targetPaths) checkDue(ctx context.Context, t delivery.Target) {
-	if ctx.Err() != nil {
-		return
-	}
-	p.mu.Lock()
-	delete(p.checks, t.ID)
-	in, waiting := p.table.CheckIn(p.now(), t.ID)
-	if in > 0 {
-		p.scheduleCheck(t)
-	}
-	p.mu.Unlock()
-	if waiting && in == 0 {
-		p.check(ctx, t)
-	}
-}
-
 func (p *targetPaths) connected(t delivery.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -421,6 +220,9 @@
 	defer p.mu.Unlock()
 	p.table.Heard(p.now(), t.ID)
 	p.updateIsolation()
+	if p.cutOff {
+		p.changed()
+	}
 }
 
 // changed logs and counts what a change of the table means. The caller must hold the lock.
--- a/internal/gateway/tunnelclient.go
+++ b/internal/gateway/tunnelclient.go
@@ -1,14 +1,20 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"maps"
 	"net"
+	"net/http"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/honeydyke/honeydyke/internal/tcpconn"
+	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
 const (
@@ -144,3 +150,44 @@
 		c.avoided[tunnelKey{member, target}] = now.Add(noTunnelTime)
 	}
 }
+
+// dialTunnel asks a member for a tunnel to a target.
+func dialTunnel(ctx context.Context, member, target string) (net.Conn, error) {
+	conn, err := tcpconn.Dialer(peerDialTimeout).DialContext(ctx, "tcp", member)
+	if err != nil {
+		return nil, errMemberSilent
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	r, status, err := requestTunnel(conn, member, target)
+	if err != nil {
+		_ = conn.Close()
+		return nil, errMemberSilent
+	}
+	if err := tunnelError(status); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &tunnelConn{Conn: conn, r: r}, nil
+}
+
+// requestTunnel sends the request for a tunnel and returns the status of the answer, with the
+// reader of what follows it.
+func requestTunnel(conn net.Conn, member, target string) (*bufio.Reader, int, error) {
+	query := url.Values{paramTarget: {target}}.Encode()
+	req, err := http.NewRequest(http.MethodGet, "http://"+member+wire.PathTunnel+"?"+query, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	req.Header.Set("Connection", "Upgrade")
+	req.Header.Set("Upgrade", upgradeTunnel)
+	if err := req.Write(conn); err != nil {
+		return nil, 0, err
+	}
+	r := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(r, req)
+	if err != nil {
+		return nil, 0, err
+	}
+	return r, resp.StatusCode, nil
+}
