relay: a request waits shortly for room at brittle targets

Cause: a target that may get no request now was left out as one that leaves or pauses is, and the request refused at once.

Other reasons still refuse at once.

--- a/internal/gateway/backpressure/gate.go
+++ b/internal/gateway/backpressure/gate.go
@@ -101,6 +101,18 @@
 	return true
 }
 
+// Crowded reports whether a brittle target may get no request now, but may get one as soon as
+// what is under way there is answered.
+func (g Gate) Crowded(target directory.Incarnation) bool {
+	if g.tracker.empty() {
+		return false
+	}
+	g.tracker.mu.Lock()
+	defer g.tracker.mu.Unlock()
+	now := g.tracker.cfg.Now()
+	return g.tracker.table.isBrittle(target) && !g.tracker.table.heldBack(now, target) && !g.allows(target)
+}
+
 // HeldBack reports whether a target may get no requests from this node at all, including
 // requests that Take has already counted.
 func (g Gate) HeldBack(target directory.Incarnation) bool {
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -152,6 +152,14 @@
 	return c.targets.choose(c.service, list, q)
 }
 
+// anyCrowded reports whether a target of the service that was not tried makes room soon.
+func (c *chooser) anyCrowded() bool {
+	now := c.now()
+	return slices.ContainsFunc(c.view().Directory.Service(c.service.Name), func(t directory.Target) bool {
+		return t.Usable(now) && !slices.Contains(c.tried, t.ID) && c.gate.Crowded(t.Incarnation())
+	})
+}
+
 // targetPauses returns the remaining pause of each usable target of the service, 0 for a
 // target without one. Targets that are held back because they are leaving are left out.
 func (c *chooser) targetPauses() []time.Duration {
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -7,9 +7,13 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
+	"github.com/honeydyke/honeydyke/internal/wait"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
+// roomPoll is how often a request that waits for a crowded target looks for room.
+const roomPoll = 10 * time.Millisecond
+
 // delivery sends one request to targets until one of them has responded.
 type delivery struct {
 	*resolvedRequest
@@ -21,6 +25,8 @@
 	sender         *sender
 	response       *clientResponse
 	outcome        *Outcome
+	// roomUntil is until when the request waits for a crowded target; zero before the first wait.
+	roomUntil time.Time
 	// resends, refusals and possibleRuns count attempts as rules.Failure does.
 	resends, refusals, possibleRuns int
 }
@@ -50,7 +56,7 @@
 		if !first && !d.budgets.spend(d.service.Name) {
 			return d.endError(verdict.ReasonRetryExhausted, "the retry budget is exhausted")
 		}
-		target, ok := d.chooser.chooseTarget(ctx, d.runner.results.inputBytes())
+		target, ok := d.chooseTarget(ctx)
 		if !ok {
 			return d.endError(verdict.ReasonNoTarget, "no target is available")
 		}
@@ -71,6 +77,26 @@
 	}
 }
 
+// chooseTarget chooses a target. While all that the request may go to are crowded, it waits for a
+// short time: they make room as fast as they answer.
+func (d *delivery) chooseTarget(ctx context.Context) (destination, bool) {
+	for {
+		target, ok := d.chooser.chooseTarget(ctx, d.runner.results.inputBytes())
+		if ok || !d.chooser.anyCrowded() || !d.awaitRoom(ctx) {
+			return target, ok
+		}
+	}
+}
+
+// awaitRoom waits for the next look at crowded targets, and reports whether there is one.
+func (d *delivery) awaitRoom(ctx context.Context) bool {
+	now := d.now()
+	if d.roomUntil.IsZero() {
+		d.roomUntil = now.Add(rules.RoomWait(d.route.Objective))
+	}
+	return now.Before(d.roomUntil) && wait.For(ctx, roomPoll) == nil
+}
+
 // sendTo sends the request to one target, again over another connection if an idle one was
 // closed. An error comes with the next step.
 func (d *delivery) sendTo(ctx context.Context, target destination) (rules.NextAttempt, *verdict.Error) {
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,6 +85,8 @@
 	cancelledWith []relay.Quote
 	// ended are the targets that have crashed.
 	ended map[string]bool
+	// crowded is how many more times all targets are crowded when one is chosen.
+	crowded atomic.Int64
 	// isolated is done while the node reaches no target; nil for never.
 	isolated context.Context
 	// heldBack are the targets that are held back once they have been chosen.
@@ -317,9 +321,15 @@
 
 // Blocked, Take, HeldBack and PauseLeft let all targets get all requests, except for the
 // targets in heldBack. Unconfirmed returns the targets in unconfirmed.
-func (f *fakePorts) Blocked(*directory.Directory) []string         { return nil }
+func (f *fakePorts) Blocked(d *directory.Directory) []string {
+	if f.crowded.Add(-1) < 0 {
+		return nil
+	}
+	return slices.Collect(maps.Keys(d.All()))
+}
 func (f *fakePorts) Unconfirmed(*directory.Directory) []string     { return f.unconfirmed }
 func (f *fakePorts) Take(directory.Incarnation) bool               { return true }
+func (f *fakePorts) Crowded(directory.Incarnation) bool            { return f.crowded.Load() >= 0 }
 func (f *fakePorts) HeldBack(target directory.Incarnation) bool    { return f.heldBack[target.ID] }
 func (f *fakePorts) PauseLeft(directory.Incarnation) time.Duration { return 0 }
 
@@ -344,6 +354,7 @@
 	r *catalog.Route, engine bool, bytesPerSecond float64, change func(*view.View) *view.View, q relay.Quarantine,
 ) (*fakePorts, *relay.Server) {
 	f := &fakePorts{held: map[string]bool{}, body: "whole"}
+	f.crowded.Store(-1)
 	if r.Kind == catalog.Stream {
 		f.body = events(1, 9)
 	}
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -248,6 +248,9 @@
 	// Unconfirmed lists the targets of a directory that may get a request from this node now
 	// and should, to learn whether their limit still holds.
 	Unconfirmed(d *directory.Directory) []string
+	// Crowded reports whether a target may get no request now because requests are under way
+	// that it may refuse, so that it may get one as soon as these are answered.
+	Crowded(target directory.Incarnation) bool
 	// Take reports whether a target may get a request now, and counts the request if so.
 	Take(target directory.Incarnation) bool
 	// HeldBack reports, just before a request is sent, whether its target must not get it.
