tunnels: hold what members say to each other byte by byte

A member of a later build has to understand the request, the answer and the frames of this one; TestTunnelOnTheWire holds all three at both ends.

--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -249,3 +249,41 @@
 
 // errorOf returns the error that an error wraps.
 func errorOf(err error) error { return errors.Cause(err) }
+
+// TestTunnelOnTheWire guards against a change of what members of two versions say to each other:
+// the request, the answer and the frames are held byte by byte.
+func TestTunnelOnTheWire(t *testing.T) {
+	const (
+		request = "GET /peer/v1/tunnel?target=t-1 HTTP/1.1\r\nHost: member\r\nUser-Agent: Go-http-client/1.1\r\nConnection: Upgrade\r\nUpgrade: honeydyke-tunnel\r\n\r\n"
+		answer  = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: honeydyke-tunnel\r\n\r\n"
+	)
+	convey.Convey("A node asks for a tunnel as every version does", t, func() {
+		node, member := net.Pipe()
+		asked := make(chan string, 1)
+		go func() {
+			buf := make([]byte, len(request))
+			_, _ = io.ReadFull(member, buf)
+			asked <- string(buf)
+			_, _ = io.WriteString(member, answer+"\x00\x00\x00\x02ok\x00\x00\x00\x00")
+		}()
+		r, status, err := requestTunnel(node, "member", tunnelTarget)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(<-asked, convey.ShouldEqual, request)
+		convey.So(status, convey.ShouldEqual, http.StatusSwitchingProtocols)
+		shouldRead(&tunnelConn{Conn: node, r: r}, "ok", nil)
+	})
+	convey.Convey("A member answers as every version does", t, func() {
+		m := newTunnelMember(t)
+		node, err := net.Dial("tcp", m.address())
+		convey.So(err, convey.ShouldBeNil)
+		defer node.Close()
+		_, err = io.WriteString(node, request)
+		convey.So(err, convey.ShouldBeNil)
+		target, err := m.targets.Accept()
+		convey.So(err, convey.ShouldBeNil)
+		_, err = io.WriteString(target, "ok")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(target.Close(), convey.ShouldBeNil)
+		shouldRead(node, answer+"\x00\x00\x00\x02ok\x00\x00\x00\x00", nil)
+	})
+}
