paths: test the check of a silent path without a clock

TestSilentPath holds which calls end by the result of the check: this node connects or not, the target refuses, a member connects or not, the call was answered. TestCallsOnASilentPath stays: all such calls are served, before their connection would be lost.

--- a/internal/gateway/targetpaths_test.go
+++ b/internal/gateway/targetpaths_test.go
@@ -87,3 +87,38 @@
 		ended(f, false)
 	})
 }
+
+// TestSilentPath guards against calls that wait for a path that loses them, and against calls that
+// end although their target may answer.
+func TestSilentPath(t *testing.T) {
+	silent := delivery.Target{ID: "silent", Address: "1:1"}
+	convey.Convey("Given a call that waits for a target", t, func() {
+		f := newFakePaths(directory.Target{ID: "silent", Address: "1:1"})
+		f.member = nil
+		ended := 0
+		release := f.OnSilence(silent, func() { ended++ })
+		checked := func(want int) {
+			f.check(t.Context(), silent)
+			convey.So(ended, convey.ShouldEqual, want)
+		}
+		convey.Convey("it ends if this node does not connect and a member does", func() {
+			f.direct["1:1"] = context.DeadlineExceeded
+			checked(1)
+		})
+		convey.Convey("it waits on if this node connects", func() { checked(0) })
+		convey.Convey("it waits on if the target refuses new connections", func() {
+			f.direct["1:1"] = syscall.ECONNREFUSED
+			checked(0)
+		})
+		convey.Convey("it waits on if no member connects either", func() {
+			f.direct["1:1"] = context.DeadlineExceeded
+			f.member = errTargetSilent
+			checked(0)
+		})
+		convey.Convey("nothing ends that has been answered", func() {
+			release()
+			f.direct["1:1"] = context.DeadlineExceeded
+			checked(0)
+		})
+	})
+}
