tunnels: a crashed target costs two members a question, not eight

Cause: a node that could not connect asked up to eight members in turn before the target counted as down, each second and each node anew; a member that was still connecting when time ran out counted as silent for all targets.

Change: two members' refusals suffice, members connect for 150 ms at most, and one that did not reach a target is not asked for it for 3 s, so that others are next.

--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -227,6 +227,11 @@
 			now = now.Add(noTunnelTime)
 			connects(nil, order[1])
 		})
+		convey.Convey("no third one is asked when the target refused two", func() {
+			a.answer[order[0]], a.answer[order[1]] = errTargetRefused, errTargetRefused
+			connects(errTargetRefused, order[0], order[1])
+			connects(nil, order[2])
+		})
 		convey.Convey("a refusal by the target counts when nobody reaches it", func() {
 			for _, m := range order {
 				a.answer[m] = errPathBroken
--- a/internal/gateway/tunnelclient.go
+++ b/internal/gateway/tunnelclient.go
@@ -18,15 +18,21 @@
 )
 
 const (
-	// tunnelTimeout bounds getting a tunnel.
-	tunnelTimeout = 700 * time.Millisecond
+	// tunnelTimeout bounds getting a tunnel, for which a call to a target that is down waits. It
+	// is longer than tunnelDialTimeout and the time until half a dozen members are asked.
+	tunnelTimeout = 450 * time.Millisecond
 	// tunnelTries is how many members are asked for a tunnel, and tunnelStagger how long the
 	// answer of one is awaited alone: many times what a member takes that reaches the target.
 	tunnelTries   = 8
 	tunnelStagger = 50 * time.Millisecond
-	// noTunnelTime is how long a member that gave no tunnel to a target, or none at all, is
-	// not asked again, and unsupportedTime how long one that does not know tunnels.
+	// downAnswers is how many members a target must refuse to count as down. One may have lost its
+	// own paths and not know it yet.
+	downAnswers = 2
+	// noTunnelTime is how long a member that gave no tunnels is not asked again, unreachedTime
+	// how long one is not asked for a target that it did not reach, so that others are asked
+	// next, and unsupportedTime how long one that does not know tunnels.
 	noTunnelTime    = 500 * time.Millisecond
+	unreachedTime   = 3 * time.Second
 	unsupportedTime = 10 * time.Second
 )
 
@@ -60,16 +66,17 @@
 }
 
 // connect connects to a target through a member. Members are asked one after the other, the
-// next when one fails or does not answer soon: some may be cut off from the target as well. A
-// tunnel that comes too late is closed; nothing was sent on it. The error is that of a member
-// which the target refused, if there is one.
+// next when one fails or does not answer soon, until the target has refused enough of them: some
+// may be cut off from the target as well. A tunnel that comes too late is closed; nothing was sent on
+// it. The error is that of a member which the target refused, if there is one.
 func (c *tunnelClient) connect(ctx context.Context, target string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
 	members := c.candidates(target)
 	results := make(chan tunnelResult, len(members))
-	failure, asked := errNoMember, 0
-	for answered := 0; answered < len(members); {
+	failure, asked, answered, refused := errNoMember, 0, 0, 0
+	defer func() { go closeTunnels(results, asked-answered) }()
+	for answered < len(members) && refused < downAnswers {
 		var next <-chan time.Time
 		if asked < len(members) {
 			member := members[asked]
@@ -82,10 +89,12 @@
 		case r := <-results:
 			answered++
 			if r.err == nil {
-				go closeTunnels(results, asked-answered)
 				return r.conn, nil
 			}
-			if !errors.Is(failure, errTargetRefused) {
+			if errors.Is(r.err, errTargetRefused) {
+				refused++
+			}
+			if refused == 0 || errors.Is(r.err, errTargetRefused) {
 				failure = r.err
 			}
 		}
@@ -108,7 +117,10 @@
 	switch {
 	case err == nil:
 		c.gave(member)
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		// The member may still be connecting to the target.
+		c.avoid(member, target, errTargetSilent)
+	case ctx.Err() == nil:
 		c.avoid(member, target, err)
 	}
 	return tunnelResult{conn: conn, err: errors.Wrap(err, member)}
@@ -147,7 +159,7 @@
 	case errNoTunnels, errMemberSilent:
 		c.avoided[tunnelKey{member, ""}] = now.Add(noTunnelTime)
 	default:
-		c.avoided[tunnelKey{member, target}] = now.Add(noTunnelTime)
+		c.avoided[tunnelKey{member, target}] = now.Add(unreachedTime)
 	}
 }
 
--- a/internal/gateway/tunnelserver.go
+++ b/internal/gateway/tunnelserver.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -20,6 +21,9 @@
 	// maxTunnels bounds the tunnels that a member serves at once, each of which takes two
 	// descriptors.
 	maxTunnels = 256
+	// tunnelDialTimeout bounds connecting to a target for another member, which asks others at
+	// the same time.
+	tunnelDialTimeout = 150 * time.Millisecond
 	// tunnelCloseTimeout bounds waiting for a node to close a tunnel whose target has closed
 	// its connection.
 	tunnelCloseTimeout = 2 * time.Second
@@ -75,7 +79,9 @@
 	if s.paths.Broken(dt) {
 		return nil, statusPathBroken
 	}
-	conn, err := s.paths.Direct(r.Context(), dt)
+	ctx, cancel := context.WithTimeoutCause(r.Context(), tunnelDialTimeout, errTargetSilent)
+	defer cancel()
+	conn, err := s.paths.Direct(ctx, dt)
 	switch {
 	case err == nil:
 		return conn, 0
