view: keep, log and pass on the software version of targets; log what a request resumes

The version of a target's entry was checked for being there and dropped; the attempt that began a stream was not read.

'view: target' logs it as software, the state dump and the members' views have it as version, and 'request: ended' has resumes and after, always, for a request that takes a stream up. No decision uses it yet. A member of the build before sends no version, which is unknown, and ignores the field that it is sent.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -51,6 +51,9 @@
 	DataCentre string
 	// Slots is the number of calls that the target processes concurrently; 0 if unknown.
 	Slots int32
+	// Version is the version of the target's software. Targets of several versions may serve
+	// one service, and do not understand each other's streams.
+	Version Version
 	// State is the listed state, or Lapsed or Returned.
 	State State
 	// Evacuated is set if the target's data centre accepts no new work. The directory
--- a/internal/gateway/directory/edit.go
+++ b/internal/gateway/directory/edit.go
@@ -24,13 +24,16 @@
 // Draining target stays so, and a Returned one stays so until StateUntil unless it is now
 // Draining, since a source that was restored from an older copy lists outdated states. The
 // later ColdUntil also wins if the known start was 0, as t may be the same process. If t
-// has no start, the known one is kept: members of an earlier version forward targets
-// without it.
+// has no start, the known one is kept, and so is the software version of a known incarnation:
+// members of an earlier version forward targets without them.
 func (e *Edit) Put(t Target) {
 	if known, is := e.lookup(t.ID); is {
 		if t.StartMs == 0 {
 			t.StartMs = known.StartMs
 		}
+		if t.StartMs == known.StartMs && !t.Version.Known() {
+			t.Version = known.Version
+		}
 		if t.StartMs == known.StartMs || known.StartMs == 0 {
 			t.ColdUntil = later(t.ColdUntil, known.ColdUntil)
 		}
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -377,7 +377,7 @@
 func encodeTarget(now time.Time, t directory.Target) message.ViewTarget {
 	m := message.ViewTarget{
 		Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: int(t.Slots), Born: int(t.StartMs),
-		Draining: t.State == directory.Draining,
+		Version: t.Version.String(), Draining: t.State == directory.Draining,
 	}
 	switch t.State {
 	case directory.Lapsed:
@@ -394,7 +394,10 @@
 
 // decodeTarget decodes a target that a member sent.
 func decodeTarget(now time.Time, t message.ViewTarget) directory.Target {
-	target := directory.Target{ID: t.Id, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: int32(t.Slots), StartMs: int64(t.Born)}
+	target := directory.Target{
+		ID: t.Id, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: int32(t.Slots), StartMs: int64(t.Born),
+		Version: directory.VersionOf(t.Version),
+	}
 	switch {
 	case t.Draining:
 		target.State = directory.Draining
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -41,6 +41,9 @@
 	Source string
 	// LastEvent is the event after which the client resumes a stream; empty for the start.
 	LastEvent string
+	// Resumes is the ID of the request that brought the client the first event of the stream
+	// that it resumes; empty for none.
+	Resumes string
 	// Content is the hash of method, path, query and body. It is the same when the client
 	// retries.
 	Content uint64
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -134,10 +134,10 @@
 }
 
 // Ended implements relay.Observer. Requests that succeed at the first attempt are sampled, all
-// others are always logged.
+// others are always logged, and so are those that resume a stream.
 func (l *requestLog) Ended(o *relay.Outcome) {
 	l.metrics.recordRequest(o)
-	if o.Err == nil && len(o.Attempts) <= 1 && !l.sampled(o.Request.ID) {
+	if o.Err == nil && len(o.Attempts) <= 1 && o.Request.LastEvent == "" && !l.sampled(o.Request.ID) {
 		return
 	}
 	l.logRequest(o)
@@ -166,6 +166,9 @@
 		ev.Dur("stages", o.StagesTook)
 	}
 	ev.Dur("first", o.FirstByte).Dur("took", o.Took).Int("status", o.Status).Int("events", o.Events)
+	if o.Request.LastEvent != "" {
+		ev.Str("resumes", o.Request.Resumes).Str("after", o.Request.LastEvent)
+	}
 	if o.Recomputed > 0 {
 		ev.Int("remade", o.Recomputed)
 	}
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -104,7 +104,7 @@
 		switch c := c.(type) {
 		case view.TargetChange:
 			k.log.Info().Str("target", c.Target.ID).Str("service", c.Target.Service).Str("address", c.Target.Address).
-				Str("state", c.Target.State.String()).Int64("born", c.Target.StartMs).Int64("revision", int64(ch.Revision)).Msg("view: target")
+				Str("state", c.Target.State.String()).Str("software", c.Target.Version.String()).Int64("born", c.Target.StartMs).Int64("revision", int64(ch.Revision)).Msg("view: target")
 		case view.TargetRemoval:
 			k.log.Info().Str("target", c.ID).Int64("revision", int64(ch.Revision)).Msg("view: target removed")
 		case view.RejectedEntry:
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -1140,4 +1140,7 @@
 
 	// Slots corresponds to the JSON schema field "slots".
 	Slots int `json:"slots,omitempty,omitzero"`
+
+	// Version of its software; empty for unknown.
+	Version string `json:"version,omitempty,omitzero"`
 }
