relay: a broken stream goes on only at targets of the version that began it

Callers saw: within one answer, events of two software versions of a service, which do not fit together. Cause: a node that carries a broken stream on chose among all targets of the service; no choice knew the versions.

Once the client has a part of a stream, its request is bound to the version of the target that sent it. Nothing else of the choice changes: tried, ejected, cold, limited and evacuated targets stay so. If no target of the version is left, or the version is unknown because an earlier build passed the target on, the stream breaks off and its client may take it up.

The placer's message has the version as a new field. A member of the build before ignores it and may name an engine of another version; the node then chooses by itself. Roll out and back: in any order.

--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -242,7 +242,7 @@
 func encodePrompt(service string, q placement.Prompt) message.PromptPlace {
 	m := message.PromptPlace{
 		Service: service, Request: q.Request, Key: formatKey(0), Tokens: q.Tokens,
-		SlackMs: int(q.Slack.Milliseconds()), Exclude: q.Exclude, Suspect: q.Suspect,
+		SlackMs: int(q.Slack.Milliseconds()), Exclude: q.Exclude, Version: q.Version.String(), Suspect: q.Suspect,
 	}
 	for _, part := range q.Shared {
 		m.Key = formatKey(part.Key)
@@ -257,7 +257,7 @@
 
 func decodePrompt(in message.PromptPlace) (placement.Prompt, error) {
 	q := placement.Prompt{
-		Request: in.Request, Tokens: in.Tokens, Slack: millis(in.SlackMs), Exclude: in.Exclude, Suspect: in.Suspect,
+		Request: in.Request, Tokens: in.Tokens, Slack: millis(in.SlackMs), Exclude: in.Exclude, Version: directory.VersionOf(in.Version), Suspect: in.Suspect,
 		InputBytes: make(map[string]int64, len(in.Pull)),
 	}
 	parts := in.Shared
--- a/internal/gateway/placement/byprefill.go
+++ b/internal/gateway/placement/byprefill.go
@@ -53,6 +53,8 @@
 	Slack time.Duration
 	// Exclude lists the IDs of engines that must not be selected.
 	Exclude []string
+	// Version is the software version that the engine must have; the zero value for any.
+	Version directory.Version
 	// InputBytes is the number of bytes of results that the prompt reads from each data
 	// centre.
 	InputBytes map[string]int64
@@ -231,11 +233,13 @@
 	return engines
 }
 
-// filter returns a function that reports whether an engine may get another prompt under the
-// limits for cold engines.
+// filter returns a function that reports whether an engine has the required version and may
+// get another prompt under the limits for cold engines.
 func (p *EngineChooser) filter(now time.Time, q Prompt) filter {
 	mayAssign := sync.OnceValue(q.MayAssign)
-	return func(e directory.Target) bool { return p.limiter.Allows(now, e, mayAssign) }
+	return func(e directory.Target) bool {
+		return hasVersion(e, q.Version) && p.limiter.Allows(now, e, mayAssign)
+	}
 }
 
 // engineLoad is the state of an engine when a prompt arrives, in tokens.
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -85,6 +85,8 @@
 	// Exclude lists the IDs of targets that must not be selected, for example because they
 	// have been tried.
 	Exclude []string
+	// Version is the software version that the target must have; the zero value for any.
+	Version directory.Version
 	// Prefer lists the IDs of targets that LeastLoaded selects first if they are healthy,
 	// whatever their cost.
 	Prefer []string
@@ -110,14 +112,20 @@
 	MayAssign func(target string) bool
 }
 
-// filter returns a function that reports whether a target may get another request under the
-// limits for cold targets.
+// filter returns a function that reports whether a target has the required version and may get
+// another request under the limits for cold targets.
 func (q Query) filter(now time.Time) filter {
 	return func(t directory.Target) bool {
-		return q.Limiter.Allows(now, t, func() bool { return q.MayAssign(t.ID) })
+		return hasVersion(t, q.Version) && q.Limiter.Allows(now, t, func() bool { return q.MayAssign(t.ID) })
 	}
 }
 
+// hasVersion reports whether a target has a required software version, which is the zero value
+// for any.
+func hasVersion(t directory.Target, required directory.Version) bool {
+	return !required.Known() || t.Version == required
+}
+
 // countSent counts a request against the limit of the selected target, if found is true.
 func (q Query) countSent(now time.Time, t directory.Target, found bool) (directory.Target, bool) {
 	if found {
--- a/internal/gateway/placement/speedsample.go
+++ b/internal/gateway/placement/speedsample.go
@@ -81,7 +81,7 @@
 			list = append(list, candidate{index: i})
 			continue
 		}
-		if slices.Contains(q.Exclude, c.ID) || !c.Usable(now) {
+		if slices.Contains(q.Exclude, c.ID) || !c.Usable(now) || !hasVersion(*c, q.Version) {
 			continue
 		}
 		tier := s.tierInSubset(now, c.State, q.MaxInflight, subset == nil || subset[i])
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -87,6 +87,9 @@
 
 // chooseAllowed chooses among the targets that are not excluded and may get a request.
 func (c *chooser) chooseAllowed(ctx context.Context, inputs map[string]int64, exclude []string, suspect bool) (destination, bool) {
+	if c.stream.nowhere() {
+		return destination{}, false
+	}
 	exclude = slices.Concat(exclude, c.gate.Blocked(c.view().Directory))
 	for {
 		d, ok := c.candidate(ctx, inputs, exclude, suspect)
@@ -110,8 +113,9 @@
 	return destination{Target: target}, ok
 }
 
-// askPlacer asks the placer to choose. It returns false if the placer does not answer or
-// names an engine that is unknown to this node or not usable.
+// askPlacer asks the placer to choose. It returns false if the placer does not answer or names
+// an engine that is unknown to this node, not usable or of a version that may not continue
+// the stream.
 func (c *chooser) askPlacer(ctx context.Context, inputs map[string]int64, exclude []string, suspect bool) (destination, bool) {
 	d := c.view().Directory
 	now := c.now()
@@ -119,10 +123,11 @@
 		Request: c.req.ID, Shared: sharedParts(c.req.Parts), Tokens: c.req.Tokens,
 		Slack:      c.times.Objective.Sub(now),
 		Exclude:    slices.Concat(c.targets.ejected(now, d), exclude),
-		InputBytes: inputs, Suspect: suspect,
+		InputBytes: inputs, Suspect: suspect, Version: c.stream.version,
 	})
 	target, known := d.Target(placed.Engine)
-	if !ok || !known || !target.Usable(now) {
+	// A placer of an earlier version does not know that a version is required.
+	if !ok || !known || !target.Usable(now) || !c.stream.mayContinueAt(target) {
 		return destination{}, false
 	}
 	return destination{Target: target, copyFrom: placed.CopyFrom}, true
@@ -133,7 +138,7 @@
 	list := c.view().Directory.Service(c.service.Name)
 	q := placement.Query{
 		DataCentre: c.dataCentre, Exclude: exclude, Prefer: c.gate.Unconfirmed(c.view().Directory),
-		InputBytes: inputs, MayAssign: c.sendsToCold, Sample: c.sample, Random: rand.IntN,
+		InputBytes: inputs, Version: c.stream.version, MayAssign: c.sendsToCold, Sample: c.sample, Random: rand.IntN,
 	}
 	if c.service.Engine {
 		// Many nodes may choose by themselves at the same time, such as after the loss of
@@ -156,18 +161,18 @@
 func (c *chooser) anyCrowded() bool {
 	now := c.now()
 	return slices.ContainsFunc(c.view().Directory.Service(c.service.Name), func(t directory.Target) bool {
-		return t.Usable(now) && !slices.Contains(c.tried, t.ID) && c.gate.Crowded(t.Incarnation())
+		return t.Usable(now) && c.stream.mayContinueAt(t) && !slices.Contains(c.tried, t.ID) && c.gate.Crowded(t.Incarnation())
 	})
 }
 
-// targetPauses returns the remaining pause of each usable target of the service, 0 for a
-// target without one. Targets that are held back because they are leaving are left out.
+// targetPauses returns the remaining pause of each usable target that may get the request, 0
+// for a target without one. Targets that are held back because they are leaving are left out.
 func (c *chooser) targetPauses() []time.Duration {
 	now := c.now()
 	var list []time.Duration
 	for _, t := range c.view().Directory.Service(c.service.Name) {
 		left := c.gate.PauseLeft(t.Incarnation())
-		if t.Usable(now) && (left > 0 || !c.gate.HeldBack(t.Incarnation())) {
+		if t.Usable(now) && c.stream.mayContinueAt(t) && (left > 0 || !c.gate.HeldBack(t.Incarnation())) {
 			list = append(list, left)
 		}
 	}
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -100,6 +100,8 @@
 	// body is the response of targets when replies is empty.
 	body    string
 	outcome *relay.Outcome
+	// placed is the engine that the placer names; empty for none.
+	placed string
 }
 
 func (f *fakePorts) Send(ctx context.Context, c relay.Call) (*relay.Reply, *verdict.Error) {
@@ -267,9 +269,9 @@
 	}
 }
 
-// Place fails, so that the node chooses by itself.
+// Place names the engine in placed. Without one it fails, so that the node chooses by itself.
 func (f *fakePorts) Place(context.Context, string, placement.Prompt) (relay.Placed, bool) {
-	return relay.Placed{}, false
+	return relay.Placed{Engine: f.placed}, f.placed != ""
 }
 
 func (f *fakePorts) Prefilled(string, string, bool, float64) {}
@@ -373,7 +375,7 @@
 	}
 	var targets []directory.Target
 	for i := range 4 {
-		targets = append(targets, directory.Target{ID: fmt.Sprintf("t%d", i), Service: "s", DataCentre: "d", Slots: 4})
+		targets = append(targets, directory.Target{ID: fmt.Sprintf("t%d", i), Service: "s", DataCentre: "d", Slots: 4, Version: directory.VersionOf("v1")})
 	}
 	v := change(&view.View{Revision: 1, Catalog: c, Directory: directory.New(targets...)})
 	return f, relay.New(relay.Config{
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -12,7 +12,7 @@
 )
 
 // resolvedRequest is a request with the part of the configuration that applies to it. Apart
-// from overShare it does not change once the request is admitted.
+// from overShare and stream it does not change once the request is admitted.
 type resolvedRequest struct {
 	req *Request
 	// begun is when this node began to decide on the request.
@@ -28,6 +28,8 @@
 	// stages has one entry for each stage of the route.
 	stages rules.Stages
 	times  rules.Times
+	// stream is what began the stream; it is begun by the first part of the response.
+	stream streamOrigin
 	// overShare is set if the request is refused while its organisation is over its share.
 	overShare bool
 }
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -62,7 +62,10 @@
 	if err == nil {
 		answered = s.now().Sub(start)
 		attempt.Status = reply.Status
-		s.response.onStart = func(reply *Reply) { s.responseStarted(reply, start) }
+		s.response.onStart = func(reply *Reply) {
+			s.stream.begin(target.Target)
+			s.responseStarted(reply, start)
+		}
 		err = s.forwardReply(ctx, reply, timer, possibleRuns)
 	}
 	if err != nil && !s.response.started.Load() {
@@ -170,6 +173,9 @@
 	if !now.Before(s.times.ResponseDeadline) {
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline has passed")
 	}
+	if !s.stream.mayContinueAt(target) {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "the target is of another version than the one that began the stream")
+	}
 	if !s.view().Directory.Usable(target.ID, now) || s.gate.HeldBack(target.Incarnation()) {
 		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target, or its data centre, takes no new work")
 	}
--- /dev/null
+++ b/internal/gateway/relay/version_test.go
@@ -0,0 +1,95 @@
+package relay_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+// withVersions sets the software versions of the targets t0, t1 and so on, "" for unknown.
+func withVersions(names ...string) func(*view.View) *view.View {
+	return func(v *view.View) *view.View {
+		var targets []directory.Target
+		for id, target := range v.Directory.All() {
+			target.Version = directory.VersionOf(names[id[1]-'0'])
+			targets = append(targets, target)
+		}
+		next := *v
+		next.Directory = directory.New(targets...)
+		return &next
+	}
+}
+
+// resumableRoute is a stream that may be resumed three times.
+func resumableRoute() *catalog.Route {
+	return &catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 4}
+}
+
+// cutAfter breaks a stream off after some events.
+func cutAfter(n int) fakeReply {
+	return fakeReply{status: 200, body: events(1, n), cut: true}
+}
+
+// TestStreamVersion guards against a stream that goes on at a target of another software version
+// than the one that began it, also if a placer of an earlier version names one, and against
+// streams that end although a target of their version is left.
+func TestStreamVersion(t *testing.T) {
+	serve := func(f *fakePorts, s *relay.Server) (*fakeClient, *verdict.Error) {
+		out := &fakeClient{}
+		return out, s.Serve(t.Context(), request(), out)
+	}
+	shouldKeepVersion := func(f *fakePorts, versions ...string) {
+		var got []string
+		for _, c := range f.calls {
+			got = append(got, c.Target.Version.String())
+		}
+		convey.So(strings.Join(got, " "), convey.ShouldEqual, strings.Join(versions, " "))
+	}
+	for name, engine := range map[string]bool{"of an engine": true, "of a plain service": false} {
+		convey.Convey("A stream "+name, t, func() {
+			convey.Convey("goes on at a target of the version that began it, as long as there is one", func() {
+				f, s := setupWithView(resumableRoute(), engine, 0, withVersions("v1", "v2", "v2", "v2"))
+				f.replies = []fakeReply{cutAfter(2)}
+				_, err := serve(f, s)
+				first := f.calls[0].Target.Version.String()
+				if first == "v1" {
+					convey.So(err, convey.ShouldNotBeNil)
+					shouldKeepVersion(f, "v1")
+					return
+				}
+				convey.So(err, convey.ShouldBeNil)
+				shouldKeepVersion(f, "v2", "v2")
+			})
+			convey.Convey("is not bound before its first event", func() {
+				f, s := setupWithView(resumableRoute(), engine, 0, withVersions("v1", "v2", "v3", "v4"))
+				f.replies = []fakeReply{lostConnection(), lostConnection()}
+				_, err := serve(f, s)
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(f.calls, convey.ShouldHaveLength, 3)
+			})
+			convey.Convey("goes on nowhere if the version that began it is unknown", func() {
+				f, s := setupWithView(resumableRoute(), engine, 0, withVersions("", "", "", ""))
+				f.replies = []fakeReply{cutAfter(2)}
+				out, err := serve(f, s)
+				convey.So(err.Verdict(), convey.ShouldEqual, verdict.MayHaveRun)
+				convey.So(out.body.String(), convey.ShouldEqual, events(1, 2))
+				convey.So(f.calls, convey.ShouldHaveLength, 1)
+			})
+		})
+	}
+	convey.Convey("A placer of an earlier version that names an engine of another version is passed over", t, func() {
+		f, s := setupWithView(resumableRoute(), true, 0, withVersions("v1", "v2", "v2", "v1"))
+		f.placed = "t0"
+		f.replies = []fakeReply{cutAfter(2)}
+		_, err := serve(f, s)
+		convey.So(err, convey.ShouldBeNil)
+		shouldKeepVersion(f, "v1", "v1")
+	})
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -616,6 +616,10 @@
 
 	// Tokens corresponds to the JSON schema field "tokens".
 	Tokens int `json:"tokens"`
+
+	// Software version that the engine must have; empty for any. A member of an
+	// earlier version ignores it, so that the engine in its answer has to be checked.
+	Version string `json:"version,omitempty,omitzero"`
 }
 
 // PromptPlaced answers a PromptPlace.
