streams: members know which version began a stream, for clients that take it up

Callers saw: a client whose stream broke, or that left it, took it up at another node and got events of another software version. Cause: the version that began a stream was known at the node that began it, for as long as that attempt took; the attempt that the client names was not read.

The node that sends a stream to a target tells two members, chosen by a hash of organisation and request among those that serve, service and version of the target; it is told while the engine prefills, and the first event waits 50 ms at most for one answer. The stream goes on only at targets of that service and version; what nobody knows, or has no target left, is refused at once, before its stages, as not run with a time to retry (stream-unknown, version-gone). Nothing is stored; an origin ends with all who know it.

Messages: new path /peer/v1/stream. Streams that it begins are unknown and are refused where a new member takes them up; it takes up streams without regard to versions, so that the guarantee begins when the last member is of this build. Roll back: in any order.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -44,6 +44,8 @@
 	// backpressure holds the limits that targets ask for, which members report to each other
 	// too.
 	backpressure *backpressure.Tracker
+	// streams holds where streams began, of which the expired are dropped each round.
+	streams *streamOrigins
 	// isolated returns a context that is done while this node reaches no target in any way.
 	isolated func() context.Context
 	log      zerolog.Logger
@@ -95,6 +97,7 @@
 // since a source without changes does not cause that.
 func (g *gossiper) round(ctx context.Context) {
 	g.views.expire()
+	g.streams.prune()
 	g.publishStatus()
 	for _, partner := range g.members.beginRound(gossipPartners) {
 		go func() {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -224,6 +224,17 @@
 	return list
 }
 
+// nearest returns up to n of the members that serve and that are accepted, this node excluded,
+// in the order of their rendezvous weights for a key. Members that know the same members agree
+// on the order.
+func (m *members) nearest(key uint64, n int, accept func(member string) bool) []string {
+	m.mu.Lock()
+	serving := m.roster.Serving(m.now())
+	m.mu.Unlock()
+	others := slices.DeleteFunc(serving, func(member string) bool { return member == m.self || !accept(member) })
+	return placement.Nearest(key, others, n)
+}
+
 // list returns all known members, for the state dump.
 func (m *members) list() []message.GossipMember {
 	m.mu.Lock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,8 @@
 	// detours counts the connections to targets through other members, and tunnels those of
 	// other members through this node.
 	detours, tunnels tally.Counter
+	// streamOrigins is the number of streams of which this node knows where they began.
+	streamOrigins tally.Gauge
 	// limitedTargets is the number of targets that are known to ask for a limit.
 	limitedTargets tally.Gauge
 	// evacuatedDataCentres is the number of data centres that this node considers evacuated,
@@ -56,6 +58,7 @@
 		targetEnds: scope.Counter("target_ends"), heldRequests: scope.Gauge("held_requests"),
 		unreachableTargets: scope.Gauge("unreachable_targets"),
 		detours:            scope.Counter("detours"), tunnels: scope.Counter("tunnels"),
+		streamOrigins:        scope.Gauge("stream_origins"),
 		limitedTargets:       scope.Gauge("limited_targets"),
 		rejectedEntries:      scope.Counter("source_entries_refused"),
 		evacuatedDataCentres: scope.Gauge("evacuated_data_centres"), coldTargets: scope.Gauge("cold_targets"),
@@ -77,6 +80,9 @@
 		s.Histogram("first_byte_seconds", latencyBuckets).RecordDuration(o.FirstByte)
 	}
 	s.Histogram("request_seconds", latencyBuckets).RecordDuration(o.Took)
+	if o.Request.LastEvent != "" {
+		s.Counter("streams_taken_up").Inc(1)
+	}
 	if n := len(o.Attempts); n > 1 {
 		s.Counter("attempts_again").Inc(int64(n - 1))
 	}
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -16,6 +16,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
 	"github.com/honeydyke/honeydyke/internal/gateway/targetspeed"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
@@ -162,6 +163,20 @@
 	return out, err
 }
 
+// tellOrigin tells a member where a stream began. The error of a member of an earlier version is
+// errUnsupported.
+func (c *peerClient) tellOrigin(ctx context.Context, member string, o message.StreamOrigin) error {
+	return c.call(ctx, http.MethodPost, member, wire.PathStream, o, nil)
+}
+
+// findOrigin asks a member where a stream began; the service is empty if it does not know. The
+// error of a member of an earlier version is errUnsupported.
+func (c *peerClient) findOrigin(ctx context.Context, member string, k streamorigin.Key) (message.StreamOrigin, error) {
+	var out message.StreamOrigin
+	err := c.call(ctx, http.MethodGet, member, wire.PathStream+"?"+url.Values{paramKey: {k.String()}}.Encode(), nil, &out)
+	return out, err
+}
+
 // fetchHeldRequests returns the requests that a member holds back.
 func (c *peerClient) fetchHeldRequests(ctx context.Context, member string) ([]message.SuspectRequest, error) {
 	var out message.SuspectList
@@ -185,6 +200,9 @@
 	}
 	// The error does not matter: everything needed has been read.
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return errors.Wrap(errUnsupported, member)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("member %s answered with status %d", member, resp.StatusCode)
 	}
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -34,6 +34,9 @@
 	paramCatalog = "catalog"
 )
 
+// paramKey is the key of the stream that a member is asked for.
+const paramKey = "key"
+
 // millis returns n milliseconds as a duration.
 func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -9,6 +9,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
+	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
 	"github.com/honeydyke/honeydyke/internal/gateway/targetspeed"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
@@ -25,6 +26,7 @@
 	prompts      *promptPlacer
 	quarantine   *quarantine.Tracker
 	tunnels      *tunnelServer
+	streams      *streamOrigins
 }
 
 func (s *peerServer) handler() http.Handler {
@@ -38,6 +40,8 @@
 	mux.HandleFunc("GET "+wire.PathView, s.serveView)
 	mux.HandleFunc("GET "+wire.PathSuspects, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.quarantine.HeldRequests()) })
 	mux.HandleFunc("GET "+wire.PathTunnel, s.tunnels.serve)
+	mux.HandleFunc("POST "+wire.PathStream, s.serveStreamBegun)
+	mux.HandleFunc("GET "+wire.PathStream, s.serveStreamOrigin)
 	return mux
 }
 
@@ -181,3 +185,30 @@
 		writeJSON(w, encodeSnapshot(now, v))
 	}
 }
+
+// serveStreamBegun keeps where a stream began.
+func (s *peerServer) serveStreamBegun(w http.ResponseWriter, r *http.Request) {
+	var in message.StreamOrigin
+	if !readJSON(w, r, &in) {
+		return
+	}
+	k, ok := streamorigin.ParseKey(in.Key)
+	o, known := decodeOrigin(in)
+	if !ok || !known {
+		http.Error(w, "the message does not read", http.StatusBadRequest)
+		return
+	}
+	s.streams.put(k, o, millis(in.KeepMs), false)
+}
+
+// serveStreamOrigin answers where a stream began; the service is empty if this node does not
+// know.
+func (s *peerServer) serveStreamOrigin(w http.ResponseWriter, r *http.Request) {
+	k, ok := streamorigin.ParseKey(r.FormValue(paramKey))
+	if !ok {
+		http.Error(w, "the key does not read", http.StatusBadRequest)
+		return
+	}
+	o, _, _ := s.streams.find(k)
+	writeJSON(w, message.StreamOrigin{Service: o.Service, Version: o.Version.String(), Attempt: o.Attempt})
+}
--- a/internal/gateway/placement/coordinator.go
+++ b/internal/gateway/placement/coordinator.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +30,29 @@
 	return coordinator
 }
 
+// Nearest returns up to n members with the highest rendezvous weights for a key, in that order.
+func Nearest(key uint64, members []string, n int) []string {
+	type weighted struct {
+		member string
+		weight uint64
+	}
+	top := make([]weighted, 0, n+1)
+	for _, member := range members {
+		w := weighted{member, rendezvousWeight(key, member)}
+		at, _ := slices.BinarySearchFunc(top, w, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
+		if at == n {
+			continue
+		}
+		top = slices.Insert(top, at, w)
+		top = top[:min(len(top), n)]
+	}
+	list := make([]string, len(top))
+	for i, w := range top {
+		list[i] = w.member
+	}
+	return list
+}
+
 // Rank returns the number of members that precede member in the order for name, in which the
 // Coordinator comes first, and the total number of members. Both are 0 if member is not in
 // members.
--- a/internal/gateway/relay/answer.go
+++ b/internal/gateway/relay/answer.go
@@ -66,8 +66,8 @@
 func (r *clientResponse) start(reply *Reply, length int) *verdict.Error {
 	r.started.Store(true)
 	r.outcome.Status = reply.Status
-	r.outcome.FirstByte = r.now().Sub(r.arrived)
 	r.onStart(reply)
+	r.outcome.FirstByte = r.now().Sub(r.arrived)
 	if err := r.out.Begin(reply, length); err != nil {
 		return disconnectedError(err)
 	}
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -19,6 +19,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
+	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/gateway/warmup"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -102,6 +103,27 @@
 	outcome *relay.Outcome
 	// placed is the engine that the placer names; empty for none.
 	placed string
+	// origins are where streams began, origin what is found of any.
+	origins []streamorigin.Origin
+	origin  *streamorigin.Origin
+	// told is what Tell returns.
+	told chan struct{}
+}
+
+// Tell records where a stream begins.
+func (f *fakePorts) Tell(_ streamorigin.Key, o streamorigin.Origin, _ time.Duration) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.origins = append(f.origins, o)
+	return f.told
+}
+
+// Find returns the origin of the test, for any stream.
+func (f *fakePorts) Find(context.Context, streamorigin.Key) (streamorigin.Origin, bool) {
+	if f.origin == nil {
+		return streamorigin.Origin{}, false
+	}
+	return *f.origin, true
 }
 
 func (f *fakePorts) Send(ctx context.Context, c relay.Call) (*relay.Reply, *verdict.Error) {
@@ -382,7 +404,7 @@
 		DataCentre: "d", View: func() *view.View { return v }, Upstream: f, Batcher: f, Placer: f, Observer: f, Now: time.Now, Isolated: f.isolation,
 		RetryPolicy: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, NodeCount: func() int { return 1 },
 		WarmUp: warmup.Margin{Overshoot: 1.5, Tolerance: 5}, SendsToCold: func(string) bool { return true },
-		Quarantine: q, Gate: f,
+		Quarantine: q, Gate: f, Streams: f,
 	})
 }
 
--- a/internal/gateway/relay/outcome.go
+++ b/internal/gateway/relay/outcome.go
@@ -113,6 +113,9 @@
 	Organisation string
 	// Digest identifies the work that the request asks for; 0 if it was not resolved.
 	Digest quarantine.Digest
+	// Software is the software version of the target that began the stream which the request
+	// takes up; empty if it takes none up, or if that is unknown.
+	Software string
 	// Version and Revision are those of the view that applied to the request.
 	Version  int64
 	Revision int64
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -9,6 +9,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
+	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -281,6 +282,17 @@
 	CopyFrom string
 }
 
+// StreamOrigins remembers at which targets streams began, for all nodes. Its methods are called
+// concurrently.
+type StreamOrigins interface {
+	// Tell records at which target a stream begins, for a time, and tells members. It does not
+	// block: told is closed once a member knows, or none can be told.
+	Tell(k streamorigin.Key, o streamorigin.Origin, keep time.Duration) (told <-chan struct{})
+	// Find returns where a stream began, by what this node or a member knows. It waits for
+	// members for a short time only.
+	Find(ctx context.Context, k streamorigin.Key) (streamorigin.Origin, bool)
+}
+
 // PlannedStage is a stage that a request will run.
 type PlannedStage struct {
 	Service string
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -64,6 +64,8 @@
 	SendsToCold func(target string) bool
 	// Quarantine tracks the requests that crash the targets that run them.
 	Quarantine Quarantine
+	// Streams remembers at which targets streams began.
+	Streams StreamOrigins
 	// Gate controls which targets may get a request.
 	Gate Gate
 	// Isolated returns a context that is done while this node reaches no target in any way.
@@ -135,6 +137,9 @@
 	if s.cfg.Isolated().Err() != nil {
 		return s.refuseIsolated(r)
 	}
+	if err := s.resumeStream(ctx, r, outcome); err != nil {
+		return err
+	}
 	defer func() { outcome.OverShare = r.overShare }()
 	admitted, err := s.admit(ctx, r)
 	if err != nil {
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -57,10 +57,7 @@
 		r.org = *org
 		outcome.Organisation = org.Name
 	}
-	r.service = serviceOf(c, r.route, req.ID)
-	outcome.Service = r.service.Name
-	r.digest = quarantine.DigestOf(r.org.Name, r.service.Name, req.Content)
-	outcome.Digest = r.digest
+	r.toService(c, r.route.Service(xxhash.Sum64String(req.ID)), outcome)
 	r.stages = stagesOf(c, r.route, req.Items)
 	r.times = rules.NewTimes(rules.TimesInput{
 		Arrived: req.Arrived, ClientTimeout: req.Timeout, RouteTimeout: r.route.Timeout, Objective: r.route.Objective,
@@ -69,14 +66,17 @@
 	return r, nil
 }
 
-// serviceOf returns the service that a request goes to. The route's traffic split is
-// keyed by the request ID, so that a retry with the same ID goes to the same service.
-func serviceOf(c *catalog.Catalog, route *catalog.Route, id string) *catalog.Service {
-	name := route.Service(xxhash.Sum64String(id))
-	if service := c.Service(name); service != nil {
-		return service
+// toService sets the service that the request goes to, and what depends on it. The route's
+// traffic split is keyed by the request ID, so that a retry with the same ID goes to the same
+// service.
+func (r *resolvedRequest) toService(c *catalog.Catalog, name string, outcome *Outcome) {
+	r.service = c.Service(name)
+	if r.service == nil {
+		r.service = &catalog.Service{Name: name}
 	}
-	return &catalog.Service{Name: name}
+	outcome.Service = name
+	r.digest = quarantine.DigestOf(r.org.Name, name, r.req.Content)
+	outcome.Digest = r.digest
 }
 
 // stagesOf returns the stages of a route with the items of one request.
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -35,6 +35,7 @@
 	runner        *stageRunner
 	response      *clientResponse
 	outcome       *Outcome
+	streams       StreamOrigins
 	// stopping is cancelled when the server stops.
 	stopping       context.Context
 	reportDecision func(Decision)
@@ -58,12 +59,14 @@
 	call := s.call(target)
 	call.Repeatable = s.route.Retryable() && possibleRuns+1 < s.route.MaxAttempts
 	defer s.scheduleInputRelease()()
+	told := s.tellOrigin(target.Target)
 	reply, err := s.upstream.Send(ctx, call)
 	if err == nil {
 		answered = s.now().Sub(start)
 		attempt.Status = reply.Status
 		s.response.onStart = func(reply *Reply) {
 			s.stream.begin(target.Target)
+			awaitTold(ctx, told)
 			s.responseStarted(reply, start)
 		}
 		err = s.forwardReply(ctx, reply, timer, possibleRuns)
--- a/internal/gateway/relay/streamorigin.go
+++ b/internal/gateway/relay/streamorigin.go
@@ -1,6 +1,24 @@
 package relay
 
-import "github.com/honeydyke/honeydyke/internal/gateway/directory"
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
+)
+
+const (
+	// toldTimeout bounds how long the first event of a stream waits until a member knows which
+	// target began the stream. Members are told when the request is sent, so that their answers
+	// usually come before the first event.
+	toldTimeout = 50 * time.Millisecond
+	// originMargin is how much longer than its client waits the origin of a stream is kept.
+	originMargin = time.Second
+)
 
 // streamOrigin is what began the stream that a request continues. Targets do not check whether
 // they understand a stream of another software version, so that it goes on only at targets of
@@ -27,3 +45,76 @@
 
 // nowhere reports whether no target may get the request since it is not known which began it.
 func (o *streamOrigin) nowhere() bool { return o.begun && !o.version.Known() }
+
+// takesUp reports whether the client has a part of the stream from an earlier request.
+func (r *resolvedRequest) takesUp() bool {
+	return r.route.Kind == catalog.Stream && r.req.LastEvent != ""
+}
+
+// tellOrigin tells members at which target a stream begins that clients may take up. told is
+// nil if there is nothing to tell.
+func (s *sender) tellOrigin(target directory.Target) (told <-chan struct{}) {
+	if s.route.Kind != catalog.Stream || !s.route.Resumable || s.stream.begun {
+		return nil
+	}
+	origin := streamorigin.Origin{Service: s.service.Name, Version: target.Version, Attempt: len(s.outcome.Attempts)}
+	keep := max(s.req.Timeout, s.times.ResponseDeadline.Sub(s.now())) + originMargin
+	return s.streams.Tell(streamorigin.KeyOf(s.org.Name, s.req.ID), origin, keep)
+}
+
+// awaitTold waits for toldTimeout until a member knows where the stream begins, so that the
+// client can take it up at another node if this one ends. Without that it goes on here all the
+// same.
+func awaitTold(ctx context.Context, told <-chan struct{}) {
+	if told == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, toldTimeout)
+	defer cancel()
+	select {
+	case <-told:
+	case <-ctx.Done():
+	}
+}
+
+// resumeStream binds a request that takes a stream up to the service and the version of the
+// target that began it. It refuses the request if they are unknown, or if no target is left
+// that may continue the stream.
+func (s *Server) resumeStream(ctx context.Context, r *resolvedRequest, outcome *Outcome) *verdict.Error {
+	if !r.takesUp() {
+		return nil
+	}
+	origin, found := s.cfg.Streams.Find(ctx, streamorigin.KeyOf(r.org.Name, r.req.Resumes))
+	if !found || !origin.Version.Known() {
+		return s.refuseStream(r, verdict.ReasonStreamUnknown, "no node knows which version began the stream of request "+r.req.Resumes)
+	}
+	outcome.Software = origin.Version.String()
+	if !leadsTo(r.route, origin.Service) {
+		return s.refuseStream(r, verdict.ReasonVersionGone, "the route no longer leads to "+origin.Service+", which began the stream")
+	}
+	r.toService(s.cfg.View().Catalog, origin.Service, outcome)
+	r.stream = streamOrigin{begun: true, version: origin.Version}
+	if !s.anyContinues(r) {
+		return s.refuseStream(r, verdict.ReasonVersionGone, "no target of version "+outcome.Software+" is left, which began the stream")
+	}
+	return nil
+}
+
+// anyContinues reports whether a usable target may continue the stream of a request.
+func (s *Server) anyContinues(r *resolvedRequest) bool {
+	now := s.cfg.Now()
+	return slices.ContainsFunc(s.cfg.View().Directory.Service(r.service.Name), func(t directory.Target) bool {
+		return t.Usable(now) && r.stream.mayContinueAt(t)
+	})
+}
+
+// leadsTo reports whether a part of a route's traffic goes to a service.
+func leadsTo(route *catalog.Route, service string) bool {
+	return slices.ContainsFunc(route.Split, func(s catalog.Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// refuseStream refuses a request whose stream no target may continue now. Another node may know
+// the stream, and targets of its version may start again.
+func (s *Server) refuseStream(r *resolvedRequest, reason verdict.Reason, text string) *verdict.Error {
+	return verdict.New(verdict.NotRun, reason, "%s", text).WithRetryAfter(retryAfter(r.times.ResponseDeadline.Sub(s.cfg.Now())))
+}
--- a/internal/gateway/relay/version_test.go
+++ b/internal/gateway/relay/version_test.go
@@ -3,12 +3,14 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -93,3 +95,74 @@
 		shouldKeepVersion(f, "v1", "v1")
 	})
 }
+
+// TestStreamTakenUp guards against a stream that its client takes up and that goes on at a target
+// of another software version or another service than the one that began it, and against work for
+// a stream that no target may continue.
+func TestStreamTakenUp(t *testing.T) {
+	takeUp := func(f *fakePorts, s *relay.Server, items ...int) *verdict.Error {
+		req := request(items...)
+		req.LastEvent, req.Resumes = "4", "first"
+		return s.Serve(t.Context(), req, &fakeClient{})
+	}
+	shouldRefuse := func(f *fakePorts, err *verdict.Error, reason verdict.Reason) {
+		convey.So(err.Verdict(), convey.ShouldEqual, verdict.NotRun)
+		convey.So(err.Reason(), convey.ShouldEqual, reason)
+		convey.So(err.RetryAfter(), convey.ShouldBeGreaterThan, 0)
+		convey.So(f.calls, convey.ShouldBeEmpty)
+		convey.So(f.announced, convey.ShouldEqual, 0)
+	}
+	origin := func(service, version string) *streamorigin.Origin {
+		return &streamorigin.Origin{Service: service, Version: directory.VersionOf(version)}
+	}
+	convey.Convey("A stream that a client takes up", t, func() {
+		route := resumableRoute()
+		route.Stages = []catalog.Stage{{Service: "one"}}
+		f, s := setupWithView(route, true, 0, withVersions("v1", "v1", "v1", "v2"))
+		convey.Convey("goes on at a target of the version that began it", func() {
+			f.origin = origin("s", "v2")
+			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
+			convey.So(f.calls[0].Target.ID, convey.ShouldEqual, "t3")
+			convey.So(f.calls[0].LastEvent, convey.ShouldEqual, "4")
+			convey.So(f.outcome.Software, convey.ShouldEqual, "v2")
+		})
+		convey.Convey("is not told to members, who know where it began", func() {
+			f.origin = origin("s", "v2")
+			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
+			convey.So(f.origins, convey.ShouldBeEmpty)
+		})
+		convey.Convey("is refused at once, before its stages, if no node knows where it began", func() {
+			shouldRefuse(f, takeUp(f, s, 1), verdict.ReasonStreamUnknown)
+		})
+		convey.Convey("is refused at once if a member of an earlier version began it", func() {
+			f.origin = origin("s", "")
+			shouldRefuse(f, takeUp(f, s, 1), verdict.ReasonStreamUnknown)
+		})
+		convey.Convey("is refused at once if no target of its version is left", func() {
+			f.origin = origin("s", "v0")
+			shouldRefuse(f, takeUp(f, s, 1), verdict.ReasonVersionGone)
+		})
+		convey.Convey("is refused at once if the route no longer leads to its service", func() {
+			f.origin = origin("two", "v1")
+			shouldRefuse(f, takeUp(f, s, 1), verdict.ReasonVersionGone)
+		})
+	})
+	convey.Convey("A stream that begins", t, func() {
+		f, s := setupWithView(resumableRoute(), true, 0, withVersions("v1", "v1", "v1", "v1"))
+		convey.Convey("is told to members for each target that it is sent to", func() {
+			f.replies = []fakeReply{lostConnection()}
+			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
+			convey.So(f.origins, convey.ShouldResemble, []streamorigin.Origin{*origin("s", "v1"), {Service: "s", Version: directory.VersionOf("v1"), Attempt: 1}})
+		})
+		convey.Convey("begins a little later if no member answers", func() {
+			f.told = make(chan struct{})
+			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
+			convey.So(f.outcome.FirstByte, convey.ShouldBeBetween, 50*time.Millisecond, 500*time.Millisecond)
+		})
+	})
+	convey.Convey("A stream that may not be taken up is not told to members", t, func() {
+		f, s := setup(&catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, true)
+		convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
+		convey.So(f.origins, convey.ShouldBeEmpty)
+	})
+}
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -84,8 +84,8 @@
 	errMemberSilent = errors.New("the member did not answer")
 	// errNoTunnels: the member gives no tunnels now.
 	errNoTunnels = errors.New("the member gives no tunnels")
-	// errUnsupported: the member is of a version without tunnels.
-	errUnsupported = errors.New("the member does not know tunnels")
+	// errUnsupported: the member is of a version that does not know the message.
+	errUnsupported = errors.New("the member does not know the message")
 	// errUnknownTarget: the member does not know the target.
 	errUnknownTarget = errors.New("the member does not know the target")
 	// errPathBroken: the member does not reach the target directly.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -449,6 +449,9 @@
 	// StreamEvent corresponds to the JSON schema field "streamEvent".
 	StreamEvent *StreamEvent `json:"streamEvent,omitempty,omitzero"`
 
+	// StreamOrigin corresponds to the JSON schema field "streamOrigin".
+	StreamOrigin *StreamOrigin `json:"streamOrigin,omitempty,omitzero"`
+
 	// SuspectList corresponds to the JSON schema field "suspectList".
 	SuspectList *SuspectList `json:"suspectList,omitempty,omitzero"`
 
@@ -884,6 +887,27 @@
 	Text string `json:"text,omitempty,omitzero"`
 }
 
+// StreamOrigin tells a member which target began a stream, or is its answer when
+// it is asked.
+type StreamOrigin struct {
+	// How many attempts of the request came before; a later attempt replaces an
+	// earlier one.
+	Attempt int `json:"attempt,omitempty,omitzero"`
+
+	// Time for which the member keeps it, in milliseconds; 0 in an answer.
+	KeepMs int `json:"keepMs,omitempty,omitzero"`
+
+	// Hash of the organisation and the request that began the stream, in hexadecimal;
+	// empty in an answer.
+	Key string `json:"key,omitempty,omitzero"`
+
+	// Service of the target; empty in the answer of a member that does not know.
+	Service string `json:"service"`
+
+	// Software version of the target.
+	Version string `json:"version"`
+}
+
 // SuspectEnd is the end of a target while it had a request.
 type SuspectEnd struct {
 	// How long ago the connection broke.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -53,6 +53,7 @@
 	PathView      = "/peer/v1/view"
 	PathSuspects  = "/peer/v1/suspects"
 	PathTunnel    = "/peer/v1/tunnel"
+	PathStream    = "/peer/v1/stream"
 	PathState     = "/state"
 	PathReady     = "/readyz"
 	PathHealth    = "/healthz"
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -134,6 +134,12 @@
 	// ReasonInputGone means that a result that the work needs is no longer where it
 	// was.
 	ReasonInputGone Reason = "input-gone"
+	// ReasonStreamUnknown means that no node knows which version of a service began the
+	// stream that a caller takes up.
+	ReasonStreamUnknown Reason = "stream-unknown"
+	// ReasonVersionGone means that no target is left of the version that began the stream
+	// that a caller takes up.
+	ReasonVersionGone Reason = "version-gone"
 	// ReasonInternal means that honeydyke broke an assumption of its own.
 	ReasonInternal Reason = "internal"
 )
