relay: log which prompt parts a request had when its target ended

To tell whether targets that end one after the other had a part of their prompts in common, and which (hypothesis 1 of the prompt part that crashes targets against 2), 'request: target process ended while it ran the request' lists the parts that other requests may share, 16 at most. No decision uses them.

--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -179,15 +179,15 @@
 	return list
 }
 
-// sharedParts returns the parts of a prompt that other requests may share: all but the
-// last, which is specific to the request or its session.
+// shareable returns the parts of a prompt that other requests may share: all but the last, which
+// is specific to the request or its session.
+func shareable(parts []PromptPart) []PromptPart { return parts[:max(len(parts)-1, 0)] }
+
+// sharedParts returns the shareable parts of a prompt as the placer knows them.
 func sharedParts(parts []PromptPart) []placement.SharedPart {
-	if len(parts) < 2 {
-		return nil
-	}
-	shared := make([]placement.SharedPart, len(parts)-1)
-	for i := range shared {
-		shared[i] = placement.SharedPart{Key: xxhash.Sum64String(parts[i].ID), Tokens: parts[i].Tokens}
+	var shared []placement.SharedPart
+	for _, part := range shareable(parts) {
+		shared = append(shared, placement.SharedPart{Key: xxhash.Sum64String(part.ID), Tokens: part.Tokens})
 	}
 	return shared
 }
--- a/internal/gateway/relay/outcome.go
+++ b/internal/gateway/relay/outcome.go
@@ -93,6 +93,8 @@
 	Digest quarantine.Digest
 	// Events is how many events of the response had come from this target.
 	Events int
+	// Parts are the parts of the prompt that other requests may share, in order.
+	Parts []PromptPart
 	// Took is the time from sending the request until its connection broke.
 	Took time.Duration
 }
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -98,7 +98,7 @@
 	if !rules.ConnectionBroke(attempt.Err) {
 		return
 	}
-	ended := TargetEnded{Target: target.ID, Digest: s.digest, Events: events, Took: attempt.Took}
+	ended := TargetEnded{Target: target.ID, Digest: s.digest, Events: events, Parts: shareable(s.req.Parts), Took: attempt.Took}
 	if !s.route.Retryable() {
 		go s.checkEnded(target, sent, ended)
 		return
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -76,11 +76,23 @@
 			Str("next", describeNext(d.Next)).Msg("request: attempt failed")
 	case relay.TargetEnded:
 		l.metrics.recordTargetEnd()
-		l.log.Warn().Str("request", request).Str("target", d.Target).Str("digest", d.Digest.String()).Int("events", d.Events).
+		l.log.Warn().Str("request", request).Str("target", d.Target).Str("digest", d.Digest.String()).Strs("parts", partNames(d.Parts)).Int("events", d.Events).
 			Dur("took", d.Took).Msg("request: target process ended while it ran the request")
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a line.
+const maxLoggedParts = 16
+
+// partNames returns the IDs of the first parts of a prompt.
+func partNames(parts []relay.PromptPart) []string {
+	names := make([]string, min(len(parts), maxLoggedParts))
+	for i := range names {
+		names[i] = parts[i].ID
+	}
+	return names
+}
+
 // logRefused logs the planned stages and what admission compared: the wait for other
 // requests' work, its bound, and the terms of the bound.
 func logRefused(ev *zerolog.Event, d relay.Refused) {
