--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -31,6 +31,7 @@
 	coordinators *coordinators
 	metrics      *metrics
 	quarantine   *quarantine.Tracker
+	parts        *quarantine.Tracker
 	backpressure *backpressure.Tracker
 	speeds       *targetSpeeds
 	paths        *targetPaths
@@ -70,7 +71,7 @@
 		Node: s.members.self, DataCentre: s.dataCentre, Phase: s.phase(),
 		Version: int(v.CatalogVersion()), Revision: int(v.Revision), SourceAgeMs: s.health.ageMs(s.now()), InFlight: int(s.callers.inFlight.Load()),
 		Targets: encodeTargets(s.now(), v.Directory), Services: []message.BatchState{}, Members: s.members.list(),
-		Evacuations: describeEvacuations(s.now(), v.Evacuations), Held: s.quarantine.HeldRequests().Requests,
+		Evacuations: describeEvacuations(s.now(), v.Evacuations), Held: s.quarantine.HeldRequests(), HeldParts: s.parts.HeldRequests(),
 		Limits: s.backpressure.Limits(), Holds: s.backpressure.Holds(), Speeds: s.speeds.list(ctx),
 		Unreachable: s.paths.unreachable(),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	coordinators *coordinators
 	prompts      *promptPlacer
 	quarantine   *quarantine.Tracker
+	parts        *quarantine.Tracker
 	backpressure *backpressure.Tracker
 	relay        *relay.Server
 	callers      *callerServer
@@ -127,12 +128,15 @@
 	g.quarantine = quarantine.NewTracker(quarantine.Config{
 		Now: g.now, Log: g.log, OnChange: g.onQuarantineChange, OwnsRole: g.members.ownsRole,
 	})
+	g.parts = quarantine.NewTracker(quarantine.Config{
+		Now: g.now, Log: g.log, OnChange: g.onHeldPartsChange, OwnsRole: g.members.ownsRole, Rule: quarantine.PartRule, Subject: "prompt part",
+	})
 	g.backpressure = backpressure.NewTracker(backpressure.Config{Now: g.now, Log: g.log, Changed: g.onLimitsChange, Nodes: g.members.size, Rank: g.members.rank})
 	g.ports.Targets.OnSignal(func(t directory.Target, s backpressure.Signal) { g.backpressure.Observe(t.Incarnation(), s) })
 	g.streams = newStreamOrigins(g.now, g.log, g.members, peers, g.metrics)
 	g.gossip = &gossiper{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, shutdown: g.shutdown,
-		quarantine: g.quarantine, backpressure: g.backpressure, streams: g.streams, isolated: g.paths.isolated,
+		quarantine: g.quarantine, parts: g.parts, backpressure: g.backpressure, streams: g.streams, isolated: g.paths.isolated,
 		catchUpIfBehind: g.follower.catchUpIfBehind, triggered: make(chan struct{}, 1),
 	}
 	g.paths.onIsolation = g.onIsolation
@@ -156,7 +160,7 @@
 		DataCentre: g.cfg.DataCentre, Node: g.PeerAddress(), View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries, NodeCount: g.members.size,
 		TargetSample: targetSample(g.cfg.Gateway.TargetSpeed),
-		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Streams: g.streams, Gate: g.backpressure.RequestGate(), Isolated: g.paths.isolated,
+		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Parts: g.parts, Streams: g.streams, Gate: g.backpressure.RequestGate(), Isolated: g.paths.isolated,
 	})
 	g.speeds = &targetSpeeds{log: g.log, sources: func(ctx context.Context) map[string][]targetspeed.View {
 		return map[string][]targetspeed.View{
@@ -171,12 +175,12 @@
 	g.callers = &callerServer{now: g.now, views: g.views, shutdown: g.shutdown, relay: g.relay}
 	g.admin = &adminServer{
 		now: g.now, dataCentre: g.cfg.DataCentre, views: g.views, health: g.health, members: g.members,
-		shutdown: g.shutdown, callers: g.callers, speeds: g.speeds, coordinators: g.coordinators, metrics: g.metrics, quarantine: g.quarantine, backpressure: g.backpressure,
+		shutdown: g.shutdown, callers: g.callers, speeds: g.speeds, coordinators: g.coordinators, metrics: g.metrics, quarantine: g.quarantine, parts: g.parts, backpressure: g.backpressure,
 		paths: g.paths,
 	}
 	g.tunnels = &tunnelServer{log: g.log, views: g.views, paths: g.paths, shutdown: g.shutdown, metrics: g.metrics}
 	peers := &peerServer{
-		now: g.now, views: g.views, gossip: g.gossip, coordinators: g.coordinators, prompts: g.prompts, quarantine: g.quarantine,
+		now: g.now, views: g.views, gossip: g.gossip, coordinators: g.coordinators, prompts: g.prompts, quarantine: g.quarantine, parts: g.parts,
 		tunnels: g.tunnels, streams: g.streams,
 	}
 	g.servers = servers{
@@ -209,6 +213,12 @@
 	g.gossip.trigger()
 }
 
+// onHeldPartsChange counts the held parts of prompts and triggers gossip about them.
+func (g *Gateway) onHeldPartsChange(held int) {
+	g.metrics.heldParts.Update(float64(held))
+	g.gossip.trigger()
+}
+
 // onLimitsChange counts the targets with a limit and triggers gossip about the limits.
 func (g *Gateway) onLimitsChange(limited int) {
 	g.metrics.limitedTargets.Update(float64(limited))
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -41,6 +41,8 @@
 	// quarantine holds the requests that crash their targets, which members report to each
 	// other.
 	quarantine *quarantine.Tracker
+	// parts holds the parts of prompts that crash their targets.
+	parts *quarantine.Tracker
 	// backpressure holds the limits that targets ask for, which members report to each other
 	// too.
 	backpressure *backpressure.Tracker
@@ -129,6 +131,7 @@
 	out := g.members.mergeAndReport(in)
 	if len(in.Members) > 0 {
 		g.quarantine.Merge(in.Members[0].Address, in.Suspects)
+		g.parts.Merge(in.Members[0].Address, in.Parts)
 		g.backpressure.Merge(in.Members[0].Address, in.Limits)
 	}
 	return g.withReports(out)
@@ -138,16 +141,19 @@
 // targets' limits.
 func (g *gossiper) withReports(out message.Gossip) message.Gossip {
 	out.Suspects, out.HeldSum = g.quarantine.Recent()
+	out.Parts, out.PartsSum = g.parts.Recent()
 	out.Limits = g.backpressure.RecentLimits()
 	return out
 }
 
-// mergeSuspects merges a member's report of requests that crash their targets. If the two
-// nodes hold different requests, as after a start or a partition, this node fetches all that
-// the member holds.
+// mergeSuspects merges a member's report of requests and parts of prompts that crash their
+// targets. If the two nodes hold different ones, as after a start or a partition, this node
+// fetches all that the member holds.
 func (g *gossiper) mergeSuspects(ctx context.Context, member string, in message.Gossip) {
 	g.quarantine.Merge(member, in.Suspects)
-	if !g.quarantine.NeedsSync(in.HeldSum) {
+	g.parts.Merge(member, in.Parts)
+	requests, parts := g.quarantine.NeedsSync(in.HeldSum), g.parts.NeedsSync(in.PartsSum)
+	if !requests && !parts {
 		return
 	}
 	held, err := g.peers.fetchHeldRequests(ctx, member)
@@ -155,7 +161,8 @@
 		g.log.Debug().Str("member", member).Err(err).Msg("quarantine: fetching a member's held requests failed")
 		return
 	}
-	g.quarantine.Merge(member, held)
+	g.quarantine.Merge(member, held.Requests)
+	g.parts.Merge(member, held.Parts)
 }
 
 // triggerIfBehind triggers a round when a member turns out to be ahead of this node: at once
--- a/internal/gateway/gossipcodec/gossipcodec.go
+++ b/internal/gateway/gossipcodec/gossipcodec.go
@@ -38,6 +38,10 @@
 	fieldHeldSum protowire.Number = 3
 	// fieldLimit holds one message.TargetLimit.
 	fieldLimit protowire.Number = 4
+	// fieldPart holds one message.SuspectRequest, for a part of prompts.
+	fieldPart protowire.Number = 5
+	// fieldPartsSum is a string.
+	fieldPartsSum protowire.Number = 6
 )
 
 // Field numbers of message.GossipMember in the compact format. Integers are varints, and 0 is
@@ -162,6 +166,12 @@
 			return err
 		case fieldHeldSum:
 			g.HeldSum = string(value)
+		case fieldPart:
+			q, err := unmarshalSuspect(value)
+			g.Parts = append(g.Parts, q)
+			return err
+		case fieldPartsSum:
+			g.PartsSum = string(value)
 		case fieldLimit:
 			l, err := unmarshalLimit(value)
 			g.Limits = append(g.Limits, l)
--- a/internal/gateway/gossipcodec/gossipcodec_test.go
+++ b/internal/gateway/gossipcodec/gossipcodec_test.go
@@ -65,12 +65,14 @@
 	}
 }
 
-// TestCompactSuspects checks that suspected requests survive a round trip in both formats.
+// TestCompactSuspects checks that suspected requests and parts of prompts survive a round trip in
+// both formats.
 func TestCompactSuspects(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		want := typicalGossip()
 		want.HeldSum = rapid.SampledFrom([]string{"", "9f86d081884c7d65"}).Draw(t, "sum")
-		want.Suspects = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) message.SuspectRequest {
+		want.PartsSum = rapid.SampledFrom([]string{"", "7d65"}).Draw(t, "partsSum")
+		suspects := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) message.SuspectRequest {
 			return message.SuspectRequest{
 				Digest: "9f86d081884c7d65", Held: rapid.Bool().Draw(t, "held"),
 				Cleared: rapid.IntRange(0, 3).Draw(t, "cleared"), ClearedAgoMs: rapid.IntRange(0, 1<<40).Draw(t, "ago"),
@@ -81,7 +83,8 @@
 					}
 				}), 1, 3).Draw(t, "ends"),
 			}
-		}), 1, 3).Draw(t, "suspects")
+		}), 1, 3)
+		want.Suspects, want.Parts = suspects.Draw(t, "suspects"), suspects.Draw(t, "parts")
 		shouldRoundTrip(t, want)
 	})
 }
--- a/internal/gateway/gossipcodec/suspects.go
+++ b/internal/gateway/gossipcodec/suspects.go
@@ -30,14 +30,19 @@
 	fieldEndTookMs protowire.Number = 4
 )
 
-// appendSuspects appends the requests suspected of crashing their targets, and the checksum of
-// those held back, to an encoded gossip message.
+// appendSuspects appends the requests and the parts of prompts suspected of crashing their
+// targets, and the checksums of those held back, to an encoded gossip message.
 func appendSuspects(out []byte, g message.Gossip) []byte {
-	for _, q := range g.Suspects {
-		out = appendBytes(out, fieldSuspect, marshalSuspect(q))
+	out = appendSuspectList(out, fieldSuspect, g.Suspects, fieldHeldSum, g.HeldSum)
+	return appendSuspectList(out, fieldPart, g.Parts, fieldPartsSum, g.PartsSum)
+}
+
+func appendSuspectList(out []byte, field protowire.Number, list []message.SuspectRequest, sumField protowire.Number, sum string) []byte {
+	for _, q := range list {
+		out = appendBytes(out, field, marshalSuspect(q))
 	}
-	if g.HeldSum != "" {
-		out = appendBytes(out, fieldHeldSum, []byte(g.HeldSum))
+	if sum != "" {
+		out = appendBytes(out, sumField, []byte(sum))
 	}
 	return out
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,8 @@
 	// heldRequests is the number of requests that this node holds back because they crash
 	// their targets.
 	heldRequests tally.Gauge
+	// heldParts is the number of parts of prompts that this node holds back.
+	heldParts tally.Gauge
 	// unreachableTargets is the number of targets that this node could not connect to when it
 	// last tried.
 	unreachableTargets tally.Gauge
@@ -55,7 +57,7 @@
 	return &metrics{
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
-		targetEnds: scope.Counter("target_ends"), heldRequests: scope.Gauge("held_requests"),
+		targetEnds: scope.Counter("target_ends"), heldRequests: scope.Gauge("held_requests"), heldParts: scope.Gauge("held_parts"),
 		unreachableTargets: scope.Gauge("unreachable_targets"),
 		detours:            scope.Counter("detours"), tunnels: scope.Counter("tunnels"),
 		streamOrigins:        scope.Gauge("stream_origins"),
--- a/internal/gateway/mixedversions_test.go
+++ b/internal/gateway/mixedversions_test.go
@@ -39,7 +39,7 @@
 		m := newMembers(time.Now, "10.0.0.1:80", 1, nil, 0)
 		views := newViewKeeper(time.Now, zerolog.Nop(), func(*view.View) {})
 		s := &peerServer{now: time.Now, gossip: &gossiper{
-			now: time.Now, members: m, views: views, health: newSourceHealth(), quarantine: newQuarantine(), backpressure: newBackpressure(), triggered: make(chan struct{}, 1),
+			now: time.Now, members: m, views: views, health: newSourceHealth(), quarantine: newQuarantine(), parts: newQuarantine(), backpressure: newBackpressure(), triggered: make(chan struct{}, 1),
 		}}
 		body, err := json.Marshal(message.Gossip{Members: []message.GossipMember{{Address: "10.1.0.0:8628", Incarnation: 1, Compact: true}}})
 		convey.So(err, convey.ShouldBeNil)
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -177,11 +177,11 @@
 	return out, err
 }
 
-// fetchHeldRequests returns the requests that a member holds back.
-func (c *peerClient) fetchHeldRequests(ctx context.Context, member string) ([]message.SuspectRequest, error) {
+// fetchHeldRequests returns the requests and the parts of prompts that a member holds back.
+func (c *peerClient) fetchHeldRequests(ctx context.Context, member string) (message.SuspectList, error) {
 	var out message.SuspectList
 	err := c.call(ctx, http.MethodGet, member, wire.PathSuspects, nil, &out)
-	return out.Requests, err
+	return out, err
 }
 
 // call sends JSON to a member and decodes its JSON answer into out, unless that is nil.
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -25,6 +25,7 @@
 	coordinators *coordinators
 	prompts      *promptPlacer
 	quarantine   *quarantine.Tracker
+	parts        *quarantine.Tracker
 	tunnels      *tunnelServer
 	streams      *streamOrigins
 }
@@ -38,7 +39,7 @@
 	mux.HandleFunc("POST "+wire.PathPlace, s.servePlace)
 	mux.HandleFunc("POST "+wire.PathRead, s.servePrefill)
 	mux.HandleFunc("GET "+wire.PathView, s.serveView)
-	mux.HandleFunc("GET "+wire.PathSuspects, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.quarantine.HeldRequests()) })
+	mux.HandleFunc("GET "+wire.PathSuspects, s.serveHeld)
 	mux.HandleFunc("GET "+wire.PathTunnel, s.tunnels.serve)
 	mux.HandleFunc("POST "+wire.PathStream, s.serveStreamBegun)
 	mux.HandleFunc("GET "+wire.PathStream, s.serveStreamOrigin)
@@ -61,6 +62,11 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// serveHeld answers with the requests and the parts of prompts that this node holds.
+func (s *peerServer) serveHeld(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, message.SuspectList{Requests: s.quarantine.HeldRequests(), Parts: s.parts.HeldRequests()})
+}
+
 func (s *peerServer) serveGossip(w http.ResponseWriter, r *http.Request) {
 	in, err := gossipcodec.Decode(http.MaxBytesReader(w, r.Body, wire.MaxAnswerBytes), r.Header.Get("Content-Type"))
 	if err != nil {
--- a/internal/gateway/quarantine/digest.go
+++ b/internal/gateway/quarantine/digest.go
@@ -37,6 +37,13 @@
 	return digest(organisation, service, binary.BigEndian.AppendUint64(text, uint64(stage)))
 }
 
+// PartDigestOf returns the digest of a part of prompts, which an organisation's requests to a
+// service may have in common. Parts of different organisations are distinguished, so that one
+// cannot have the parts of another held.
+func PartDigestOf(organisation, service, part string) Digest {
+	return digest(organisation, service, []byte(part))
+}
+
 // Item returns the digest of the i-th item of a stage, or 0 if the digest of the stage is
 // unknown. Items are distinguished because one may crash its targets while the others of
 // the stage are processed.
--- a/internal/gateway/quarantine/fleet_test.go
+++ b/internal/gateway/quarantine/fleet_test.go
@@ -152,7 +152,7 @@
 	f.atIntervals(cfg.rackCrashInterval, f.crashRack)
 	f.atIntervals(cfg.restartInterval, func() {
 		m := f.members[f.rng.IntN(len(f.members))]
-		m.Table, m.restartedAt = NewTable(), f.now
+		m.Table, m.restartedAt = NewTable(WithRule(m.rule)), f.now
 	})
 	return f
 }
@@ -232,7 +232,7 @@
 
 // merge merges entries at a member, which triggers a round if a held request changed.
 func (f *fleet) merge(m *fleetMember, entries []Entry) {
-	if m.Merge(f.now, entries) && slices.ContainsFunc(entries, func(e Entry) bool { return m.holds(e.Digest) }) {
+	if m.Merge(f.now, entries) && slices.ContainsFunc(entries, func(e Entry) bool { return m.Urgent(e.Digest) }) {
 		f.scheduleRound(m)
 	}
 }
--- /dev/null
+++ b/internal/gateway/quarantine/parts_test.go
@@ -0,0 +1,78 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// TestPartRule guards against parts of prompts that are held for the crashes of requests with
+// another part: a part that targets answered lately, here or at another member, is not suspected.
+func TestPartRule(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	silent := func(target string, ms int) Crash {
+		return Crash{Target: target, SentAt: at(ms - 50), BrokenAt: at(ms), Silent: true}
+	}
+	isHeld := func(table *Table) bool {
+		_, held := table.Held(1)
+		return held
+	}
+	newPartTable := func() *Table { return NewTable(WithRule(PartRule)) }
+	convey.Convey("Given a table of parts", t, func() {
+		table := newPartTable()
+		convey.Convey("a part is held after three silent incidents, not after two", func() {
+			table.RecordCrash(at(100), 1, silent("a", 100))
+			table.RecordCrash(at(300), 1, silent("b", 300))
+			convey.So(isHeld(table), convey.ShouldBeFalse)
+			convey.So(table.Urgent(1), convey.ShouldBeTrue)
+			table.RecordCrash(at(500), 1, silent("c", 500))
+			convey.So(isHeld(table), convey.ShouldBeTrue)
+		})
+		convey.Convey("crashes at one occasion hold it from the fifth on", func() {
+			for i, target := range []string{"a", "b", "c", "d"} {
+				table.RecordCrash(at(100+i), 1, silent(target, 100+i))
+			}
+			convey.So(isHeld(table), convey.ShouldBeFalse)
+			table.RecordCrash(at(104), 1, silent("e", 104))
+			convey.So(isHeld(table), convey.ShouldBeTrue)
+		})
+		convey.Convey("a part that was answered lately is not suspected", func() {
+			table.RecordAnswer(at(0), 1)
+			for i, target := range []string{"a", "b", "c"} {
+				table.RecordCrash(at(1000*i), 1, silent(target, 1000*i))
+			}
+			convey.So(table.Suspected(1), convey.ShouldBeFalse)
+		})
+		convey.Convey("it is suspected again when the answer is long ago", func() {
+			table.RecordAnswer(at(0), 1)
+			later := at(0).Add(2*PartRule.answersKept + time.Second)
+			table.RecordCrash(later, 1, Crash{Target: "a", SentAt: later, BrokenAt: later, Silent: true})
+			convey.So(table.Suspected(1), convey.ShouldBeTrue)
+		})
+		convey.Convey("a member that saw an answer clears what others suspect", func() {
+			other := newPartTable()
+			other.RecordAnswer(at(0), 1)
+			table.RecordCrash(at(100), 1, silent("a", 100))
+			table.RecordCrash(at(300), 1, silent("b", 300))
+			table.RecordCrash(at(500), 1, silent("c", 500))
+			convey.So(other.Merge(at(600), table.Recent(at(600))), convey.ShouldBeTrue)
+			convey.So(isHeld(other), convey.ShouldBeFalse)
+			convey.So(table.Merge(at(700), other.Recent(at(700))), convey.ShouldBeTrue)
+			convey.So(isHeld(table), convey.ShouldBeFalse)
+		})
+	})
+	convey.Convey("A hundred thousand parts, answered or suspected, push out none that is held", t, func() {
+		table := newPartTable()
+		for i, target := range []string{"a", "b", "c"} {
+			table.RecordCrash(at(1000*i), 1, silent(target, 1000*i))
+		}
+		for d := range Digest(100_000) {
+			table.RecordAnswer(at(3000), 1000+2*d)
+			table.RecordCrash(at(3000), 1001+2*d, silent("d", 3000))
+		}
+		convey.So(isHeld(table), convey.ShouldBeTrue)
+		convey.So(table.Len(), convey.ShouldBeLessThanOrEqualTo, maxEntries)
+		convey.So(len(table.answers.newer)+len(table.answers.older), convey.ShouldBeLessThanOrEqualTo, 2*maxAnswers)
+	})
+}
--- a/internal/gateway/quarantine/rule.go
+++ b/internal/gateway/quarantine/rule.go
@@ -12,16 +12,6 @@
 	// partialIncidentWeight is the weight of an incident in which all targets had begun to
 	// answer. A request that ran for a while is less likely to be the cause.
 	partialIncidentWeight = 1
-	// holdThreshold is the weight at which a request is held: two silent incidents, or four
-	// others. If three silent ones were required, a poison request would crash one target
-	// more, and more attempts of innocent requests would be lost in the crashes. In return,
-	// fewer innocent requests would be refused where there are only a few targets; with
-	// more targets hardly any is refused in either case (TestFleetOverSeeds).
-	holdThreshold = 4
-	// silentCrashThreshold is the number of silent crashes at which a request is held even
-	// if all belong to one incident. Otherwise a poison request that arrives at many nodes
-	// at once would crash as many targets again when its callers retry.
-	silentCrashThreshold = 3
 	// maxReportSkew is the maximum difference between the times that two members report for
 	// one event, due to transmission time and rounding to milliseconds.
 	maxReportSkew = 5 * time.Millisecond
@@ -44,6 +34,34 @@
 	suspicionTTL = 10 * time.Minute
 )
 
+// Rule determines when the subjects of a Table are held: requests, or parts of prompts.
+type Rule struct {
+	// holdWeight is the weight of incidents at which a subject is held.
+	holdWeight int
+	// silentCrashes is the number of silent crashes at which a subject is held even if all
+	// belong to one incident. Otherwise a poison request that arrives at many nodes at once
+	// would crash as many targets again when its callers retry.
+	silentCrashes int
+	// urgentWeight is the weight from which members are told at once.
+	urgentWeight int
+	// answersKept is how long an answer speaks for a subject after it was given, so that it is
+	// not suspected at all; 0 if an answer only clears it of earlier crashes.
+	answersKept time.Duration
+}
+
+var (
+	// RequestRule holds a request after two silent incidents, or four others. If three silent
+	// ones were required, a poison request would crash one target more, and more attempts of
+	// innocent requests would be lost in the crashes. In return, fewer innocent requests would
+	// be refused where there are only a few targets; with more targets hardly any is refused
+	// in either case (TestFleetOverSeeds).
+	RequestRule = Rule{holdWeight: 4, silentCrashes: 3, urgentWeight: 4}
+	// PartRule holds a part of prompts after three silent incidents. A request has several
+	// parts, of which one at most is the cause, and others of its parts are suspected with it
+	// until some member has seen an answer on them.
+	PartRule = Rule{holdWeight: 6, silentCrashes: 5, urgentWeight: 4, answersKept: time.Minute}
+)
+
 // warrantsHold reports whether a request is held for crashes since it was last cleared.
 //
 // Crashes are grouped into incidents: those of attempts that overlap in time count once,
@@ -56,20 +74,20 @@
 //
 // A false positive refuses a harmless request for five seconds to a minute, as not run
 // (verdict.NotRun) if no attempt was sent before. A false negative crashes one more target.
-func warrantsHold(crashes []Crash) bool {
-	return totalWeight(crashes) >= holdThreshold || countSilent(crashes) >= silentCrashThreshold
+func (r Rule) warrantsHold(crashes []Crash) bool {
+	return totalWeight(crashes) >= r.holdWeight || countSilent(crashes) >= r.silentCrashes
 }
 
 // holdUntil returns the end of a held request's hold. It lasts from the last crash for
-// initialHold, or for singleIncidentHold if the incidents do not reach holdThreshold, so
+// initialHold, or for singleIncidentHold if the incidents do not reach holdWeight, so
 // that the silent crashes of a single incident are the reason for the hold. A crash after
 // the end of a hold is that of a failed trial, and multiplies the duration by
 // holdBackoffFactor, up to maxHold. This excludes the first two crashes, which may be far
 // apart.
-func holdUntil(crashes []Crash) time.Time {
+func (r Rule) holdUntil(crashes []Crash) time.Time {
 	ordered := sortByTime(crashes)
 	duration := initialHold
-	if totalWeight(crashes) < holdThreshold {
+	if totalWeight(crashes) < r.holdWeight {
 		duration = singleIncidentHold
 	}
 	var until time.Time
--- a/internal/gateway/quarantine/rule_test.go
+++ b/internal/gateway/quarantine/rule_test.go
@@ -52,9 +52,9 @@
 			{"four that had begun to answer", []Crash{partialCrash("a", 0, 1), partialCrash("b", 10, 11), partialCrash("c", 20, 21), partialCrash("d", 30, 31)}, true},
 		} {
 			convey.Convey("with "+c.what, func() {
-				convey.So(warrantsHold(c.crashes), convey.ShouldEqual, c.want)
+				convey.So(RequestRule.warrantsHold(c.crashes), convey.ShouldEqual, c.want)
 				slices.Reverse(c.crashes)
-				convey.So(warrantsHold(c.crashes), convey.ShouldEqual, c.want)
+				convey.So(RequestRule.warrantsHold(c.crashes), convey.ShouldEqual, c.want)
 			})
 		}
 	})
@@ -63,23 +63,23 @@
 func TestHoldUntil(t *testing.T) {
 	minute := int(time.Minute.Milliseconds())
 	convey.Convey("A hold lasts a minute from the last crash", t, func() {
-		convey.So(holdUntil([]Crash{crash("a", 0, 100), crash("b", 100, 200)}), convey.ShouldEqual, at(200+minute))
-		convey.So(holdUntil([]Crash{crash("a", 0, 100), crash("b", 100, 200), crash("c", 100, 500)}), convey.ShouldEqual, at(500+minute))
+		convey.So(RequestRule.holdUntil([]Crash{crash("a", 0, 100), crash("b", 100, 200)}), convey.ShouldEqual, at(200+minute))
+		convey.So(RequestRule.holdUntil([]Crash{crash("a", 0, 100), crash("b", 100, 200), crash("c", 100, 500)}), convey.ShouldEqual, at(500+minute))
 	})
 	convey.Convey("A hold for a single incident lasts five seconds, and a minute after a failed trial", t, func() {
 		together := []Crash{crash("a", 0, 100), crash("b", 20, 100), crash("c", 90, 101)}
-		convey.So(holdUntil(together), convey.ShouldEqual, at(5101))
-		convey.So(holdUntil(append(together, crash("d", 5200, 5300))), convey.ShouldEqual, at(5300+minute))
+		convey.So(RequestRule.holdUntil(together), convey.ShouldEqual, at(5101))
+		convey.So(RequestRule.holdUntil(append(together, crash("d", 5200, 5300))), convey.ShouldEqual, at(5300+minute))
 	})
 	convey.Convey("Two crashes that are far apart do not lengthen it", t, func() {
-		convey.So(holdUntil([]Crash{crash("a", 0, 100), crash("b", 5*minute, 5*minute)}), convey.ShouldEqual, at(6*minute))
+		convey.So(RequestRule.holdUntil([]Crash{crash("a", 0, 100), crash("b", 5*minute, 5*minute)}), convey.ShouldEqual, at(6*minute))
 	})
 	convey.Convey("Each failed trial makes the hold ten times as long, up to a day", t, func() {
 		crashes := []Crash{crash("a", 0, 0), crash("b", 10, 10)}
 		for i, want := range []time.Duration{10 * time.Minute, 100 * time.Minute, 1000 * time.Minute, 24 * time.Hour, 24 * time.Hour} {
-			tried := holdUntil(crashes).Add(time.Second)
+			tried := RequestRule.holdUntil(crashes).Add(time.Second)
 			crashes = append(crashes, Crash{Target: fmt.Sprint("trial-", i), SentAt: tried, BrokenAt: tried, Silent: true})
-			convey.So(holdUntil(crashes), convey.ShouldEqual, tried.Add(want))
+			convey.So(RequestRule.holdUntil(crashes), convey.ShouldEqual, tried.Add(want))
 		}
 	})
 }
@@ -103,7 +103,7 @@
 				e.ClearedAt = at(rapid.IntRange(0, 2000).Draw(t, "clearedAt"))
 			}
 			for range rapid.IntRange(0, 4).Draw(t, "crashes") {
-				e = e.withCrash(drawCrash(t))
+				e = e.withCrash(RequestRule, drawCrash(t))
 			}
 			return e
 		}), 1, 6).Draw(t, "entries")
@@ -116,13 +116,13 @@
 		other.Merge(now, again)
 		a, b := one.entries[1].Entry, other.entries[1].Entry
 		for _, e := range []Entry{a, b} {
-			if warrantsHold(e.Crashes) && !e.Held {
+			if RequestRule.warrantsHold(e.Crashes) && !e.Held {
 				t.Fatalf("%+v is not held", e)
 			}
 		}
 		// Held may differ: a member may have decided by a part of the crashes.
 		a.Held, b.Held = true, true
-		if !a.equalExceptTimes(b) || !a.lastEvent().Equal(b.lastEvent()) || !holdUntil(a.Crashes).Equal(holdUntil(b.Crashes)) {
+		if !a.equalExceptTimes(b) || !a.lastEvent().Equal(b.lastEvent()) || !RequestRule.holdUntil(a.Crashes).Equal(RequestRule.holdUntil(b.Crashes)) {
 			t.Fatalf("%+v differs from %+v", a, b)
 		}
 	})
--- a/internal/gateway/quarantine/table.go
+++ b/internal/gateway/quarantine/table.go
@@ -52,23 +52,42 @@
 
 // Table holds one node's entries of suspected requests. It is not safe for concurrent use.
 type Table struct {
+	rule    Rule
 	entries map[Digest]record
+	answers answerMemory
 }
 
+// TableOption configures a Table.
+type TableOption func(*Table)
+
+// WithRule sets when subjects are held; the default is RequestRule.
+func WithRule(r Rule) TableOption { return func(t *Table) { t.rule = r } }
+
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[Digest]record{}} }
+func NewTable(opts ...TableOption) *Table {
+	t := &Table{rule: RequestRule, entries: map[Digest]record{}}
+	for _, opt := range opts {
+		opt(t)
+	}
+	t.answers.keep = t.rule.answersKept
+	return t
+}
 
 // RecordCrash records that a target crashed while it had a request, and reports whether
-// that is new.
+// that is new. It is not recorded if a recent answer speaks for the request.
 func (t *Table) RecordCrash(now time.Time, d Digest, c Crash) bool {
+	if t.answers.has(now, d) {
+		return false
+	}
 	old := t.entries[d]
 	old.Digest = d
-	return t.store(now, old.withCrash(c))
+	return t.store(now, old.withCrash(t.rule, c))
 }
 
 // RecordAnswer records that a target answered a request, and reports whether that cleared a
 // suspected one.
 func (t *Table) RecordAnswer(now time.Time, d Digest) bool {
+	t.answers.add(now, d)
 	old, suspected := t.entries[d]
 	if !suspected || len(old.Crashes) == 0 {
 		return false
@@ -76,13 +95,17 @@
 	return t.store(now, old.withAnswer(now))
 }
 
-// Merge merges another member's entries, and reports whether any of them is new.
+// Merge merges another member's entries, and reports whether any of them is new. An entry that a
+// recent answer speaks against is cleared.
 func (t *Table) Merge(now time.Time, entries []Entry) bool {
 	changed := false
 	for _, e := range entries {
 		merged := e
 		if old, has := t.entries[e.Digest]; has {
-			merged = old.merge(e)
+			merged = old.merge(t.rule, e)
+		}
+		if len(merged.Crashes) > 0 && t.answers.has(now, e.Digest) {
+			merged = merged.withAnswer(now)
 		}
 		if t.store(now, merged) {
 			changed = true
@@ -130,6 +153,12 @@
 // it since.
 func (t *Table) Suspected(d Digest) bool { return len(t.entries[d].Crashes) > 0 }
 
+// Urgent reports whether members should be told of a request at once.
+func (t *Table) Urgent(d Digest) bool {
+	e := t.entries[d]
+	return e.Held || totalWeight(e.Crashes) >= t.rule.urgentWeight
+}
+
 // Held returns the hold on a request, and whether there is one. A request stays held after
 // the end of its hold, until a trial has shown that targets survive it (StartTrial).
 func (t *Table) Held(d Digest) (Hold, bool) {
@@ -137,7 +166,7 @@
 	if !e.Held {
 		return Hold{}, false
 	}
-	return Hold{Until: holdUntil(e.Crashes), Crashes: e.Crashes}, true
+	return Hold{Until: t.rule.holdUntil(e.Crashes), Crashes: e.Crashes}, true
 }
 
 // StartTrial reports whether this node may try a held request now, and if so records the
@@ -145,7 +174,7 @@
 // only after the end of the hold.
 func (t *Table) StartTrial(now time.Time, d Digest, mayTry func() bool) bool {
 	k := t.entries[d]
-	if !k.Held || now.Before(holdUntil(k.Crashes)) || now.Sub(k.lastTrial) < minTrialInterval || !mayTry() {
+	if !k.Held || now.Before(t.rule.holdUntil(k.Crashes)) || now.Sub(k.lastTrial) < minTrialInterval || !mayTry() {
 		return false
 	}
 	k.lastTrial = now
--- a/internal/gateway/quarantine/tracker.go
+++ b/internal/gateway/quarantine/tracker.go
@@ -28,6 +28,10 @@
 	// OwnsRole reports whether this node has a role that one member has for the whole
 	// fleet.
 	OwnsRole func(role string) bool
+	// Rule determines when subjects are held; the zero value stands for RequestRule.
+	Rule Rule
+	// Subject is what is held, in log lines; empty for a request.
+	Subject string
 }
 
 // Tracker adds to a Table a lock, the admission of requests, the conversion of entries to
@@ -42,7 +46,15 @@
 }
 
 // NewTracker returns a tracker with an empty table.
-func NewTracker(cfg Config) *Tracker { return &Tracker{cfg: cfg, table: NewTable()} }
+func NewTracker(cfg Config) *Tracker {
+	if cfg.Rule == (Rule{}) {
+		cfg.Rule = RequestRule
+	}
+	if cfg.Subject == "" {
+		cfg.Subject = "request"
+	}
+	return &Tracker{cfg: cfg, table: NewTable(WithRule(cfg.Rule))}
+}
 
 // Admission is the result of Tracker.Admit: Allowed, Trial or Refused.
 type Admission interface{ isAdmission() }
@@ -77,7 +89,7 @@
 	}
 	mayTry := func() bool { return tr.cfg.OwnsRole(trialRolePrefix + d.String()) }
 	if tr.table.StartTrial(tr.cfg.Now(), d, mayTry) {
-		tr.cfg.Log.Info().Str("digest", d.String()).Int("ends", len(hold.Crashes)).Msg("quarantine: sending held request as a trial")
+		tr.cfg.Log.Info().Str("digest", d.String()).Int("ends", len(hold.Crashes)).Msg("quarantine: sending held " + tr.cfg.Subject + " as a trial")
 		return Trial{}
 	}
 	return Refused{Hold: hold}
@@ -114,7 +126,7 @@
 	if len(list) == 0 {
 		return
 	}
-	entries := fromMessages(tr.cfg.Now(), list)
+	entries := fromMessages(tr.cfg.Now(), tr.cfg.Rule, list)
 	digests := make([]Digest, len(entries))
 	for i, e := range entries {
 		digests[i] = e.Digest
@@ -123,25 +135,24 @@
 }
 
 // update applies a change to some requests and logs those that it holds or releases. The
-// change is reported to members at once if any of the requests is or was held. Requests that
-// are merely suspected are reported in the next regular rounds of gossip: a crash leaves
+// change is reported to members at once if any of the requests is or was urgent, as held ones
+// are. Requests that are merely suspected are reported in the next regular rounds of gossip: a crash leaves
 // dozens of suspects, nearly all of them innocent, and when targets crash often, extra rounds
 // for them would noticeably raise the processor time and traffic of a large fleet.
 func (tr *Tracker) update(from string, digests []Digest, apply func(t *Table, now time.Time) bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	before := make([]bool, len(digests))
+	before, urgent := make([]bool, len(digests)), false
 	for i, d := range digests {
 		_, before[i] = tr.table.Held(d)
+		urgent = urgent || tr.table.Urgent(d)
 	}
 	if !apply(tr.table, tr.cfg.Now()) {
 		return
 	}
-	urgent := false
 	for i, d := range digests {
 		tr.logChange(d, from, before[i])
-		_, held := tr.table.Held(d)
-		urgent = urgent || held || before[i]
+		urgent = urgent || tr.table.Urgent(d)
 	}
 	if urgent {
 		tr.cfg.OnChange(len(tr.table.AllHeld()))
@@ -159,9 +170,9 @@
 			targets[i] = c.Target
 		}
 		tr.cfg.Log.Warn().Str("digest", d.String()).Strs("targets", targets).Dur("held", hold.Until.Sub(tr.cfg.Now())).Str("from", from).
-			Msg("quarantine: request held after target crashes")
+			Msg("quarantine: " + tr.cfg.Subject + " held after target crashes")
 	case before && !held:
-		tr.cfg.Log.Info().Str("digest", d.String()).Str("from", from).Msg("quarantine: request released after an answer")
+		tr.cfg.Log.Info().Str("digest", d.String()).Str("from", from).Msg("quarantine: " + tr.cfg.Subject + " released after an answer")
 	}
 }
 
@@ -188,9 +199,9 @@
 	return true
 }
 
-// HeldRequests returns the requests that this node holds, with the remaining time of each
+// HeldRequests returns what this node holds, with the remaining time of each
 // hold.
-func (tr *Tracker) HeldRequests() message.SuspectList {
+func (tr *Tracker) HeldRequests() []message.SuspectRequest {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := tr.cfg.Now()
@@ -199,7 +210,7 @@
 		hold, _ := tr.table.Held(e.Digest)
 		list[i].HeldMs = max(int(hold.Until.Sub(now).Milliseconds()), 0)
 	}
-	return message.SuspectList{Requests: list}
+	return list
 }
 
 // formatSum formats a hash of held requests; 0, for none, is the empty text.
--- a/internal/gateway/quarantine/tracker_test.go
+++ b/internal/gateway/quarantine/tracker_test.go
@@ -81,7 +81,7 @@
 		convey.So(other.log.String(), convey.ShouldContainSubstring, `"from":"10.0.0.1:80"`)
 		_, mine := other.Recent()
 		convey.So(mine, convey.ShouldEqual, sum)
-		convey.So(one.HeldRequests().Requests[0].HeldMs, convey.ShouldEqual, initialHold.Milliseconds())
+		convey.So(one.HeldRequests()[0].HeldMs, convey.ShouldEqual, initialHold.Milliseconds())
 	})
 	convey.Convey("Members that hold other requests are asked at most once per second, members that hold none never", t, func() {
 		tr := newTestTracker()
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -308,33 +308,49 @@
 	return plan
 }
 
-// refuseQuarantined refuses a request that crashed the targets that ran it, before any of
-// its stages starts, unless it is admitted as the trial. Clients retry such a request at
-// any node under a new ID: without this check a single request crashed fifteen engines in
-// seventeen seconds, because each node took it for a new one.
+// refuseQuarantined refuses a request that crashed the targets that ran it, or that has a part of
+// its prompt that did, before any of its stages starts, unless it is admitted as the trial.
+// Clients retry such a request at any node under a new ID: without this check a single request
+// crashed fifteen engines in seventeen seconds, because each node took it for a new one.
 func (s *Server) refuseQuarantined(r *resolvedRequest) *verdict.Error {
-	if s.cfg.Quarantine.Empty() {
+	if !s.cfg.Quarantine.Empty() {
+		for i, d := range r.digests() {
+			// The trial of a stage's items is up to the coordinator, which knows that they are
+			// suspected.
+			if err := s.refuseHeld(r, s.cfg.Quarantine.Admit(d), i == 0); err != nil {
+				return err
+			}
+		}
+	}
+	if s.cfg.Parts.Empty() {
 		return nil
 	}
-	for i, d := range r.digests() {
-		switch a := s.cfg.Quarantine.Admit(d).(type) {
-		case quarantine.Trial:
-			// The trial of a stage's items is up to the coordinator, which knows that they
-			// are suspected.
-			r.trial = r.trial || i == 0
-		case quarantine.Refused:
-			return quarantinedError(a.Hold, s.cfg.Now())
+	for _, part := range r.parts {
+		if err := s.refuseHeld(r, s.cfg.Parts.Admit(part), true); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// refuseHeld returns the error of a request that is not admitted. mayTry is whether the request
+// itself may be the trial.
+func (s *Server) refuseHeld(r *resolvedRequest, a quarantine.Admission, mayTry bool) *verdict.Error {
+	switch a := a.(type) {
+	case quarantine.Trial:
+		r.trial = r.trial || mayTry
+	case quarantine.Refused:
+		return quarantinedError(a.Hold, s.cfg.Now())
+	}
+	return nil
+}
+
 // minHeldRetryAfter is the least time after which the client of a quarantined request may
 // retry: the quarantine may have expired while another member runs the trial.
 const minHeldRetryAfter = time.Second
 
 // quarantinedError returns the error for a quarantined request.
 func quarantinedError(hold quarantine.Hold, now time.Time) *verdict.Error {
-	return verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d targets crashed while they ran the same request", len(hold.Crashes)).
+	return verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d targets crashed while they ran the same request, or one with a part of its prompt", len(hold.Crashes)).
 		WithRetryAfter(max(hold.Until.Sub(now), minHeldRetryAfter))
 }
--- a/internal/gateway/relay/answer.go
+++ b/internal/gateway/relay/answer.go
@@ -57,7 +57,10 @@
 	outcome *Outcome
 	// onStart is called once, before the first byte is forwarded.
 	onStart func(reply *Reply)
-	started atomic.Bool
+	// onAnswer is called when a target has begun to write an answer: at the first event of a
+	// stream, and for a whole answer that is a success.
+	onAnswer func()
+	started  atomic.Bool
 	// lastEvent is the last event that the client has; empty for none.
 	lastEvent string
 }
@@ -90,6 +93,9 @@
 }
 
 func (r *clientResponse) forwardWhole(reply *Reply, body []byte) *verdict.Error {
+	if reply.Succeeded {
+		r.onAnswer()
+	}
 	if err := r.start(reply, len(body)); err != nil {
 		return err
 	}
@@ -110,6 +116,7 @@
 			return truncatedError(ctx, err)
 		}
 		timer.reset()
+		r.onAnswer()
 		if rules.EventForwarded(ev.id, r.lastEvent) {
 			continue
 		}
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -40,7 +40,7 @@
 		sender: &sender{
 			resolvedRequest: r, upstream: s.cfg.Upstream, placer: s.cfg.Placer, view: s.cfg.View, now: s.cfg.Now,
 			targets: s.targets, budgets: s.budgets, prefills: s.prefills, missingInputs: s.missingInputs, runner: runner, response: response, outcome: outcome,
-			streams: s.cfg.Streams, stopping: s.stopping, reportDecision: reportDecision, quarantine: s.cfg.Quarantine, gate: s.cfg.Gate,
+			streams: s.cfg.Streams, stopping: s.stopping, reportDecision: reportDecision, quarantine: s.cfg.Quarantine, parts: s.cfg.Parts, gate: s.cfg.Gate,
 		},
 	}
 }
@@ -159,8 +159,12 @@
 	return err
 }
 
-// hold returns why the request is quarantined, because of itself or of a stage's items.
+// hold returns why the request is quarantined, because of itself, a part of its prompt or a
+// stage's items.
 func (d *delivery) hold() (quarantine.Hold, bool) {
+	if hold, held := d.sender.heldPart(); held {
+		return hold, true
+	}
 	for _, digest := range d.digests() {
 		if hold, held := d.chooser.quarantine.Held(digest); held {
 			return hold, true
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -404,7 +404,7 @@
 		DataCentre: "d", View: func() *view.View { return v }, Upstream: f, Batcher: f, Placer: f, Observer: f, Now: time.Now, Isolated: f.isolation,
 		RetryPolicy: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, NodeCount: func() int { return 1 },
 		WarmUp: warmup.Margin{Overshoot: 1.5, Tolerance: 5}, SendsToCold: func(string) bool { return true },
-		Quarantine: q, Gate: f, Streams: f,
+		Quarantine: q, Parts: newPartTracker(), Gate: f, Streams: f,
 	})
 }
 
--- a/internal/gateway/relay/quarantine_test.go
+++ b/internal/gateway/relay/quarantine_test.go
@@ -1,9 +1,11 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"github.com/smartystreets/goconvey/convey"
 
@@ -166,6 +168,13 @@
 	})
 }
 
+// newPartTracker is newTracker for parts of prompts.
+func newPartTracker() *quarantine.Tracker {
+	return quarantine.NewTracker(quarantine.Config{
+		Now: time.Now, Log: zerolog.Nop(), OnChange: func(int) {}, OwnsRole: func(string) bool { return false }, Rule: quarantine.PartRule,
+	})
+}
+
 // TestSuspectsApart checks that suspected requests do not share a target while another one
 // is available.
 func TestSuspectsApart(t *testing.T) {
@@ -199,3 +208,81 @@
 		})
 	})
 }
+
+// partRequest is a request of which all parts but the last may be shared.
+func partRequest(id string, parts ...string) *relay.Request {
+	req := request()
+	req.ID = id
+	for _, part := range append(parts, "own-"+id) {
+		req.Parts = append(req.Parts, relay.PromptPart{ID: part, Tokens: 10})
+	}
+	// No two of them ask for the same.
+	req.Content = xxhash.Sum64String(id)
+	return req
+}
+
+// TestPartThatEndsTargets guards against requests that crash target after target because they
+// have a part of their prompts in common, and against parts that are cleared by anything but an
+// answer that was begun.
+func TestPartThatEndsTargets(t *testing.T) {
+	// crash serves requests until n targets have crashed, each the first time.
+	crash := func(f *fakePorts, s *relay.Server, n int, parts ...string) {
+		f.ended = allCrashed()
+		ended := func() int {
+			targets := map[string]bool{}
+			for _, e := range f.reportedEnds() {
+				targets[e.Target] = true
+			}
+			return len(targets)
+		}
+		for due := ended() + n; ended() < due; {
+			f.replies = []fakeReply{lostConnection()}
+			before := len(f.reportedEnds())
+			_ = s.Serve(t.Context(), partRequest(fmt.Sprint("bad-", before), parts...), &fakeClient{})
+			f.awaitEnds(before + 1)
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.calls, f.replies = nil, nil
+	}
+	once := func() *catalog.Route { return &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1} }
+	convey.Convey("Given three crashes of requests that have a part in common", t, func() {
+		f, s := setup(once(), true)
+		convey.So(s.Serve(t.Context(), partRequest("sound", "common"), &fakeClient{}), convey.ShouldBeNil)
+		crash(f, s, 3, "common", "bad")
+		convey.Convey("another one with the part is refused before any work", func() {
+			shouldRefuseHeld(f, s.Serve(t.Context(), partRequest("next", "other", "bad"), &fakeClient{}))
+		})
+		convey.Convey("one with the other part, that was answered, is served", func() {
+			convey.So(s.Serve(t.Context(), partRequest("next", "common"), &fakeClient{}), convey.ShouldBeNil)
+		})
+		convey.Convey("one whose own last part has the same ID is served", func() {
+			req := partRequest("next", "common")
+			req.Parts[len(req.Parts)-1].ID = "bad"
+			convey.So(s.Serve(t.Context(), req, &fakeClient{}), convey.ShouldBeNil)
+		})
+	})
+	for name, reply := range map[string]fakeReply{
+		"a refusal":                             refusedCall(),
+		"a failure of the target":               {status: 500},
+		"an answer that ends before its events": {status: 200, cut: true},
+	} {
+		convey.Convey("A part is not cleared by "+name, t, func() {
+			f, s := setup(once(), true)
+			crash(f, s, 2, "bad")
+			f.ended = nil
+			f.replies = []fakeReply{reply, refusedCall(), refusedCall()}
+			_ = s.Serve(t.Context(), partRequest("between", "bad"), &fakeClient{})
+			crash(f, s, 1, "bad")
+			shouldRefuseHeld(f, s.Serve(t.Context(), partRequest("next", "bad"), &fakeClient{}))
+		})
+	}
+	convey.Convey("A part is cleared by the first event of an answer that breaks off", t, func() {
+		f, s := setup(once(), true)
+		crash(f, s, 2, "bad")
+		f.ended = nil
+		f.replies = []fakeReply{cutAfter(1)}
+		_ = s.Serve(t.Context(), partRequest("between", "bad"), &fakeClient{})
+		crash(f, s, 1, "bad")
+		convey.So(s.Serve(t.Context(), partRequest("next", "bad"), &fakeClient{}), convey.ShouldBeNil)
+	})
+}
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -64,6 +64,8 @@
 	SendsToCold func(target string) bool
 	// Quarantine tracks the requests that crash the targets that run them.
 	Quarantine Quarantine
+	// Parts tracks the parts of prompts that crash the targets that begin to answer them.
+	Parts Quarantine
 	// Streams remembers at which targets streams began.
 	Streams StreamOrigins
 	// Gate controls which targets may get a request.
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -23,6 +23,8 @@
 	org catalog.Organisation
 	// digest identifies the work that the request asks for.
 	digest quarantine.Digest
+	// parts identify the parts of the prompt that other requests of the organisation may share.
+	parts []quarantine.Digest
 	// trial is true if the request is quarantined and may be sent once.
 	trial bool
 	// stages has one entry for each stage of the route.
@@ -77,6 +79,10 @@
 	outcome.Service = name
 	r.digest = quarantine.DigestOf(r.org.Name, name, r.req.Content)
 	outcome.Digest = r.digest
+	r.parts = nil
+	for _, part := range shareable(r.req.Parts) {
+		r.parts = append(r.parts, quarantine.PartDigestOf(r.org.Name, name, part.ID))
+	}
 }
 
 // stagesOf returns the stages of a route with the items of one request.
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,7 @@
 	stopping       context.Context
 	reportDecision func(Decision)
 	quarantine     Quarantine
+	parts          Quarantine
 	gate           Gate
 	// trialSent is true once the request's trial has been sent.
 	trialSent bool
@@ -69,6 +71,7 @@
 			awaitTold(ctx, told)
 			s.responseStarted(reply, start)
 		}
+		s.response.onAnswer = sync.OnceFunc(s.recordPartsAnswered)
 		err = s.forwardReply(ctx, reply, timer, possibleRuns)
 	}
 	if err != nil && !s.response.started.Load() {
@@ -119,10 +122,42 @@
 	defer cancel()
 	if s.upstream.HasEnded(ctx, target) {
 		s.reportDecision(ended)
-		s.quarantine.RecordCrash(ended.Digest, quarantine.Crash{Target: target.Incarnation().String(), SentAt: sent, BrokenAt: sent.Add(ended.Took), Silent: ended.Events == 0})
+		crash := quarantine.Crash{Target: target.Incarnation().String(), SentAt: sent, BrokenAt: sent.Add(ended.Took), Silent: ended.Events == 0}
+		s.quarantine.RecordCrash(ended.Digest, crash)
+		s.recordPartsCrashed(crash)
 	}
 }
 
+// recordPartsCrashed records that a target crashed while it had the request. It speaks against
+// the parts of the prompt only if the target had not begun to answer.
+func (s *sender) recordPartsCrashed(crash quarantine.Crash) {
+	if !crash.Silent {
+		return
+	}
+	for _, part := range s.resolvedRequest.parts {
+		s.parts.RecordCrash(part, crash)
+	}
+}
+
+// recordPartsAnswered records that a target has begun to answer a prompt, so that none of its
+// parts crashes targets. Nothing else clears a part: a target that refuses or fails a request
+// has not begun to write on it.
+func (s *sender) recordPartsAnswered() {
+	for _, part := range s.resolvedRequest.parts {
+		s.parts.RecordAnswer(part)
+	}
+}
+
+// heldPart returns why a part of the prompt is held, and whether one is.
+func (s *sender) heldPart() (quarantine.Hold, bool) {
+	for _, part := range s.resolvedRequest.parts {
+		if hold, held := s.parts.Held(part); held {
+			return hold, true
+		}
+	}
+	return quarantine.Hold{}, false
+}
+
 // attemptTimer ends an attempt that is silent for too long. The zero value never fires.
 type attemptTimer struct {
 	timer *time.Timer
@@ -182,7 +217,11 @@
 	if !s.view().Directory.Usable(target.ID, now) || s.gate.HeldBack(target.Incarnation()) {
 		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target, or its data centre, takes no new work")
 	}
-	if hold, held := s.quarantine.Held(s.digest); held && !s.takeTrial() {
+	hold, held := s.quarantine.Held(s.digest)
+	if !held {
+		hold, held = s.heldPart()
+	}
+	if held && !s.takeTrial() {
 		return quarantinedError(hold, now)
 	}
 	return nil
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -113,6 +113,9 @@
 	// Requests that are held back because they end their targets.
 	Held []SuspectRequest `json:"held"`
 
+	// The parts of prompts that this node holds back because they end their targets.
+	HeldParts []SuspectRequest `json:"heldParts,omitempty,omitzero"`
+
 	// Targets that told this node that they leave, or want nothing from it for a
 	// while.
 	Holds []TargetHold `json:"holds"`
@@ -173,6 +176,13 @@
 	// The sender first, then others at random.
 	Members []GossipMember `json:"members"`
 
+	// What the sender learnt lately of parts of prompts that end their targets.
+	Parts []SuspectRequest `json:"parts,omitempty,omitzero"`
+
+	// Hash of the parts of prompts that the sender holds back, in hexadecimal; empty
+	// for none.
+	PartsSum string `json:"partsSum,omitempty,omitzero"`
+
 	// What the sender learnt lately of requests that end their targets.
 	Suspects []SuspectRequest `json:"suspects,omitempty,omitzero"`
 }
@@ -925,6 +935,10 @@
 
 // SuspectList is all requests that a node holds back.
 type SuspectList struct {
+	// All parts of prompts that the node holds back; a member of an earlier version
+	// sends none.
+	Parts []SuspectRequest `json:"parts,omitempty,omitzero"`
+
 	// Requests corresponds to the JSON schema field "requests".
 	Requests []SuspectRequest `json:"requests"`
 }
