tcpconn: limit unacknowledged data only while there may be some

Callers saw: a call on which nothing came for 5 s ended as lost when the other end paused for a second. Cause: TCP_USER_TIMEOUT of 3 s, set for good, also decides when probes give up: at the first one unanswered, whatever their count. Why this repair: the limit is put in force with each write and lifted SilenceLimit after the last one, once everything is acknowledged; quiet connections are left to their three probes. Nothing is sent more often than before, which made requests late where every second was probed.

TestPauseOfTheOtherEnd keeps its bound, a pause of 2 s at any moment; its model of the operating system now has the limit only for the first 3 s, as the socket has, which TestLimitOfQuietConnections holds on real sockets: lifted when quiet, in force again with the next write, and kept while the other end has not taken what was sent. TestDialer holds the same options as before. An idle connection that is lost is gone after 8 s instead of 6.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -23,7 +23,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -91,7 +90,7 @@
 	tls    *tls.Config
 	// dial bounds the time to connect to a target, dialer applies it.
 	dial   time.Duration
-	dialer *net.Dialer
+	dialer *tcpconn.Dialer
 	// paths connects to the targets of Exchange; nil to use the dialer.
 	paths Paths
 	now   func() time.Time
@@ -127,7 +126,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.dialer = tcpconn.Dialer(c.dial)
+	c.dialer = tcpconn.NewDialer(c.dial)
 	c.shared = c.newHTTPClient(c.connect, false)
 	c.once = c.newHTTPClient(c.connect, true)
 	c.detour = c.newHTTPClient(c.connectDetour, true)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,7 +97,7 @@
 	g := &Gateway{
 		cfg: cfg, ports: ports, log: zerolog.Nop(), now: boottime.New().Now,
 		health: newSourceHealth(), shutdown: &shutdownState{}, metrics: newMetrics(),
-		dialTarget: tcpconn.Dialer(TargetDialTimeout).DialContext,
+		dialTarget: tcpconn.NewDialer(TargetDialTimeout).DialContext,
 	}
 	for _, opt := range opts {
 		opt(g)
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -46,7 +46,7 @@
 }
 
 func newPeerClient(now func() time.Time) *peerClient {
-	dialer := tcpconn.Dialer(peerDialTimeout)
+	dialer := tcpconn.NewDialer(peerDialTimeout)
 	return &peerClient{now: now, client: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdleConns,
 		IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
--- a/internal/gateway/tunnelclient.go
+++ b/internal/gateway/tunnelclient.go
@@ -165,7 +165,7 @@
 
 // dialTunnel asks a member for a tunnel to a target.
 func dialTunnel(ctx context.Context, member, target string) (net.Conn, error) {
-	conn, err := tcpconn.Dialer(peerDialTimeout).DialContext(ctx, "tcp", member)
+	conn, err := tcpconn.NewDialer(peerDialTimeout).DialContext(ctx, "tcp", member)
 	if err != nil {
 		return nil, errMemberSilent
 	}
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -9,34 +9,44 @@
 package tcpconn
 
 import (
+	"context"
 	"net"
 	"time"
 )
 
 const (
-	// SilenceLimit is for how long data or probes may stay unacknowledged before the
-	// connection counts as lost, and what waits on it fails. It is above the seconds for
+	// SilenceLimit is for how long data may stay unacknowledged before the connection counts
+	// as lost, and what waits on it fails. It is above the seconds for
 	// which full links and lost packets hold data up, and well below the ten seconds and
 	// more for which a stream's caller would wait in vain.
 	SilenceLimit = 3 * time.Second
 	// probeAfter is for how long nothing comes on a connection before it is probed, so
-	// that idle ones which are lost are gone within probeAfter and SilenceLimit together
+	// that idle ones which are lost are gone within probeAfter and probes of probeInterval
 	// instead of costing a call each. A fifth of it multiplies the probes of a node with
 	// hundreds of idle connections, of 40 bytes each, and requests on links of 10 Mbit/s are
-	// late for them.
-	//
-	// Where there is a SilenceLimit, the operating system gives a connection up at the first
-	// unanswered probe once nothing has come for SilenceLimit, whatever probes says.
+	// late for them. It is above SilenceLimit, which is lifted by then.
 	probeAfter = 5 * time.Second
 	// probeInterval is the time between two probes.
 	probeInterval = time.Second
-	// probes is how many may stay unanswered where there is no SilenceLimit.
+	// probes is how many may stay unanswered.
 	probes = 3
 )
 
-// Dialer returns a dialer of such connections; connecting takes at most timeout.
-func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: limitSilence}
+// Dialer makes such connections.
+type Dialer struct{ dialer net.Dialer }
+
+// NewDialer returns a dialer; connecting takes at most timeout.
+func NewDialer(timeout time.Duration) *Dialer {
+	return &Dialer{net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: limitSilence}}
+}
+
+// DialContext connects to an address.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return limited(conn)
 }
 
 // KeepAlive returns when an idle connection is probed.
