tcpconn: limited connections can be closed for one direction

ReadFrom goes through Write, so that the limit of unacknowledged data is in force up to the last byte of a copy.

--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -99,7 +99,7 @@
 			_, err = io.ReadFull(node, buf)
 			convey.So(err, convey.ShouldBeNil)
 			// The process of the member ends: its connections close as they are.
-			convey.So(node.(*tunnelConn).Conn.(*net.TCPConn).CloseRead(), convey.ShouldBeNil)
+			convey.So(node.(*tunnelConn).Conn.(interface{ CloseRead() error }).CloseRead(), convey.ShouldBeNil)
 			shouldRead(node, "", io.ErrUnexpectedEOF)
 		})
 		convey.Convey("a connection that the target resets is not the end of the answer", func() {
--- a/internal/tcpconn/limit_linux.go
+++ b/internal/tcpconn/limit_linux.go
@@ -1,6 +1,7 @@
 package tcpconn
 
 import (
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -13,7 +14,7 @@
 // connection that is quiet the limit would also decide when probes give up: at the first one that
 // finds nothing heard for so long, whatever their count.
 type limitedConn struct {
-	net.Conn
+	*net.TCPConn
 	raw syscall.RawConn
 
 	mu sync.Mutex
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &limitedConn{Conn: conn, raw: raw, limited: true, written: time.Now()}
+	c := &limitedConn{TCPConn: tcp, raw: raw, limited: true, written: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lift = time.AfterFunc(SilenceLimit, c.liftIfQuiet)
@@ -48,7 +49,12 @@
 // Write implements net.Conn.
 func (c *limitedConn) Write(b []byte) (int, error) {
 	c.limit()
-	return c.Conn.Write(b)
+	return c.TCPConn.Write(b)
+}
+
+// ReadFrom implements io.ReaderFrom by Write, so that the limit is in force up to the last byte.
+func (c *limitedConn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
 }
 
 // Close implements net.Conn.
@@ -56,7 +62,7 @@
 	c.mu.Lock()
 	c.lift.Stop()
 	c.mu.Unlock()
-	return c.Conn.Close()
+	return c.TCPConn.Close()
 }
 
 // limit puts the limit in force.
