backpressure: members lend what they may send to limited targets

Callers saw: while most new connections go to one node, that node refuses two of three requests for want of a target, though the targets would take them. Cause: a target's limit is divided evenly among its senders, whatever comes to each; the others' parts lie idle. The class: a bound of the fleet divided by a count of members while demand is not.

The lender counts what it lends as sent, so that all nodes together send no more than before, with messages lost or members cut off from each other. Borrowed requests keep to the rest: not to cold, ejected or tried targets, nor to another software version than the stream's. Cold targets have one sender, stages their coordinator; the retry budget's division by members is the same class and is not changed.

Messages: new path /peer/v1/lend. Roll out and back: in any order.

--- a/internal/gateway/backpressure/gate.go
+++ b/internal/gateway/backpressure/gate.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"slices"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
@@ -101,6 +102,32 @@
 	return true
 }
 
+// Limited returns the targets among some that have a limit and would accept a request but for it.
+func (g Gate) Limited(targets []directory.Incarnation) []directory.Incarnation {
+	if g.tracker.empty() {
+		return nil
+	}
+	g.tracker.mu.Lock()
+	defer g.tracker.mu.Unlock()
+	now := g.tracker.cfg.Now()
+	return slices.DeleteFunc(slices.Clone(targets), func(target directory.Incarnation) bool {
+		e := g.tracker.table.entries[target]
+		return e == nil || !e.Set || e.heldBack(now) || e.brittle != nil
+	})
+}
+
+// Lend takes a request that this node may send to one of some targets now, so that another member
+// sends it instead. It is false if there is none, or if this node knows of no limit of the target:
+// then it has no part of one to lend.
+func (g Gate) Lend(targets []directory.Incarnation) (directory.Incarnation, bool) {
+	for _, target := range g.Limited(targets) {
+		if g.Take(target) {
+			return target, true
+		}
+	}
+	return directory.Incarnation{}, false
+}
+
 // Crowded reports whether a brittle target may get no request now, but may get one as soon as
 // what is under way there is answered.
 func (g Gate) Crowded(target directory.Incarnation) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	paths        *targetPaths
 	tunnels      *tunnelServer
 	streams      *streamOrigins
+	loans        *sendLoans
 	dialTarget   dialFunc
 
 	listeners *listeners
@@ -133,6 +134,9 @@
 	})
 	g.backpressure = backpressure.NewTracker(backpressure.Config{Now: g.now, Log: g.log, Changed: g.onLimitsChange, Nodes: g.members.size, Rank: g.members.rank})
 	g.ports.Targets.OnSignal(func(t directory.Target, s backpressure.Signal) { g.backpressure.Observe(t.Incarnation(), s) })
+	g.loans = &sendLoans{
+		now: g.now, log: g.log, members: g.members, peers: peers, gate: g.backpressure.RequestGate(), metrics: g.metrics, avoided: map[string]time.Time{},
+	}
 	g.streams = newStreamOrigins(g.now, g.log, g.members, peers, g.metrics)
 	g.gossip = &gossiper{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, shutdown: g.shutdown,
@@ -160,7 +164,7 @@
 		DataCentre: g.cfg.DataCentre, Node: g.PeerAddress(), View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries, NodeCount: g.members.size,
 		TargetSample: targetSample(g.cfg.Gateway.TargetSpeed),
-		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Parts: g.parts, Streams: g.streams, Gate: g.backpressure.RequestGate(), Isolated: g.paths.isolated,
+		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Parts: g.parts, Streams: g.streams, Gate: g.backpressure.RequestGate(), Lender: g.loans, Isolated: g.paths.isolated,
 	})
 	g.speeds = &targetSpeeds{log: g.log, sources: func(ctx context.Context) map[string][]targetspeed.View {
 		return map[string][]targetspeed.View{
@@ -181,7 +185,7 @@
 	g.tunnels = &tunnelServer{log: g.log, views: g.views, paths: g.paths, shutdown: g.shutdown, metrics: g.metrics}
 	peers := &peerServer{
 		now: g.now, views: g.views, gossip: g.gossip, coordinators: g.coordinators, prompts: g.prompts, quarantine: g.quarantine, parts: g.parts,
-		tunnels: g.tunnels, streams: g.streams,
+		tunnels: g.tunnels, streams: g.streams, loans: g.loans,
 	}
 	g.servers = servers{
 		callers: newServer(g.callers.countInFlight(g.ports.Callers(g.callers))),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,8 @@
 	// detours counts the connections to targets through other members, and tunnels those of
 	// other members through this node.
 	detours, tunnels tally.Counter
+	// borrowedSends counts the requests to limited targets that members lent this node.
+	borrowedSends tally.Counter
 	// streamOrigins is the number of streams of which this node knows where they began.
 	streamOrigins tally.Gauge
 	// limitedTargets is the number of targets that are known to ask for a limit.
@@ -60,6 +62,7 @@
 		targetEnds: scope.Counter("target_ends"), heldRequests: scope.Gauge("held_requests"), heldParts: scope.Gauge("held_parts"),
 		unreachableTargets: scope.Gauge("unreachable_targets"),
 		detours:            scope.Counter("detours"), tunnels: scope.Counter("tunnels"),
+		borrowedSends:        scope.Counter("borrowed_sends"),
 		streamOrigins:        scope.Gauge("stream_origins"),
 		limitedTargets:       scope.Gauge("limited_targets"),
 		rejectedEntries:      scope.Counter("source_entries_refused"),
@@ -120,6 +123,8 @@
 
 func (m *metrics) recordDetour() { m.detours.Inc(1) }
 
+func (m *metrics) recordLoan() { m.borrowedSends.Inc(1) }
+
 func (m *metrics) recordTunnel() { m.tunnels.Inc(1) }
 
 func (m *metrics) recordTargetEnd() { m.targetEnds.Inc(1) }
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -177,6 +177,14 @@
 	return out, err
 }
 
+// borrowSend asks a member for one of the requests that it may send to some targets; the answer
+// names none if it lends none. The error of a member of an earlier version is errUnsupported.
+func (c *peerClient) borrowSend(ctx context.Context, member string, in message.SendLoan) (message.SendLoan, error) {
+	var out message.SendLoan
+	err := c.call(ctx, http.MethodPost, member, wire.PathLend, in, &out)
+	return out, err
+}
+
 // fetchHeldRequests returns the requests and the parts of prompts that a member holds back.
 func (c *peerClient) fetchHeldRequests(ctx context.Context, member string) (message.SuspectList, error) {
 	var out message.SuspectList
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -28,6 +28,7 @@
 	parts        *quarantine.Tracker
 	tunnels      *tunnelServer
 	streams      *streamOrigins
+	loans        *sendLoans
 }
 
 func (s *peerServer) handler() http.Handler {
@@ -41,6 +42,7 @@
 	mux.HandleFunc("GET "+wire.PathView, s.serveView)
 	mux.HandleFunc("GET "+wire.PathSuspects, s.serveHeld)
 	mux.HandleFunc("GET "+wire.PathTunnel, s.tunnels.serve)
+	mux.HandleFunc("POST "+wire.PathLend, s.loans.serve)
 	mux.HandleFunc("POST "+wire.PathStream, s.serveStreamBegun)
 	mux.HandleFunc("GET "+wire.PathStream, s.serveStreamOrigin)
 	return mux
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -37,12 +37,13 @@
 	tried      []string
 	quarantine Quarantine
 	gate       Gate
+	lender     Lender
 }
 
 func (s *Server) newChooser(r *resolvedRequest) *chooser {
 	return &chooser{
 		resolvedRequest: r, dataCentre: s.cfg.DataCentre, node: s.cfg.Node, view: s.cfg.View, placer: s.cfg.Placer, targets: s.targets,
-		now: s.cfg.Now, sample: s.cfg.TargetSample, nodeCount: s.cfg.NodeCount, sendsToCold: s.cfg.SendsToCold, quarantine: s.cfg.Quarantine, gate: s.cfg.Gate,
+		now: s.cfg.Now, sample: s.cfg.TargetSample, nodeCount: s.cfg.NodeCount, sendsToCold: s.cfg.SendsToCold, quarantine: s.cfg.Quarantine, gate: s.cfg.Gate, lender: s.cfg.Lender,
 	}
 }
 
@@ -157,6 +158,28 @@
 	return c.targets.choose(c.service, list, q)
 }
 
+// borrow chooses a target with a limit to which another member lets this node send the request.
+// Cold and ejected targets are left to the members that send to them.
+func (c *chooser) borrow(ctx context.Context) (destination, bool) {
+	if c.stream.nowhere() || c.quarantine.Suspected(c.digest) {
+		return destination{}, false
+	}
+	d, now := c.view().Directory, c.now()
+	exclude := slices.Concat(c.tried, c.targets.ejected(now, d))
+	var list []directory.Incarnation
+	for _, t := range d.Service(c.service.Name) {
+		if t.Usable(now) && !t.Cold(now) && c.stream.mayContinueAt(t) && !slices.Contains(exclude, t.ID) {
+			list = append(list, t.Incarnation())
+		}
+	}
+	lent, ok := c.lender.Borrow(ctx, list)
+	if !ok || !slices.Contains(list, lent) {
+		return destination{}, false
+	}
+	target, known := d.Target(lent.ID)
+	return destination{Target: target}, known
+}
+
 // anyCrowded reports whether a target of the service that was not tried makes room soon.
 func (c *chooser) anyCrowded() bool {
 	now := c.now()
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -82,6 +82,9 @@
 func (d *delivery) chooseTarget(ctx context.Context) (destination, bool) {
 	for {
 		target, ok := d.chooser.chooseTarget(ctx, d.runner.results.inputBytes())
+		if !ok {
+			target, ok = d.chooser.borrow(ctx)
+		}
 		if ok || !d.chooser.anyCrowded() || !d.awaitRoom(ctx) {
 			return target, ok
 		}
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -106,6 +106,8 @@
 	// origins are where streams began, origin what is found of any.
 	origins []streamorigin.Origin
 	origin  *streamorigin.Origin
+	// lent is the target that a member lends a request to; none if it has no ID.
+	lent directory.Incarnation
 	// told is what Tell returns.
 	told chan struct{}
 }
@@ -118,6 +120,11 @@
 	return f.told
 }
 
+// Borrow lends what the test names.
+func (f *fakePorts) Borrow(context.Context, []directory.Incarnation) (directory.Incarnation, bool) {
+	return f.lent, f.lent.ID != ""
+}
+
 // Find returns the origin of the test, for any stream.
 func (f *fakePorts) Find(context.Context, streamorigin.Key) (streamorigin.Origin, bool) {
 	if f.origin == nil {
@@ -404,7 +411,7 @@
 		DataCentre: "d", View: func() *view.View { return v }, Upstream: f, Batcher: f, Placer: f, Observer: f, Now: time.Now, Isolated: f.isolation,
 		RetryPolicy: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, NodeCount: func() int { return 1 },
 		WarmUp: warmup.Margin{Overshoot: 1.5, Tolerance: 5}, SendsToCold: func(string) bool { return true },
-		Quarantine: q, Parts: newPartTracker(), Gate: f, Streams: f,
+		Quarantine: q, Parts: newPartTracker(), Gate: f, Streams: f, Lender: f,
 	})
 }
 
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -264,6 +264,14 @@
 	PauseLeft(target directory.Incarnation) time.Duration
 }
 
+// Lender lends what other members may send to targets that have a limit. Its method is called
+// concurrently.
+type Lender interface {
+	// Borrow returns one of some targets to which another member lets this node send a request
+	// now, or false if there is none. It waits for members for a short time only.
+	Borrow(ctx context.Context, targets []directory.Incarnation) (directory.Incarnation, bool)
+}
+
 // Placer chooses engines based on what all nodes have sent to them.
 type Placer interface {
 	// Place chooses an engine; false if there was no answer in time.
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -70,6 +70,8 @@
 	Streams StreamOrigins
 	// Gate controls which targets may get a request.
 	Gate Gate
+	// Lender lends what other members may send to limited targets.
+	Lender Lender
 	// Isolated returns a context that is done while this node reaches no target in any way.
 	Isolated func() context.Context
 }
--- a/internal/gateway/relay/version_test.go
+++ b/internal/gateway/relay/version_test.go
@@ -166,3 +166,25 @@
 		convey.So(f.origins, convey.ShouldBeEmpty)
 	})
 }
+
+// TestBorrowedSend guards against a request that is refused although a member lends what it may send
+// to a limited target, and against a loan that is used for a target which may not get the request.
+func TestBorrowedSend(t *testing.T) {
+	convey.Convey("Given targets to which this node may send nothing", t, func() {
+		f, s := setupWithView(resumableRoute(), true, 0, withVersions("v1", "v1", "v2", "v2"))
+		f.crowded.Store(1 << 20)
+		serve := func(req *relay.Request) *verdict.Error { return s.Serve(t.Context(), req, &fakeClient{}) }
+		convey.Convey("a request goes to the one that a member lends", func() {
+			f.lent = directory.Incarnation{ID: "t2"}
+			convey.So(serve(request()), convey.ShouldBeNil)
+			convey.So(f.calls[0].Target.ID, convey.ShouldEqual, "t2")
+		})
+		convey.Convey("a stream does not go to one of another version", func() {
+			f.lent, f.origin = directory.Incarnation{ID: "t2"}, &streamorigin.Origin{Service: "s", Version: directory.VersionOf("v1")}
+			req := request()
+			req.LastEvent, req.Resumes = "4", "first"
+			convey.So(serve(req).Reason(), convey.ShouldEqual, verdict.ReasonNoTarget)
+			convey.So(f.calls, convey.ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -447,6 +447,9 @@
 	// Refusal corresponds to the JSON schema field "refusal".
 	Refusal *Refusal `json:"refusal,omitempty,omitzero"`
 
+	// SendLoan corresponds to the JSON schema field "sendLoan".
+	SendLoan *SendLoan `json:"sendLoan,omitempty,omitzero"`
+
 	// StageAnswer corresponds to the JSON schema field "stageAnswer".
 	StageAnswer *StageAnswer `json:"stageAnswer,omitempty,omitzero"`
 
@@ -759,6 +762,14 @@
 	DataCentre string `json:"dataCentre"`
 }
 
+// SendLoan asks a member for one of the requests that it may send to targets with
+// a limit, or is its answer.
+type SendLoan struct {
+	// Incarnations of the targets that are asked for; in the answer the one that the
+	// sender of this message may send a request to, empty for none.
+	Targets []string `json:"targets"`
+}
+
 // StageAnswer is a pool's or plain service's answer.
 type StageAnswer struct {
 	// Output corresponds to the JSON schema field "output".
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,6 +54,7 @@
 	PathSuspects  = "/peer/v1/suspects"
 	PathTunnel    = "/peer/v1/tunnel"
 	PathStream    = "/peer/v1/stream"
+	PathLend      = "/peer/v1/lend"
 	PathState     = "/state"
 	PathReady     = "/readyz"
 	PathHealth    = "/healthz"
