--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -101,8 +101,10 @@
 	// body is the response of targets when replies is empty.
 	body    string
 	outcome *relay.Outcome
-	// placed is the engine that the placer names; empty for none.
+	// placed is the engine that the placer names from the second time on; empty for none. places
+	// counts the times.
 	placed string
+	places int
 	// origins are where streams began, origin what is found of any.
 	origins []streamorigin.Origin
 	origin  *streamorigin.Origin
@@ -298,9 +300,13 @@
 	}
 }
 
-// Place names the engine in placed. Without one it fails, so that the node chooses by itself.
+// Place names the engine in placed, but for the first time. Without one it fails, so that the node
+// chooses by itself.
 func (f *fakePorts) Place(context.Context, string, placement.Prompt) (relay.Placed, bool) {
-	return relay.Placed{Engine: f.placed}, f.placed != ""
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.places++
+	return relay.Placed{Engine: f.placed}, f.placed != "" && f.places > 1
 }
 
 func (f *fakePorts) Prefilled(string, string, bool, float64) {}
--- a/internal/gateway/relay/quarantine_test.go
+++ b/internal/gateway/relay/quarantine_test.go
@@ -211,7 +211,7 @@
 
 // partRequest is a request of which all parts but the last may be shared.
 func partRequest(id string, parts ...string) *relay.Request {
-	req := request()
+	req := request(1)
 	req.ID = id
 	for _, part := range append(parts, "own-"+id) {
 		req.Parts = append(req.Parts, relay.PromptPart{ID: part, Tokens: 10})
@@ -242,9 +242,11 @@
 			f.awaitEnds(before + 1)
 			time.Sleep(20 * time.Millisecond)
 		}
-		f.calls, f.replies = nil, nil
+		f.calls, f.groups, f.replies = nil, nil, nil
+	}
+	once := func() *catalog.Route {
+		return &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1, Stages: []catalog.Stage{{Service: "one"}}}
 	}
-	once := func() *catalog.Route { return &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1} }
 	convey.Convey("Given three crashes of requests that have a part in common", t, func() {
 		f, s := setup(once(), true)
 		convey.So(s.Serve(t.Context(), partRequest("sound", "common"), &fakeClient{}), convey.ShouldBeNil)
--- a/internal/gateway/relay/version_test.go
+++ b/internal/gateway/relay/version_test.go
@@ -87,12 +87,15 @@
 		})
 	}
 	convey.Convey("A placer of an earlier version that names an engine of another version is passed over", t, func() {
-		f, s := setupWithView(resumableRoute(), true, 0, withVersions("v1", "v2", "v2", "v1"))
-		f.placed = "t0"
-		f.replies = []fakeReply{cutAfter(2)}
-		_, err := serve(f, s)
-		convey.So(err, convey.ShouldBeNil)
+		f, s := setupWithView(resumableRoute(), true, 0, withVersions("v1", "v1", "v1", "v2"))
+		f.placed = "t3"
+		for len(f.calls) == 0 || f.calls[0].Target.ID == "t3" {
+			f.calls, f.places, f.replies = nil, 0, []fakeReply{cutAfter(2)}
+			_, err := serve(f, s)
+			convey.So(err, convey.ShouldBeNil)
+		}
 		shouldKeepVersion(f, "v1", "v1")
+		convey.So(f.outcome.Attempts, convey.ShouldHaveLength, 2)
 	})
 }
 
--- a/internal/gateway/streamorigins_test.go
+++ b/internal/gateway/streamorigins_test.go
@@ -173,6 +173,12 @@
 			}
 			tellAll(teller)
 			shouldFind(t, others[3:], streams)
+			asked := int64(0)
+			for _, m := range others[:3] {
+				asked += m.calls.Load()
+			}
+			// Each of four members may find out by two messages at once.
+			convey.So(asked, convey.ShouldBeLessThanOrEqualTo, 3*4*2)
 		})
 		convey.Convey("the origin of a later attempt replaces that of an earlier one, in any order", func() {
 			later := streamorigin.Origin{Service: "s", Version: directory.VersionOf("v2"), Attempt: 1}
