--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,7 @@
 	g.backpressure = backpressure.NewTracker(backpressure.Config{Now: g.now, Log: g.log, Changed: g.onLimitsChange, Nodes: g.members.size, Rank: g.members.rank})
 	g.ports.Targets.OnSignal(func(t directory.Target, s backpressure.Signal) { g.backpressure.Observe(t.Incarnation(), s) })
 	g.loans = &sendLoans{
-		now: g.now, log: g.log, members: g.members, peers: peers, gate: g.backpressure.RequestGate(), metrics: g.metrics, avoided: map[string]time.Time{},
+		log: g.log, members: g.members, peers: peers, gate: g.backpressure.RequestGate(), metrics: g.metrics, avoided: newAvoidedMembers(g.now),
 	}
 	g.streams = newStreamOrigins(g.now, g.log, g.members, peers, g.metrics)
 	g.gossip = &gossiper{
--- a/internal/gateway/loans.go
+++ b/internal/gateway/loans.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
@@ -32,16 +29,12 @@
 // others for one of theirs. What is lent counts at the lender as if it had sent it, so that all
 // nodes together send no more than before, whatever messages are lost.
 type sendLoans struct {
-	now     func() time.Time
 	log     zerolog.Logger
 	members *members
 	peers   *peerClient
 	gate    backpressure.Gate
 	metrics *metrics
-
-	mu sync.Mutex
-	// avoided holds the members that are not asked, with the end of that.
-	avoided map[string]time.Time
+	avoided *avoidedMembers
 }
 
 // Borrow implements relay.Lender.
@@ -52,7 +45,7 @@
 	}
 	rand.Shuffle(len(limited), func(i, j int) { limited[i], limited[j] = limited[j], limited[i] })
 	limited = limited[:min(len(limited), maxLoanTargets)]
-	for _, member := range l.lenders() {
+	for _, member := range l.members.nearest(rand.Uint64(), loanTries, l.avoided.accept()) {
 		if target, lent := l.ask(ctx, member, limited); lent {
 			l.metrics.recordLoan()
 			return target, true
@@ -61,16 +54,6 @@
 	return directory.Incarnation{}, false
 }
 
-// lenders returns the members to ask, in random order.
-func (l *sendLoans) lenders() []string {
-	l.mu.Lock()
-	now := l.now()
-	maps.DeleteFunc(l.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
-	avoided := maps.Clone(l.avoided)
-	l.mu.Unlock()
-	return l.members.nearest(rand.Uint64(), loanTries, func(member string) bool { return avoided[member].IsZero() })
-}
-
 // ask asks a member for a request to one of some targets.
 func (l *sendLoans) ask(ctx context.Context, member string, targets []directory.Incarnation) (directory.Incarnation, bool) {
 	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
@@ -80,23 +63,12 @@
 		l.log.Debug().Str("member", member).Err(err).Msg("backpressure: asking a member for a request to limited targets failed")
 	}
 	if err != nil || len(answer.Targets) == 0 {
-		l.avoid(member, err)
+		l.avoided.avoid(member, loanRetry, err)
 		return directory.Incarnation{}, false
 	}
 	return directory.ParseIncarnation(answer.Targets[0]), true
 }
 
-// avoid does not ask a member for a while that lent nothing.
-func (l *sendLoans) avoid(member string, err error) {
-	d := loanRetry
-	if errors.Is(err, errUnsupported) {
-		d = originUnsupportedTime
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.avoided[member] = l.now().Add(d)
-}
-
 // serve lends a request to the member that asks.
 func (l *sendLoans) serve(w http.ResponseWriter, r *http.Request) {
 	var in message.SendLoan
--- a/internal/gateway/loans_test.go
+++ b/internal/gateway/loans_test.go
@@ -38,7 +38,7 @@
 func TestBorrow(t *testing.T) {
 	target := directory.Incarnation{ID: "t"}
 	convey.Convey("Given a node that may send nothing to a limited target, and a member that may", t, func() {
-		lender := &sendLoans{now: time.Now, log: zerolog.Nop(), gate: limitedTo(target, true)}
+		lender := &sendLoans{log: zerolog.Nop(), gate: limitedTo(target, true)}
 		earlier, asked := false, 0
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			asked++
@@ -53,8 +53,8 @@
 		known := newMembers(time.Now, "127.0.0.1:1", 1, nil, 0)
 		known.mergeAndReport(message.Gossip{Members: []message.GossipMember{{Address: address, Incarnation: 1, Beat: 1, Serving: true}}})
 		node := &sendLoans{
-			now: time.Now, log: zerolog.Nop(), members: known, peers: newPeerClient(time.Now), gate: limitedTo(target, false),
-			metrics: newMetrics(), avoided: map[string]time.Time{},
+			log: zerolog.Nop(), members: known, peers: newPeerClient(time.Now), gate: limitedTo(target, false),
+			metrics: newMetrics(), avoided: newAvoidedMembers(time.Now),
 		}
 		borrow := func(targets ...directory.Incarnation) bool {
 			lent, ok := node.Borrow(t.Context(), targets)
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -325,7 +325,7 @@
 	if s.cfg.Parts.Empty() {
 		return nil
 	}
-	for _, part := range r.parts {
+	for _, part := range r.partDigests {
 		if err := s.refuseHeld(r, s.cfg.Parts.Admit(part), true); err != nil {
 			return err
 		}
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -23,8 +23,9 @@
 	org catalog.Organisation
 	// digest identifies the work that the request asks for.
 	digest quarantine.Digest
-	// parts identify the parts of the prompt that other requests of the organisation may share.
-	parts []quarantine.Digest
+	// partDigests identify the parts of the prompt that other requests of the organisation may
+	// share.
+	partDigests []quarantine.Digest
 	// trial is true if the request is quarantined and may be sent once.
 	trial bool
 	// stages has one entry for each stage of the route.
@@ -79,9 +80,9 @@
 	outcome.Service = name
 	r.digest = quarantine.DigestOf(r.org.Name, name, r.req.Content)
 	outcome.Digest = r.digest
-	r.parts = nil
+	r.partDigests = nil
 	for _, part := range shareable(r.req.Parts) {
-		r.parts = append(r.parts, quarantine.PartDigestOf(r.org.Name, name, part.ID))
+		r.partDigests = append(r.partDigests, quarantine.PartDigestOf(r.org.Name, name, part.ID))
 	}
 }
 
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -134,7 +134,7 @@
 	if !crash.Silent {
 		return
 	}
-	for _, part := range s.resolvedRequest.parts {
+	for _, part := range s.partDigests {
 		s.parts.RecordCrash(part, crash)
 	}
 }
@@ -143,14 +143,14 @@
 // parts crashes targets. Nothing else clears a part: a target that refuses or fails a request
 // has not begun to write on it.
 func (s *sender) recordPartsAnswered() {
-	for _, part := range s.resolvedRequest.parts {
+	for _, part := range s.partDigests {
 		s.parts.RecordAnswer(part)
 	}
 }
 
 // heldPart returns why a part of the prompt is held, and whether one is.
 func (s *sender) heldPart() (quarantine.Hold, bool) {
-	for _, part := range s.resolvedRequest.parts {
+	for _, part := range s.partDigests {
 		if hold, held := s.parts.Held(part); held {
 			return hold, true
 		}
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
@@ -33,8 +31,6 @@
 	originFindTimeout = 60 * time.Millisecond
 	// originAvoidTime is how long a member that did not answer is passed over.
 	originAvoidTime = time.Second
-	// originUnsupportedTime is how long a member of an earlier version is passed over.
-	originUnsupportedTime = 10 * time.Second
 	// maxOriginKeep bounds the time for which an origin is kept, whatever a client waits.
 	maxOriginKeep = 2 * time.Minute
 )
@@ -47,15 +43,14 @@
 	members *members
 	peers   *peerClient
 	metrics *metrics
+	avoided *avoidedMembers
 
 	mu    sync.Mutex
 	table *streamorigin.Table
-	// avoided holds the members that are passed over, with the end of that.
-	avoided map[string]time.Time
 }
 
 func newStreamOrigins(now func() time.Time, log zerolog.Logger, members *members, peers *peerClient, m *metrics) *streamOrigins {
-	return &streamOrigins{now: now, log: log, members: members, peers: peers, metrics: m, table: streamorigin.NewTable(), avoided: map[string]time.Time{}}
+	return &streamOrigins{now: now, log: log, members: members, peers: peers, metrics: m, table: streamorigin.NewTable(), avoided: newAvoidedMembers(now)}
 }
 
 // put keeps an origin for at most maxOriginKeep.
@@ -76,29 +71,13 @@
 func (s *streamOrigins) prune() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	s.table.Prune(now)
+	s.table.Prune(s.now())
 	s.metrics.streamOrigins.Update(float64(s.table.Len()))
-	maps.DeleteFunc(s.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
 // candidates returns the members that keep an origin, or that would next, in order.
 func (s *streamOrigins) candidates(k streamorigin.Key, n int) []string {
-	s.mu.Lock()
-	now, avoided := s.now(), maps.Clone(s.avoided)
-	s.mu.Unlock()
-	return s.members.nearest(uint64(k), n, func(member string) bool { return !now.Before(avoided[member]) })
-}
-
-// avoid passes over a member that did not answer.
-func (s *streamOrigins) avoid(member string, err error) {
-	d := originAvoidTime
-	if errors.Is(err, errUnsupported) {
-		d = originUnsupportedTime
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.avoided[member] = s.now().Add(d)
+	return s.members.nearest(uint64(k), n, s.avoided.accept())
 }
 
 // Tell implements relay.StreamOrigins.
@@ -141,7 +120,7 @@
 	err := s.peers.tellOrigin(ctx, member, encodeOrigin(k, o, keep))
 	if err != nil {
 		s.log.Debug().Str("member", member).Err(err).Msg("streams: telling a member where a stream began failed")
-		s.avoid(member, err)
+		s.avoided.avoid(member, originAvoidTime, err)
 	}
 	return err == nil
 }
@@ -176,7 +155,7 @@
 			answer, err := s.peers.findOrigin(ctx, member, k)
 			if err != nil {
 				s.log.Debug().Str("member", member).Err(err).Msg("streams: asking a member where a stream began failed")
-				s.avoid(member, err)
+				s.avoided.avoid(member, originAvoidTime, err)
 			}
 			answers <- answer
 		}()
