view, gossip: log for how long a node was behind and what its catch-ups waited for

A node that stood still for 5.6 s beside silent connections logged nothing: failed calls to a member were debug lines, and no line said since when it knew of a newer version. Both are info lines now, with took and behind, and a counter has the exchanges of gossip without an answer. No logic changed.

--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -60,7 +60,8 @@
 	if err == nil {
 		return
 	}
-	f.log.Debug().Err(err).Str("member", newest.member).Msg("source: reading a new configuration failed, asking the member again")
+	f.log.Info().Err(err).Str("member", newest.member).Dur("behind", f.health.behindFor(f.now())).
+		Msg("source: reading a new configuration failed, asking the member again")
 	f.fetchFromMember(ctx, newest.member, answerTimeout)
 }
 
@@ -69,11 +70,11 @@
 func (f *sourceFollower) fetchFromMember(ctx context.Context, member string, limit time.Duration) (answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	v := f.views.load()
+	v, began := f.views.load(), f.now()
 	snapshot, err := f.peers.fetchView(ctx, member, v.Revision, v.CatalogVersion())
 	if err != nil {
-		f.log.Debug().Str("member", member).Int64("revision", int64(v.Revision)).Err(err).
-			Msg("view: fetching changes from a member failed")
+		f.log.Info().Str("member", member).Int64("revision", int64(v.Revision)).Dur("took", f.now().Sub(began)).
+			Dur("behind", f.health.behindFor(f.now())).Err(err).Msg("view: fetching changes from a member failed")
 		return false
 	}
 	catalog, err := f.decodeCatalog(snapshot)
@@ -107,7 +108,7 @@
 func (f *sourceFollower) applyDelta(member string, s message.ViewSnapshot, catalog *view.CatalogChange) {
 	d := decodeDelta(f.now(), member, s, catalog)
 	f.log.Info().Str("member", member).Int("since", s.Since).Int("revision", s.Revision).
-		Msg("view: applying changes from a member")
+		Dur("behind", f.health.behindFor(f.now())).Msg("view: applying changes from a member")
 	f.views.apply(d.Changes(), func(now time.Time, v *view.View) *view.View { return v.WithDelta(now, d) })
 }
 
@@ -128,7 +129,7 @@
 		ch.List = append(ch.List, view.EvacuationChange{Evacuation: e})
 	}
 	f.log.Info().Str("member", member).Int64("version", catalog.Catalog.Version).Int("revision", s.Revision).
-		Msg("view: applying a snapshot from a member")
+		Dur("behind", f.health.behindFor(f.now())).Msg("view: applying a snapshot from a member")
 	// No changes are passed for logging; the line above stands for all of them.
 	f.views.apply(view.Changes{}, func(now time.Time, v *view.View) *view.View {
 		return v.WithSnapshot(now, ch, time.Time{})
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -19,7 +19,7 @@
 			catalogChange(1), view.EvacuationChange{Evacuation: view.Evacuation{DataCentre: "d", Active: true, Revision: 5}},
 		}}, time.Time{})
 	})
-	return &sourceFollower{views: views, now: time.Now, log: zerolog.Nop()}
+	return &sourceFollower{health: newSourceHealth(), views: views, now: time.Now, log: zerolog.Nop()}
 }
 
 // TestMemberSnapshotEvacuations guards against evacuations that are lifted by mistake by a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 	g.streams = newStreamOrigins(g.now, g.log, g.members, peers, g.metrics)
 	g.gossip = &gossiper{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, shutdown: g.shutdown,
-		quarantine: g.quarantine, parts: g.parts, backpressure: g.backpressure, streams: g.streams, isolated: g.paths.isolated,
+		quarantine: g.quarantine, parts: g.parts, backpressure: g.backpressure, streams: g.streams, isolated: g.paths.isolated, metrics: g.metrics,
 		catchUpIfBehind: g.follower.catchUpIfBehind, triggered: make(chan struct{}, 1),
 	}
 	g.paths.onIsolation = g.onIsolation
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -50,6 +50,7 @@
 	streams *streamOrigins
 	// isolated returns a context that is done while this node reaches no target in any way.
 	isolated func() context.Context
+	metrics  *metrics
 	log      zerolog.Logger
 	// catchUpIfBehind catches up with a member that is ahead of this node.
 	catchUpIfBehind func(context.Context)
@@ -118,6 +119,7 @@
 	defer cancel()
 	in, err := g.peers.exchangeGossip(ctx, member, g.withReports(g.members.report()), g.members.readsCompact(member))
 	if err != nil {
+		g.metrics.gossipUnanswered.Inc(1)
 		return false
 	}
 	g.members.mergeReply(member, in)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,8 @@
 	handler        http.Handler
 	sourceCalls    tally.Counter
 	sourceFailures tally.Counter
+	// gossipUnanswered counts the exchanges of gossip that got no answer from the member.
+	gossipUnanswered tally.Counter
 	// targetEnds counts the attempts and the batches during which the target's process ended.
 	targetEnds tally.Counter
 	// rejectedEntries counts entries of the source that could not be decoded.
@@ -59,6 +61,7 @@
 	return &metrics{
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
+		gossipUnanswered: scope.Counter("gossip_unanswered"),
 		targetEnds: scope.Counter("target_ends"), heldRequests: scope.Gauge("held_requests"), heldParts: scope.Gauge("held_parts"),
 		unreachableTargets: scope.Gauge("unreachable_targets"),
 		detours:            scope.Counter("detours"), tunnels: scope.Counter("tunnels"),
--- a/internal/gateway/sourcehealth.go
+++ b/internal/gateway/sourcehealth.go
@@ -110,6 +110,16 @@
 	return shouldCatchUp(now.Sub(h.aheadSince), followsReaders, unreachable)
 }
 
+// behindFor returns for how long a member has been known to be ahead; 0 if none is.
+func (h *sourceHealth) behindFor(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.aheadSince.IsZero() {
+		return 0
+	}
+	return now.Sub(h.aheadSince)
+}
+
 // shouldCatchUp decides whether a node takes updates from a member that is ahead, or still
 // waits for its own watch of the source. Inputs, in order of precedence: whether the node
 // leaves the source to the readers, so that no watch of its own will return the change;
