source: a watch that the node ends itself is no failure of the source

What was seen: 'source: lost … context canceled' at nodes whose store was up, each time a catch-up ended the node's own watch. The node then paused, reported that it does not reach the store, probed it with short watches, and let targets that had just left lapse instead of dropping them. Cause: the end by the node and the time-out cancel the same context, and the loop took both for a failure. The watch that is begun anew has a cause of its own now. TestRestartedWatch failed before (the source counted as down).

--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -35,7 +35,7 @@
 	go func() {
 		defer f.catchingUp.Store(false)
 		f.catchUp(ctx, newest)
-		f.health.cancelCurrentWatch()
+		f.health.restartWatch()
 	}()
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -97,6 +97,7 @@
 		case errors.Is(err, ErrHistoryGone):
 			f.log.Info().Int64("revision", int64(f.views.load().Revision)).Msg("source: history no longer covers the view, reading a snapshot")
 			full = true
+		case errors.Is(err, errWatchRestarted):
 		default:
 			f.recordFailure(started, err)
 			_ = wait.For(ctx, f.drawRetryPause())
@@ -180,16 +181,25 @@
 	return nil
 }
 
+// errWatchRestarted is the error of a watch that this node ended itself. It says nothing of the
+// source.
+var errWatchRestarted = errors.New("the watch begins anew")
+
 // readChanges waits for changes at the source. If a member's updates were applied meanwhile,
 // the answer may be older than the view and is dropped; the next watch returns the changes
 // again.
 func (f *sourceFollower) readChanges(ctx context.Context, wait, slack time.Duration) error {
+	ctx, restart := context.WithCancelCause(ctx)
+	defer restart(nil)
+	f.health.setWatchRestart(func() { restart(errWatchRestarted) })
 	ctx, answered, cancel := withAnswerTimeout(ctx, wait+slack)
 	defer cancel()
-	f.health.setWatchCancel(cancel)
 	f.metrics.sourceCalls.Inc(1)
 	after := f.views.load().Revision
 	ch, err := f.source.Watch(ctx, after, wait, answered)
+	if err != nil && context.Cause(ctx) == errWatchRestarted {
+		return errWatchRestarted
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -137,3 +139,38 @@
 		})
 	})
 }
+
+// TestRestartedWatch guards against a watch that the node ended itself, and begins anew, being
+// taken for a failure of the source: the node paused, reported that it does not reach the source, and let targets
+// lapse.
+func TestRestartedWatch(t *testing.T) {
+	convey.Convey("A watch that is restarted begins anew at once, and the source counts as up", t, func() {
+		source := &fakeSource{fakeStore: newFakeStore()}
+		f := &sourceFollower{
+			source: source, health: newSourceHealth(), metrics: newMetrics(), log: zerolog.Nop(), now: time.Now,
+			views:   newViewKeeper(time.Now, zerolog.Nop(), func(*view.View) {}),
+			members: newMembers(time.Now, "10.0.0.1:1", 1, nil, 0),
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		var runs sync.WaitGroup
+		runs.Go(func() { f.run(ctx) })
+		defer runs.Wait()
+		defer stop()
+		calls := func(n int) func() bool { return func() bool { return source.callCount() == n } }
+		convey.So(holdsWithin(time.Second, calls(2)), convey.ShouldBeTrue)
+		f.health.restartWatch()
+		convey.So(holdsWithin(minRetryPause, calls(3)), convey.ShouldBeTrue)
+		convey.So(f.health.isDown(), convey.ShouldBeFalse)
+		convey.So(f.health.lastOutage().IsZero(), convey.ShouldBeTrue)
+	})
+}
+
+// holdsWithin waits until something holds, and reports whether it did within a time.
+func holdsWithin(limit time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if holds() {
+			return true
+		}
+	}
+	return holds()
+}
--- a/internal/gateway/sourcehealth.go
+++ b/internal/gateway/sourcehealth.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -18,7 +17,7 @@
 
 // sourceHealth records when the source was reached and when it failed, and since when a
 // member is known to be ahead. It owns the lock that guards them, and calls nothing but the
-// function that cancels the current watch.
+// function that restarts the current watch.
 type sourceHealth struct {
 	// firstFailure is closed when a call to the source fails for the first time.
 	firstFailure chan struct{}
@@ -32,8 +31,8 @@
 	down bool
 	// aheadSince is since when a member is known to be ahead; zero if none is.
 	aheadSince time.Time
-	// cancelWatch cancels the current watch.
-	cancelWatch context.CancelFunc
+	// restart ends the current watch, so that it begins anew; nil before the first.
+	restart func()
 }
 
 func newSourceHealth() *sourceHealth { return &sourceHealth{firstFailure: make(chan struct{})} }
@@ -133,19 +132,19 @@
 	return followsReaders || unreachable || aheadFor >= behindAfter
 }
 
-// setWatchCancel sets the function that cancels the current watch.
-func (h *sourceHealth) setWatchCancel(cancel context.CancelFunc) {
+// setWatchRestart sets the function that ends the current watch, so that it begins anew.
+func (h *sourceHealth) setWatchRestart(restart func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.cancelWatch = cancel
+	h.restart = restart
 }
 
-// cancelCurrentWatch cancels the current watch, so that the next one starts at the revision
-// that the node has by then.
-func (h *sourceHealth) cancelCurrentWatch() {
+// restartWatch ends the current watch, so that the next one starts at the revision that the node
+// has by then, and on another connection.
+func (h *sourceHealth) restartWatch() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cancelWatch != nil {
-		h.cancelWatch()
+	if h.restart != nil {
+		h.restart()
 	}
 }
