tcpconn: find open connections that fell silent while new ones work

Cause: each silent connection was found by whoever used it next, by that call's own time-out or by 3 s without an acknowledgement, and what one showed was not used for the others that are as old. A catch-up asks a member (0.8 s), the store (1.6 s) and the member again (3 s), one at a time; gossip lost an exchange for each member; pools gave out their silent connections one after the other until probes ended them after 8 s.

Repair: a connection watches its acknowledgements; while they are missing a new one to the same address is tried. If it comes up, idle connections are replaced, the store's watch begins anew, the others are probed at once, and the connection itself ends once what was sent again is not acknowledged either.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 	streams      *streamOrigins
 	loans        *sendLoans
 	dialTarget   dialFunc
+	peers        *peerClient
 
 	listeners *listeners
 	servers   servers
@@ -98,8 +99,8 @@
 	g := &Gateway{
 		cfg: cfg, ports: ports, log: zerolog.Nop(), now: boottime.New().Now,
 		health: newSourceHealth(), shutdown: &shutdownState{}, metrics: newMetrics(),
-		dialTarget: tcpconn.NewDialer(TargetDialTimeout).DialContext,
 	}
+	g.dialTarget = tcpconn.NewDialer(TargetDialTimeout, tcpconn.OnSilence(g.onSilence)).DialContext
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -111,6 +112,7 @@
 	}
 	g.listeners = sockets
 	g.members = newMembers(g.now, g.PeerAddress(), started.UnixNano(), cfg.Peers, machineCapacity(cfg.Gateway))
+	g.peers = newPeerClient(g.now)
 	g.views = newViewKeeper(g.now, g.log, g.onViewChange)
 	g.views.onRejected = g.metrics.recordRejectedEntry
 	g.createParts(started)
@@ -119,7 +121,9 @@
 
 // createParts creates the parts that depend on the members and the view.
 func (g *Gateway) createParts(started time.Time) {
-	peers := newPeerClient(g.now)
+	peers := g.peers
+	peers.onSilence = g.onSilence
+	g.ports.Source.OnSilence(g.onSilence)
 	g.paths = newTargetPaths(g.now, g.log, g.metrics, g.dialTarget, newTunnelClient(g.now, g.members), g.views)
 	g.ports.Targets.UsePaths(g.paths)
 	g.follower = &sourceFollower{
@@ -174,6 +178,18 @@
 	g.createServers()
 }
 
+// onSilence is called when an open connection to a member, a target or the source seems to be
+// silent while new ones come up. Connections that nobody uses are replaced, and the watch of the
+// source begins anew, since others may have fallen silent at the same moment.
+func (g *Gateway) onSilence(address string) {
+	g.metrics.silentConnections.Inc(1)
+	g.log.Warn().Str("address", address).Msg("paths: open connection seems silent, replacing idle ones")
+	g.peers.closeIdle()
+	g.ports.Targets.CloseIdle()
+	g.ports.Source.CloseIdle()
+	g.health.restartWatch()
+}
+
 // createServers creates the parts that serve callers, members and operators.
 func (g *Gateway) createServers() {
 	g.callers = &callerServer{now: g.now, views: g.views, shutdown: g.shutdown, relay: g.relay}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,9 @@
 	sourceFailures tally.Counter
 	// gossipUnanswered counts the exchanges of gossip that got no answer from the member.
 	gossipUnanswered tally.Counter
+	// silentConnections counts the times that open connections to members or targets fell silent
+	// while new ones came up.
+	silentConnections tally.Counter
 	// targetEnds counts the attempts and the batches during which the target's process ended.
 	targetEnds tally.Counter
 	// rejectedEntries counts entries of the source that could not be decoded.
@@ -61,7 +64,7 @@
 	return &metrics{
 		scope: scope, handler: handler,
 		sourceCalls: scope.Counter("source_calls"), sourceFailures: scope.Counter("source_failures"),
-		gossipUnanswered: scope.Counter("gossip_unanswered"),
+		gossipUnanswered: scope.Counter("gossip_unanswered"), silentConnections: scope.Counter("silent_connections"),
 		targetEnds: scope.Counter("target_ends"), heldRequests: scope.Gauge("held_requests"), heldParts: scope.Gauge("held_parts"),
 		unreachableTargets: scope.Gauge("unreachable_targets"),
 		detours:            scope.Counter("detours"), tunnels: scope.Counter("tunnels"),
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -43,16 +43,23 @@
 type peerClient struct {
 	now    func() time.Time
 	client *http.Client
+	// onSilence is called when an open connection to a member seems to be silent.
+	onSilence func(member string)
 }
 
 func newPeerClient(now func() time.Time) *peerClient {
-	dialer := tcpconn.NewDialer(peerDialTimeout)
-	return &peerClient{now: now, client: &http.Client{Transport: &http.Transport{
+	c := &peerClient{now: now, onSilence: func(string) {}}
+	dialer := tcpconn.NewDialer(peerDialTimeout, tcpconn.OnSilence(func(member string) { c.onSilence(member) }))
+	c.client = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdleConns,
 		IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
-	}}}
+	}}
+	return c
 }
 
+// closeIdle closes the connections that no call uses.
+func (c *peerClient) closeIdle() { c.client.CloseIdleConnections() }
+
 // exchangeGossip sends gossip to a member and returns its answer. compact tells whether the
 // member decodes the compact form.
 func (c *peerClient) exchangeGossip(ctx context.Context, member string, in message.Gossip, compact bool) (message.Gossip, error) {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -31,6 +31,11 @@
 	Watch(ctx context.Context, after view.Revision, wait time.Duration, answered func()) (view.Changes, error)
 	// Decode decodes the text of a configuration that a member passed on.
 	Decode(document []byte) (view.CatalogChange, error)
+	// OnSilence registers a function to call when an open connection seems to be silent while new
+	// ones come up. It is called once, before all other methods.
+	OnSilence(f func(address string))
+	// CloseIdle closes the connections that no call uses.
+	CloseIdle()
 }
 
 // BatchCall is one call to a target of a batch service.
@@ -60,6 +65,8 @@
 	// UsePaths makes all later calls connect through p. It is called once, before all other
 	// methods.
 	UsePaths(p delivery.Paths)
+	// CloseIdle closes the connections that no call uses.
+	CloseIdle()
 	// RunBatch runs items at a target and returns one outcome per item, in order.
 	RunBatch(ctx context.Context, c BatchCall) (BatchAnswer, *verdict.Error)
 	// Inspect asks a target of a batch service what it is running and holding.
--- a/internal/gateway/readers_test.go
+++ b/internal/gateway/readers_test.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// OnSilence implements Source.
+func (r *fakeSource) OnSilence(func(address string)) {}
+
+// CloseIdle implements Source.
+func (r *fakeSource) CloseIdle() {}
+
+// Decode implements Source.
 func (r *fakeSource) Decode(document []byte) (view.CatalogChange, error) {
 	version, err := strconv.ParseInt(string(document), 10, 64)
 	if err != nil {
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -37,6 +37,7 @@
 func (noTargets) OnSignal(func(directory.Target, backpressure.Signal)) {}
 
 func (noTargets) UsePaths(delivery.Paths) {}
+func (noTargets) CloseIdle()              {}
 
 func (noTargets) RunBatch(context.Context, BatchCall) (BatchAnswer, *verdict.Error) {
 	return BatchAnswer{}, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "none")
--- a/internal/tcpconn/limit_linux.go
+++ b/internal/tcpconn/limit_linux.go
@@ -1,9 +1,11 @@
 package tcpconn
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,22 +17,34 @@
 // finds nothing heard for so long, whatever their count.
 type limitedConn struct {
 	*net.TCPConn
-	raw syscall.RawConn
+	raw     syscall.RawConn
+	dialer  *Dialer
+	address string
+	// lost is set once the connection was given up as silent.
+	lost atomic.Bool
 
 	mu sync.Mutex
 	// limited is whether the limit is in force, and written when something was last sent.
 	limited bool
 	written time.Time
+	// sent is how many bytes were sent, or are about to be.
+	sent int64
 	// lift looks whether the limit can be lifted, once SilenceLimit after something was sent.
 	lift *time.Timer
+	// watching is set while watch looks for acknowledgements, from suspectAfter on after the first
+	// byte that was sent.
+	watching bool
+	acks     ackWatch
+	watch    *time.Timer
+	closed   bool
 }
 
 // limitSilence sets SilenceLimit on a socket before it connects.
 func limitSilence(_, _ string, c syscall.RawConn) error { return setLimit(c, SilenceLimit) }
 
 // limited returns a connection, to which limitSilence was applied, whose limit is lifted while it is
-// quiet.
-func limited(conn net.Conn) (net.Conn, error) {
+// quiet, and which is given up when it falls silent.
+func (d *Dialer) limited(conn net.Conn, address string) (net.Conn, error) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return conn, nil
@@ -39,17 +53,35 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &limitedConn{TCPConn: tcp, raw: raw, limited: true, written: time.Now()}
+	c := &limitedConn{TCPConn: tcp, raw: raw, dialer: d, address: address, limited: true, written: time.Now()}
+	d.hosts.add(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lift = time.AfterFunc(SilenceLimit, c.liftIfQuiet)
+	c.watch = time.AfterFunc(suspectAfter, c.checkAcks)
+	c.watch.Stop()
 	return c, nil
 }
 
+// Read implements net.Conn.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	return n, c.explain(err)
+}
+
 // Write implements net.Conn.
 func (c *limitedConn) Write(b []byte) (int, error) {
-	c.limit()
-	return c.TCPConn.Write(b)
+	c.limit(len(b))
+	n, err := c.TCPConn.Write(b)
+	return n, c.explain(err)
+}
+
+// explain returns why a call failed.
+func (c *limitedConn) explain(err error) error {
+	if err != nil && c.lost.Load() {
+		return ErrSilent
+	}
+	return err
 }
 
 // ReadFrom implements io.ReaderFrom by Write, so that the limit is in force up to the last byte.
@@ -60,16 +92,25 @@
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.mu.Lock()
+	c.closed = true
 	c.lift.Stop()
+	c.watch.Stop()
 	c.mu.Unlock()
+	c.dialer.hosts.remove(c)
 	return c.TCPConn.Close()
 }
 
-// limit puts the limit in force.
-func (c *limitedConn) limit() {
+// limit puts the limit in force and watches the acknowledgements of n bytes more.
+func (c *limitedConn) limit(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = time.Now()
+	if !c.watching && !c.closed {
+		c.watching = true
+		c.acks = ackWatch{acked: c.sent, since: c.written}
+		c.watch.Reset(suspectAfter)
+	}
+	c.sent += int64(n)
 	if c.limited {
 		return
 	}
@@ -87,7 +128,7 @@
 	switch quiet := time.Since(c.written); {
 	case quiet < SilenceLimit:
 		c.lift.Reset(SilenceLimit - quiet)
-	case unacknowledged(c.raw):
+	case queued(c.raw, unix.TIOCOUTQ) > 0:
 		c.lift.Reset(probeInterval)
 	default:
 		_ = setLimit(c.raw, 0)
@@ -95,6 +136,76 @@
 	}
 }
 
+// checkAcks looks whether what was sent is acknowledged, and gives the connection up if it has
+// fallen silent.
+func (c *limitedConn) checkAcks() {
+	switch c.observeAcks() {
+	case suspected:
+		if c.dialer.hosts.beginProbe(c.address) {
+			go c.probe()
+		}
+	case doubtful:
+		c.dialer.checkOthers(c.address)
+	case silent:
+		c.lost.Store(true)
+		// It has lost what was sent, so that the error of its end says nothing.
+		_ = c.Close()
+		c.dialer.checkOthers(c.address)
+	case acknowledged, waiting:
+	}
+}
+
+// observeAcks looks at the acknowledgements, and arranges the next look if there is one.
+func (c *limitedConn) observeAcks() ackVerdict {
+	upAt := c.dialer.hosts.upAt(c.address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return acknowledged
+	}
+	unacknowledged := queued(c.raw, unix.TIOCOUTQ)
+	// What the other end has no room for is not sent yet, and says nothing of the connection.
+	inFlight := unacknowledged - queued(c.raw, unix.SIOCOUTQNSD)
+	verdict, again := c.acks.observe(time.Now(), c.sent-unacknowledged, inFlight, upAt)
+	c.watching = verdict != acknowledged && verdict != silent
+	if c.watching {
+		c.watch.Reset(again)
+	}
+	return verdict
+}
+
+// probe tries a new connection to the same address, and looks at this one again if it comes up.
+func (c *limitedConn) probe() {
+	ctx, cancel := context.WithTimeout(context.Background(), suspectAfter)
+	defer cancel()
+	conn, err := c.dialer.dialer.DialContext(ctx, "tcp", c.address)
+	c.dialer.hosts.endProbe(c.address, err == nil)
+	if err != nil {
+		return
+	}
+	// Nothing was sent on it, so that the error of its end says nothing.
+	_ = conn.Close()
+	c.checkAcks()
+}
+
+// checkOthers probes all open connections because one seems to be silent.
+func (d *Dialer) checkOthers(address string) {
+	others, due := d.hosts.toCheck()
+	if !due {
+		return
+	}
+	d.onSilence(address)
+	for _, c := range others {
+		// A connection that was closed meanwhile needs no probes.
+		_ = c.SetKeepAliveConfig(checkNow())
+	}
+	time.AfterFunc(checkTime, func() {
+		for _, c := range others {
+			_ = c.SetKeepAliveConfig(KeepAlive())
+		}
+	})
+}
+
 // setLimit sets the most time for which data may stay unacknowledged; 0 for no limit.
 func setLimit(c syscall.RawConn, limit time.Duration) error {
 	var failed error
@@ -107,10 +218,13 @@
 	return failed
 }
 
-// unacknowledged reports whether data is unacknowledged. It is false for a connection that was
-// closed.
-func unacknowledged(c syscall.RawConn) bool {
-	queued := 0
-	err := c.Control(func(fd uintptr) { queued, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
-	return err == nil && queued > 0
+// queued returns the bytes of a send queue: all that are not acknowledged (unix.TIOCOUTQ), or those
+// of them that were not sent yet (unix.SIOCOUTQNSD). It is 0 for a connection that was closed.
+func queued(c syscall.RawConn, which uint) int64 {
+	n := 0
+	err := c.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), which) })
+	if err != nil {
+		return 0
+	}
+	return int64(n)
 }
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -6,12 +6,18 @@
 // probes and retransmissions, which an instance answers whatever its processes do: a
 // target that only works for long does not count as silent. Where the operating system
 // has no bound for unacknowledged data, only probes are set.
+//
+// While an instance accepts new connections, an open one is given up within about a second
+// instead of SilenceLimit. What one connection shows is used for the others of the dialer sooner
+// than that: they are probed at once, and whoever pools connections is told.
 package tcpconn
 
 import (
 	"context"
 	"net"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -30,14 +36,41 @@
 	probeInterval = time.Second
 	// probes is how many may stay unanswered.
 	probes = 3
+	// checkProbes replaces probes for checkTime while another connection seems to be silent.
+	checkProbes = 2
+	// checkTime is how long it takes until a connection that does not answer its probes is lost.
+	checkTime = probeInterval * (checkProbes + 2)
 )
 
+// ErrSilent is the error of calls on a connection that fell silent while new ones came up.
+var ErrSilent = errors.New("the connection fell silent")
+
 // Dialer makes such connections.
-type Dialer struct{ dialer net.Dialer }
+type Dialer struct {
+	dialer net.Dialer
+	hosts  *hosts
+	// onSilence is called with the address of a connection that seems to be silent.
+	onSilence func(address string)
+}
+
+// Option changes a Dialer under construction.
+type Option func(*Dialer)
+
+// OnSilence sets a function that is called with the address of a connection that seems to be silent
+// while new ones come up, at most once in a second. Others that are as old may be silent too, so
+// that a pool should close those that nobody uses.
+func OnSilence(f func(address string)) Option { return func(d *Dialer) { d.onSilence = f } }
 
 // NewDialer returns a dialer; connecting takes at most timeout.
-func NewDialer(timeout time.Duration) *Dialer {
-	return &Dialer{net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: limitSilence}}
+func NewDialer(timeout time.Duration, opts ...Option) *Dialer {
+	d := &Dialer{
+		dialer: net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: limitSilence},
+		hosts:  newHosts(), onSilence: func(string) {},
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // DialContext connects to an address.
@@ -46,10 +79,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return limited(conn)
+	return d.limited(conn, address)
 }
 
 // KeepAlive returns when an idle connection is probed.
 func KeepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probes}
 }
+
+// checkNow returns when a connection is probed that may have fallen silent.
+func checkNow() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: checkProbes}
+}
