request: log a retry that the budget refuses, and what the budget is made of

A request that ends with its last attempt's error did not say whether the budget refused another one, nor whether that was for its own first attempts, its retries or its share. 'request: retry refused by the budget' has firsts, retries and share, so that a node that spends its budget anew after a restart, or takes too large a share, is seen in its log. No logic changed.

--- a/internal/gateway/relay/budgets.go
+++ b/internal/gateway/relay/budgets.go
@@ -37,11 +37,13 @@
 	b.budget(service).RecordRequest(b.now())
 }
 
-// spend reports whether a retry is allowed, and counts it if so.
-func (b *retryBudgets) spend(service string) bool {
+// spend reports whether a retry is allowed, and counts it if so. It returns what the budget was
+// made of before.
+func (b *retryBudgets) spend(service string) (retrybudget.Allowance, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget(service).Spend(b.now())
+	budget := b.budget(service)
+	return budget.Allowance(b.now()), budget.Spend(b.now())
 }
 
 // remaining returns how many retries are allowed now.
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -53,7 +53,7 @@
 		if err := d.runner.ensureInputs(ctx); err != nil {
 			return err
 		}
-		if !first && !d.budgets.spend(d.service.Name) {
+		if !first && !d.mayRetry() {
 			return d.endError(verdict.ReasonRetryExhausted, "the retry budget is exhausted")
 		}
 		target, ok := d.chooseTarget(ctx)
@@ -77,6 +77,15 @@
 	}
 }
 
+// mayRetry takes a retry from the budget, and reports if there is none.
+func (d *delivery) mayRetry() bool {
+	allowance, ok := d.budgets.spend(d.service.Name)
+	if !ok {
+		d.reportDecision(RetryRefused{Attempts: len(d.outcome.Attempts), Allowance: allowance})
+	}
+	return ok
+}
+
 // chooseTarget chooses a target. While all that the request may go to are crowded, it waits for a
 // short time: they make room as fast as they answer.
 func (d *delivery) chooseTarget(ctx context.Context) (destination, bool) {
--- a/internal/gateway/relay/outcome.go
+++ b/internal/gateway/relay/outcome.go
@@ -6,6 +6,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
+	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -18,7 +19,7 @@
 	Ended(o *Outcome)
 }
 
-// Decision is Refused, StageDone, StageFailed, AttemptFailed or TargetEnded.
+// Decision is Refused, StageDone, StageFailed, AttemptFailed, RetryRefused or TargetEnded.
 type Decision interface{ isDecision() }
 
 // Refused is a request that is not admitted because its stages would take too long
@@ -86,6 +87,14 @@
 	Next rules.NextAttempt
 }
 
+// RetryRefused is a request that is not sent again because the retry budget does not allow it.
+type RetryRefused struct {
+	// Attempts is how many were made.
+	Attempts int
+	// Allowance is what the budget is made of.
+	Allowance retrybudget.Allowance
+}
+
 // TargetEnded is a target whose process ended while it had the request.
 type TargetEnded struct {
 	Target string
@@ -103,6 +112,7 @@
 func (StageDone) isDecision()     {}
 func (StageFailed) isDecision()   {}
 func (AttemptFailed) isDecision() {}
+func (RetryRefused) isDecision()  {}
 func (TargetEnded) isDecision()   {}
 
 // Outcome is the result of one request.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -74,6 +74,10 @@
 		withError(l.log.Warn(), d.Attempt.Err).Str("request", request).Str("target", d.Attempt.Target).Int("status", d.Attempt.Status).
 			Dur("took", d.Attempt.Took).Int("events", d.Events).Str("lastEvent", d.LastEvent).Dur("left", d.Left).Bool("again", d.WillRetry).
 			Str("next", describeNext(d.Next)).Msg("request: attempt failed")
+	case relay.RetryRefused:
+		a := d.Allowance
+		l.log.Info().Str("request", request).Int("attempts", d.Attempts).Int("firsts", a.FirstAttempts).Int("retries", a.Retries).
+			Float64("share", a.Share).Msg("request: retry refused by the budget")
 	case relay.TargetEnded:
 		l.metrics.recordTargetEnd()
 		l.log.Warn().Str("request", request).Str("target", d.Target).Str("digest", d.Digest.String()).Strs("parts", partNames(d.Parts)).Int("events", d.Events).
--- a/internal/gateway/retrybudget/retrybudget.go
+++ b/internal/gateway/retrybudget/retrybudget.go
@@ -86,8 +86,22 @@
 // Remaining returns the number of retries that are currently allowed, which may be
 // fractional. It is negative if the number of nodes has grown since retries were spent.
 func (b *Budget) Remaining(now time.Time) float64 {
+	a := b.Allowance(now)
+	return b.policy.Ratio*float64(a.FirstAttempts) + a.Share - float64(a.Retries)
+}
+
+// Allowance is what a budget is made of.
+type Allowance struct {
+	// FirstAttempts and Retries are those within the window.
+	FirstAttempts, Retries int
+	// Share is the node's part of Policy.Extra.
+	Share float64
+}
+
+// Allowance returns what the budget is made of now.
+func (b *Budget) Allowance(now time.Time) Allowance {
 	b.trim(now)
-	return b.policy.Ratio*float64(len(b.firstAttempts)) + b.policy.share() - float64(len(b.retries))
+	return Allowance{FirstAttempts: len(b.firstAttempts), Retries: len(b.retries), Share: b.policy.share()}
 }
 
 // trim drops events that are older than the window, so that retries are only allowed on
