--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,6 @@
 func (g *Gateway) createParts(started time.Time) {
 	peers := g.peers
 	peers.onSilence = g.onSilence
-	g.ports.Source.OnSilence(g.onSilence)
 	g.paths = newTargetPaths(g.now, g.log, g.metrics, g.dialTarget, newTunnelClient(g.now, g.members), g.views)
 	g.ports.Targets.UsePaths(g.paths)
 	g.follower = &sourceFollower{
@@ -271,6 +270,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	g.ports.Source.OnSilence(g.onSilence)
 	go g.serve(g.servers.callers, g.listeners.callers)
 	go g.serve(g.servers.peers, g.listeners.peers)
 	go g.serve(g.servers.admin, g.listeners.admin)
