retries: a process that starts counts what the one before it spent

Cause: a budget lives in its process. A node that was killed spent the ratio and its share again within the same window, and one that started with nobody to hear took a sixteenth of the extra, however many nodes there are.

Repair: members report what they spent, and tell a process that starts what the one before it spent; it spends nothing until it knows, for a window at most. A node that has heard nobody has no part of the extra. Two other ways were weighed and went: no retries for a window, and tokens (docs/design/retry-budget-over-restarts.md).

Rolled out: earlier builds skip the new fields of gossip; beside them alone a node that restarts makes no retries for a window. Rolled back with its template of settings, which earlier builds refuse a field of.

--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -68,6 +68,9 @@
 	return p
 }
 
+// restarted reports whether an earlier process of this node may have spent retries.
+func restarted(cfg *settings.Gateway) bool { return cfg.Retries != nil && cfg.Retries.Restarted }
+
 // warmUpMargin returns by how much the requests to a cold target may exceed the rate that the
 // configuration allows; not at all if the settings do not specify it.
 func warmUpMargin(cfg *settings.Gateway) warmup.Margin {
@@ -80,13 +83,14 @@
 }
 
 // retrySharers decides how many nodes may share the extra retries of the retry budget.
-// Inputs: how long the node has run, and the most members that it ever knew to be live at
-// once. A node that cannot know all members yet gets no share. If the number is too low, the
+// Inputs: how long the node has run, the most members that it ever knew to be live at
+// once, and whether there are others according to its settings. A node that cannot know all
+// members yet, or has never heard of one, gets no share. If the number is too low, the
 // nodes together exceed the bound, for instance when a partition hides members; if it is too
 // high, allowed retries are refused. See docs/decisions/0011-the-gateway.md, "The retry
 // budget".
-func retrySharers(age time.Duration, peak int) int {
-	if age < membershipSettleTime {
+func retrySharers(age time.Duration, peak int, hasSeeds bool) int {
+	if age < membershipSettleTime || peak <= 1 && hasSeeds {
 		return retrybudget.UnknownNodes
 	}
 	return int(sharersFactor * float64(peak))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/gateway/targetspeed"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
@@ -144,11 +145,14 @@
 	g.gossip = &gossiper{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, shutdown: g.shutdown,
 		quarantine: g.quarantine, parts: g.parts, backpressure: g.backpressure, streams: g.streams, isolated: g.paths.isolated, metrics: g.metrics,
-		catchUpIfBehind: g.follower.catchUpIfBehind, triggered: make(chan struct{}, 1),
+		catchUpIfBehind: g.follower.catchUpIfBehind, retriesSpent: func() retrybudget.Spent { return g.relay.RetriesSpent() }, triggered: make(chan struct{}, 1),
 	}
 	g.paths.onIsolation = g.onIsolation
 	g.joiner = newJoiner(g.members, g.gossip.exchange)
-	retries := retryPolicy(g.cfg.Gateway, func() int { return retrySharers(g.now().Sub(started), g.members.peakSize()) })
+	retries := retryPolicy(g.cfg.Gateway, func() int {
+		return retrySharers(g.now().Sub(started), g.members.peakSize(), len(g.members.seeds()) > 0)
+	})
+	g.members.setMemory(retries.Window, !restarted(g.cfg.Gateway))
 	g.coordinators = &coordinators{views: g.views, services: map[string]*actor.PID{}, coordinatorConfig: coordinatorConfig{
 		now: g.now, log: g.log, system: actor.NewActorSystem(actor.WithLoggerFactory(discardLogger)), members: g.members,
 		targets: g.ports.Targets, metrics: g.metrics, retries: retries, permit: g.views.permit, margin: warmUpMargin(g.cfg.Gateway), quarantine: g.quarantine, backpressure: g.backpressure,
@@ -165,7 +169,7 @@
 	}
 	g.relay = relay.New(relay.Config{
 		DataCentre: g.cfg.DataCentre, Node: g.PeerAddress(), View: g.views.load, AwaitCatalog: g.awaitFirstConfig, Upstream: g.ports.Targets, Batcher: batches, Placer: g.prompts,
-		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries, NodeCount: g.members.size,
+		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries.WithEarlier(started, g.members.earlierSpent), NodeCount: g.members.size,
 		TargetSample: targetSample(g.cfg.Gateway.TargetSpeed),
 		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Parts: g.parts, Streams: g.streams, Gate: g.backpressure.RequestGate(), Lender: g.loans, Isolated: g.paths.isolated,
 	})
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/membership"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
+	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/wait"
 )
@@ -50,8 +51,10 @@
 	streams *streamOrigins
 	// isolated returns a context that is done while this node reaches no target in any way.
 	isolated func() context.Context
-	metrics  *metrics
-	log      zerolog.Logger
+	// retriesSpent returns what this node spent of the retry budget within its window.
+	retriesSpent func() retrybudget.Spent
+	metrics      *metrics
+	log          zerolog.Logger
 	// catchUpIfBehind catches up with a member that is ahead of this node.
 	catchUpIfBehind func(context.Context)
 
@@ -62,10 +65,12 @@
 // publishStatus updates the status that this node reports.
 func (g *gossiper) publishStatus() {
 	v := g.views.load()
+	// The budget asks the members, whose lock setStatus holds.
+	spent := g.retriesSpent()
 	g.members.setStatus(func() membership.Status {
 		return membership.Status{
 			Serving: v.Catalog != nil && g.isolated().Err() == nil, Leaving: g.shutdown.begun(), ReachesSource: g.health.isReachable(g.now()),
-			Version: v.CatalogVersion(), Revision: int64(v.Revision),
+			Version: v.CatalogVersion(), Revision: int64(v.Revision), Spent: spent,
 		}
 	})
 }
--- a/internal/gateway/gossipcodec/gossipcodec.go
+++ b/internal/gateway/gossipcodec/gossipcodec.go
@@ -42,6 +42,8 @@
 	fieldPart protowire.Number = 5
 	// fieldPartsSum is a string.
 	fieldPartsSum protowire.Number = 6
+	// fieldEarlier holds one message.EarlierProcess.
+	fieldEarlier protowire.Number = 7
 )
 
 // Field numbers of message.GossipMember in the compact format. Integers are varints, and 0 is
@@ -56,7 +58,10 @@
 	fieldMemberRevision    protowire.Number = 5
 	fieldMemberCapacity    protowire.Number = 6
 	// fieldMemberFlags is a bit set of the flags below.
-	fieldMemberFlags protowire.Number = 7
+	fieldMemberFlags   protowire.Number = 7
+	fieldMemberRetries protowire.Number = 8
+	fieldMemberFirsts  protowire.Number = 9
+	fieldMemberService protowire.Number = 10
 )
 
 // Bits of fieldMemberFlags, one for each boolean of message.GossipMember.
@@ -66,6 +71,7 @@
 	flagHears
 	flagCompact
 	flagEpochs
+	flagCounts
 )
 
 // jsonMediaType is the media type of the JSON format, which every member accepts.
@@ -122,12 +128,15 @@
 			{fieldMemberRevision, m.Revision},
 			{fieldMemberCapacity, m.Capacity},
 			{fieldMemberFlags, memberFlags(m)},
+			{fieldMemberRetries, m.Retries},
+			{fieldMemberFirsts, m.Firsts},
+			{fieldMemberService, m.Service},
 		} {
 			member = appendVarint(member, f.number, f.value)
 		}
 		out = appendBytes(out, fieldMember, member)
 	}
-	return appendLimits(appendSuspects(out, g), g.Limits), nil
+	return appendEarlier(appendLimits(appendSuspects(out, g), g.Limits), g.Earlier), nil
 }
 
 func marshalAddress(address string) ([]byte, error) {
@@ -143,7 +152,7 @@
 	for _, f := range []struct {
 		set  bool
 		flag int
-	}{{m.Leaving, flagLeaving}, {m.Serving, flagServing}, {m.Hears, flagHears}, {m.Compact, flagCompact}, {m.Epochs, flagEpochs}} {
+	}{{m.Leaving, flagLeaving}, {m.Serving, flagServing}, {m.Hears, flagHears}, {m.Compact, flagCompact}, {m.Epochs, flagEpochs}, {m.Counts, flagCounts}} {
 		if f.set {
 			flags |= f.flag
 		}
@@ -172,6 +181,10 @@
 			return err
 		case fieldPartsSum:
 			g.PartsSum = string(value)
+		case fieldEarlier:
+			e, err := unmarshalEarlier(value)
+			g.Earlier = &e
+			return err
 		case fieldLimit:
 			l, err := unmarshalLimit(value)
 			g.Limits = append(g.Limits, l)
@@ -206,6 +219,13 @@
 			m.Hears = value&flagHears != 0
 			m.Compact = value&flagCompact != 0
 			m.Epochs = value&flagEpochs != 0
+			m.Counts = value&flagCounts != 0
+		case fieldMemberRetries:
+			m.Retries = int(value)
+		case fieldMemberFirsts:
+			m.Firsts = int(value)
+		case fieldMemberService:
+			m.Service = int(value)
 		}
 		return nil
 	})
--- a/internal/gateway/gossipcodec/gossipcodec_test.go
+++ b/internal/gateway/gossipcodec/gossipcodec_test.go
@@ -38,6 +38,7 @@
 				Revision: number.Draw(t, "revision"), Capacity: number.Draw(t, "capacity"),
 				Leaving: rapid.Bool().Draw(t, "leaving"), Serving: rapid.Bool().Draw(t, "serving"),
 				Hears: rapid.Bool().Draw(t, "hears"), Compact: rapid.Bool().Draw(t, "compact"), Epochs: rapid.Bool().Draw(t, "epochs"),
+				Counts: rapid.Bool().Draw(t, "counts"), Retries: number.Draw(t, "retries"), Firsts: number.Draw(t, "firsts"), Service: number.Draw(t, "service"),
 			})
 		}
 		body, mediaType, err := Encode(g, true)
@@ -158,3 +159,13 @@
 		shouldRoundTrip(t, want)
 	})
 }
+
+// TestEarlierRoundTrip checks that what is told of earlier processes survives a round trip.
+func TestEarlierRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.IntRange(0, 1<<31)
+		shouldRoundTrip(t, message.Gossip{Members: []message.GossipMember{}, Earlier: &message.EarlierProcess{
+			Retries: number.Draw(t, "retries"), Firsts: number.Draw(t, "firsts"), Service: number.Draw(t, "service"), Members: number.Draw(t, "members"),
+		}})
+	})
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -10,6 +10,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/membership"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
+	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
 )
@@ -24,6 +25,21 @@
 	roster *membership.Roster
 }
 
+// setMemory sets for how long retries count, and whether no process of this node ran before.
+func (m *members) setMemory(window time.Duration, first bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.roster.SetMemory(window, first)
+}
+
+// earlierSpent returns what earlier processes of this node may have spent of the retry budget
+// within its window, and whether that is known.
+func (m *members) earlierSpent() (spent retrybudget.Spent, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.EarlierSpent()
+}
+
 // newMembers returns the members of a node that knows only itself and its seeds. capacity is
 // in thousandths of a core; 0 if unknown.
 func newMembers(now func() time.Time, self string, incarnation int64, seeds []string, capacity int) *members {
@@ -185,6 +201,9 @@
 	now := m.now()
 	m.roster.Merge(now, in)
 	m.roster.Contacted(now, address)
+	if in.Earlier != nil {
+		m.roster.LearnEarlier(*in.Earlier)
+	}
 }
 
 // mergeAndReport merges a member's report and returns the gossip to answer with.
@@ -193,7 +212,11 @@
 	defer m.mu.Unlock()
 	now := m.now()
 	m.roster.Merge(now, in)
-	return m.roster.Gossip(now)
+	out := m.roster.Gossip(now)
+	if len(in.Members) > 0 {
+		out.Earlier = m.roster.Earlier(now, in.Members[0].Address)
+	}
+	return out
 }
 
 // size returns the number of live members, including this node.
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
@@ -27,6 +28,7 @@
 	peak int
 	// firstContact is the time of the first gossip from another member; zero for none.
 	firstContact time.Time
+	memory       memory
 }
 
 // rosterEntry is the state of one other member.
@@ -39,6 +41,7 @@
 	suspectedUntil time.Time
 	// weight caches weightOf the member's address.
 	weight uint64
+	lives  lives
 }
 
 // NewRoster returns the roster of a member that knows only itself and its seeds, the
@@ -46,7 +49,7 @@
 // start of the member.
 func NewRoster(self string, incarnation int64, seeds []string) *Roster {
 	r := &Roster{
-		self:   message.GossipMember{Address: self, Incarnation: int(incarnation), Compact: true, Epochs: true},
+		self:   message.GossipMember{Address: self, Incarnation: int(incarnation), Compact: true, Epochs: true, Counts: true},
 		others: map[string]rosterEntry{}, ownWeight: weightOf(self),
 	}
 	r.SetSeeds(seeds)
@@ -69,6 +72,8 @@
 	// Version is the version of its catalog, and Revision that of its directory; 0 for
 	// none.
 	Version, Revision int64
+	// Spent is what the member spent of the retry budget in the last window.
+	Spent retrybudget.Spent
 }
 
 // SetStatus sets the state that this member reports about itself.
@@ -79,6 +84,7 @@
 	r.self.Hears = s.ReachesSource
 	r.self.Version = int(s.Version)
 	r.self.Revision = int(s.Revision)
+	r.self.Service, r.self.Retries, r.self.Firsts = s.Spent.Service, s.Spent.Retries, s.Spent.FirstAttempts
 }
 
 // SetCapacity sets this member's capacity for work that one member does for the fleet,
@@ -112,10 +118,19 @@
 		}
 		// Members of an earlier version forward reports without the fields that they do not
 		// know.
-		m.Epochs = m.Epochs || old.Epochs && old.Incarnation == m.Incarnation
-		e := rosterEntry{GossipMember: m, lastSeen: now, weight: old.weight}
-		if !known {
+		if same := old.Incarnation == m.Incarnation; same {
+			m.Epochs = m.Epochs || old.Epochs
+			if old.Counts && !m.Counts {
+				m.Counts, m.Service, m.Retries, m.Firsts = true, old.Service, old.Retries, old.Firsts
+			}
+		}
+		e := rosterEntry{GossipMember: m, lastSeen: now, weight: old.weight, lives: old.lives}
+		switch {
+		case !known:
 			e.weight = weightOf(m.Address)
+			e.lives = lives{firstSeen: now, known: true}
+		case old.Incarnation != m.Incarnation:
+			e.lives = livesAfter(now, old, r.memory.window)
 		}
 		r.others[m.Address] = e
 	}
--- a/internal/gateway/relay/budgets.go
+++ b/internal/gateway/relay/budgets.go
@@ -24,7 +24,7 @@
 func (b *retryBudgets) budget(service string) *retrybudget.Budget {
 	budget := b.services[service]
 	if budget == nil {
-		budget = retrybudget.New(b.policy)
+		budget = retrybudget.New(b.policy.WithService(service))
 		b.services[service] = budget
 	}
 	return budget
@@ -46,6 +46,19 @@
 	return budget.Allowance(b.now()), budget.Spend(b.now())
 }
 
+// spent returns what was spent in the window at the service with the most retries.
+func (b *retryBudgets) spent() retrybudget.Spent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var most retrybudget.Spent
+	for _, budget := range b.services {
+		if spent := budget.Spent(b.now()); spent.Retries > most.Retries {
+			most = spent
+		}
+	}
+	return most
+}
+
 // remaining returns how many retries are allowed now.
 func (b *retryBudgets) remaining(service string) float64 {
 	b.mu.Lock()
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -111,6 +111,10 @@
 // Speeds describes the targets of plain services that report their speed.
 func (s *Server) Speeds() []targetspeed.View { return s.targets.speeds() }
 
+// RetriesSpent returns what this node spent in the last window of the retry budget, at the service
+// with the most retries.
+func (s *Server) RetriesSpent() retrybudget.Spent { return s.budgets.spent() }
+
 // Serve relays a request. If it returns an error, the client has received no response or,
 // if the response had started, only a part of it.
 func (s *Server) Serve(ctx context.Context, req *Request, out Responder) *verdict.Error {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -77,7 +77,7 @@
 	case relay.RetryRefused:
 		a := d.Allowance
 		l.log.Info().Str("request", request).Int("attempts", d.Attempts).Int("firsts", a.FirstAttempts).Int("retries", a.Retries).
-			Float64("share", a.Share).Msg("request: retry refused by the budget")
+			Float64("share", a.Share).Bool("earlierKnown", a.Known).Msg("request: retry refused by the budget")
 	case relay.TargetEnded:
 		l.metrics.recordTargetEnd()
 		l.log.Warn().Str("request", request).Str("target", d.Target).Str("digest", d.Digest.String()).Strs("parts", partNames(d.Parts)).Int("events", d.Events).
--- a/internal/gateway/retrybudget/retrybudget.go
+++ b/internal/gateway/retrybudget/retrybudget.go
@@ -8,15 +8,18 @@
 // spend their shares. Without a budget, each request to a failing service would be sent
 // several times, and an overloaded service could not recover.
 //
-// A Budget covers one service on one node and is kept in memory; a node that restarts
-// begins with an empty window. The caller supplies the number of nodes. The package
-// performs no I/O and does not read the clock. The sum can exceed the limit if many
-// nodes start at once and never learn of each other; see docs/decisions/0011.
+// A Budget covers one service on one node and is kept in memory. A process that starts counts
+// what earlier ones of its node spent, which other members know, and spends nothing until it has
+// learnt that or the window is over. The caller supplies the number of nodes. The package
+// performs no I/O and does not read the clock. The sum can exceed the limit if
+// nodes start in groups that do not learn of each other; see docs/decisions/0011.
 package retrybudget
 
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Policy is the retry limit that holds for the sum over all nodes in each window. Its
@@ -37,6 +40,50 @@
 	// while the process runs. Nodes returns UnknownNodes as long as there may be any
 	// number of nodes.
 	Nodes func() int
+	// Started is when the process started. It counts if Earlier is set.
+	Started time.Time
+	// Earlier returns what earlier processes of the node may have spent within the window before
+	// Started, and whether that is known. It is nil if there were none. The retries may rise.
+	Earlier func() (spent Spent, known bool)
+	// service is the key of the service that the budget is of; 0 if that is not told apart.
+	service int
+}
+
+// Spent is what a process spent in the last window, at the service with the most retries.
+type Spent struct {
+	// Service is a hash of the service's name; 0 for no retries.
+	Service int
+	// Retries and FirstAttempts are those of the service.
+	Retries, FirstAttempts int
+}
+
+// WithService returns the policy for the budget of a service.
+func (p Policy) WithService(name string) Policy {
+	p.service = int(uint32(xxhash.Sum64String(name))) | 1
+	return p
+}
+
+// WithEarlier returns the policy of a process that started at a time, and that counts the retries
+// of earlier processes.
+func (p Policy) WithEarlier(started time.Time, earlier func() (spent Spent, known bool)) Policy {
+	p.Started, p.Earlier = started, earlier
+	return p
+}
+
+// earlier returns what earlier processes spent and may still be within the window, and whether it
+// is known. When they made their retries is not known, so that these count until the window is
+// over; their first attempts leave it little by little. Those of another service do not count.
+func (p Policy) earlier(now time.Time) (spent Spent, known bool) {
+	age := now.Sub(p.Started)
+	if p.Earlier == nil || age >= p.Window {
+		return Spent{}, true
+	}
+	spent, known = p.Earlier()
+	if spent.Service != p.service {
+		spent.FirstAttempts = 0
+	}
+	spent.FirstAttempts = int(float64(spent.FirstAttempts) * (1 - age.Seconds()/p.Window.Seconds()))
+	return spent, known
 }
 
 // UnknownNodes is the node count that Policy.Nodes returns if there may be any number of
@@ -87,13 +134,18 @@
 // fractional. It is negative if the number of nodes has grown since retries were spent.
 func (b *Budget) Remaining(now time.Time) float64 {
 	a := b.Allowance(now)
+	if !a.Known {
+		return 0
+	}
 	return b.policy.Ratio*float64(a.FirstAttempts) + a.Share - float64(a.Retries)
 }
 
 // Allowance is what a budget is made of.
 type Allowance struct {
-	// FirstAttempts and Retries are those within the window.
+	// FirstAttempts and Retries are those within the window, of earlier processes too.
 	FirstAttempts, Retries int
+	// Known is whether the retries of earlier processes are known. Otherwise no retry is allowed.
+	Known bool
 	// Share is the node's part of Policy.Extra.
 	Share float64
 }
@@ -101,7 +153,17 @@
 // Allowance returns what the budget is made of now.
 func (b *Budget) Allowance(now time.Time) Allowance {
 	b.trim(now)
-	return Allowance{FirstAttempts: len(b.firstAttempts), Retries: len(b.retries), Share: b.policy.share()}
+	earlier, known := b.policy.earlier(now)
+	return Allowance{
+		FirstAttempts: len(b.firstAttempts) + earlier.FirstAttempts, Retries: len(b.retries) + earlier.Retries,
+		Known: known, Share: b.policy.share(),
+	}
+}
+
+// Spent returns what was spent in the last window.
+func (b *Budget) Spent(now time.Time) Spent {
+	a := b.Allowance(now)
+	return Spent{Service: b.policy.service, Retries: a.Retries, FirstAttempts: a.FirstAttempts}
 }
 
 // trim drops events that are older than the window, so that retries are only allowed on
--- a/internal/gateway/retrybudget/retrybudget_test.go
+++ b/internal/gateway/retrybudget/retrybudget_test.go
@@ -130,3 +130,39 @@
 		convey.So(b.Remaining(now), convey.ShouldEqual, -1)
 	})
 }
+
+// TestEarlierProcesses guards against a process that spends again what an earlier one of its node
+// spent within the window.
+func TestEarlierProcesses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	policy := retrybudget.Policy{Ratio: 0.1, Window: 10 * time.Second, Extra: 32, MaxNodes: 16}.WithService("s")
+	last := retrybudget.New(policy)
+	for range 40 {
+		last.RecordRequest(now)
+	}
+	for range 3 {
+		last.Spend(now)
+	}
+	convey.Convey("Given a process after one that had 40 first attempts and 3 retries", t, func() {
+		spent, known := last.Spent(now), true
+		earlier := func() (retrybudget.Spent, bool) { return spent, known }
+		remaining := func(age time.Duration, service string) float64 {
+			return retrybudget.New(policy.WithService(service).WithEarlier(now, earlier)).Remaining(now.Add(age))
+		}
+		convey.Convey("it may spend what is left of its share and of those", func() {
+			convey.So(remaining(0, "s"), convey.ShouldAlmostEqual, 3)
+		})
+		convey.Convey("the first attempts leave the window little by little, the retries at its end", func() {
+			convey.So(remaining(5*time.Second, "s"), convey.ShouldAlmostEqual, 1)
+			convey.So(remaining(10*time.Second, "s"), convey.ShouldAlmostEqual, 2)
+		})
+		convey.Convey("first attempts of another service do not count", func() {
+			convey.So(remaining(0, "other"), convey.ShouldAlmostEqual, -1)
+		})
+		convey.Convey("it spends nothing until that is known, or the window is over", func() {
+			known = false
+			convey.So(remaining(5*time.Second, "s"), convey.ShouldEqual, 0)
+			convey.So(remaining(10*time.Second, "s"), convey.ShouldAlmostEqual, 2)
+		})
+	})
+}
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -84,11 +84,12 @@
 
 func TestRetrySharers(t *testing.T) {
 	convey.Convey("A node that cannot know all members yet gets no share of the extra retries", t, func() {
-		convey.So(retrySharers(membershipSettleTime-1, 80), convey.ShouldEqual, retrybudget.UnknownNodes)
+		convey.So(retrySharers(membershipSettleTime-1, 80, true), convey.ShouldEqual, retrybudget.UnknownNodes)
 	})
 	convey.Convey("Later it shares them with one and a half times the peak number of members", t, func() {
-		convey.So(retrySharers(membershipSettleTime, 80), convey.ShouldEqual, 120)
-		convey.So(retrySharers(membershipSettleTime, 1), convey.ShouldEqual, 1)
+		convey.So(retrySharers(membershipSettleTime, 80, true), convey.ShouldEqual, 120)
+		convey.So(retrySharers(membershipSettleTime, 1, false), convey.ShouldEqual, 1)
+		convey.So(retrySharers(time.Hour, 1, true), convey.ShouldEqual, retrybudget.UnknownNodes)
 	})
 }
 
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -72,6 +72,23 @@
 	Working int `json:"working"`
 }
 
+// EarlierProcess is what a member knows of the time before another member's
+// process started.
+type EarlierProcess struct {
+	// First attempts of the last of them in that window, at one service.
+	Firsts int `json:"firsts,omitempty,omitzero"`
+
+	// Most members that the sender ever knew to be live at once.
+	Members int `json:"members"`
+
+	// Retries that earlier processes at the member's address may have spent in the
+	// last window of the retry budget.
+	Retries int `json:"retries"`
+
+	// Hash of that service's name; 0 for none.
+	Service int `json:"service,omitempty,omitzero"`
+}
+
 // Exchange is what two nodes tell each other, in both directions.
 type Exchange struct {
 	// Number of the newest verified bundle.
@@ -166,6 +183,10 @@
 // Gossip is what two gateway nodes tell each other of the members, in both
 // directions.
 type Gossip struct {
+	// In an answer to a member that started lately: what its node did before, if the
+	// sender can tell.
+	Earlier *EarlierProcess `json:"earlier,omitempty,omitzero"`
+
 	// Hash of the requests that the sender holds back, in hexadecimal; empty for
 	// none.
 	HeldSum string `json:"heldSum,omitempty,omitzero"`
@@ -203,10 +224,16 @@
 	// version do not.
 	Compact bool `json:"compact,omitempty,omitzero"`
 
+	// Whether the member reports its retries; members of an earlier version do not.
+	Counts bool `json:"counts,omitempty,omitzero"`
+
 	// Whether the member tells the epochs of the source apart; members of an earlier
 	// version do not.
 	Epochs bool `json:"epochs,omitempty,omitzero"`
 
+	// First attempts there in that window.
+	Firsts int `json:"firsts,omitempty,omitzero"`
+
 	// Whether the member has heard the source lately.
 	Hears bool `json:"hears,omitempty,omitzero"`
 
@@ -216,9 +243,16 @@
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
+	// Retries that it spent in the last window of the retry budget, at the service
+	// with the most.
+	Retries int `json:"retries,omitempty,omitzero"`
+
 	// Revision up to which it heard the source.
 	Revision int `json:"revision,omitempty,omitzero"`
 
+	// Hash of that service's name; 0 for none.
+	Service int `json:"service,omitempty,omitzero"`
+
 	// Whether the member knows a configuration.
 	Serving bool `json:"serving,omitempty,omitzero"`
 
--- a/pkg/settings/settings_gen.go
+++ b/pkg/settings/settings_gen.go
@@ -127,6 +127,10 @@
 	// Repeats for each request.
 	Ratio float64 `json:"ratio"`
 
+	// Whether an earlier process of this node may have spent retries within the
+	// window.
+	Restarted bool `json:"restarted,omitempty,omitzero"`
+
 	// Length of the window, in milliseconds.
 	WindowMs int `json:"windowMs"`
 }
