--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -126,7 +126,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.dialer = tcpconn.NewDialer(c.dial)
+	c.dialer = tcpconn.NewDialer(c.dial, tcpconn.OnSilence(func(string) { c.CloseIdle() }))
 	c.shared = c.newHTTPClient(c.connect, false)
 	c.once = c.newHTTPClient(c.connect, true)
 	c.detour = c.newHTTPClient(c.connectDetour, true)
