membership: name what is known of earlier processes by the field's terms

Reading pass: history and ownHistory in place of lives and memory, one function for the retry policy of a process, comments in plain terms.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,10 +149,7 @@
 	}
 	g.paths.onIsolation = g.onIsolation
 	g.joiner = newJoiner(g.members, g.gossip.exchange)
-	retries := retryPolicy(g.cfg.Gateway, func() int {
-		return retrySharers(g.now().Sub(started), g.members.peakSize(), len(g.members.seeds()) > 0)
-	})
-	g.members.setMemory(retries.Window, !restarted(g.cfg.Gateway))
+	retries := g.newRetryPolicy(started)
 	g.coordinators = &coordinators{views: g.views, services: map[string]*actor.PID{}, coordinatorConfig: coordinatorConfig{
 		now: g.now, log: g.log, system: actor.NewActorSystem(actor.WithLoggerFactory(discardLogger)), members: g.members,
 		targets: g.ports.Targets, metrics: g.metrics, retries: retries, permit: g.views.permit, margin: warmUpMargin(g.cfg.Gateway), quarantine: g.quarantine, backpressure: g.backpressure,
@@ -181,6 +178,15 @@
 	g.createServers()
 }
 
+// newRetryPolicy returns the bound on retries of this process, which started at a time.
+func (g *Gateway) newRetryPolicy(started time.Time) retrybudget.Policy {
+	p := retryPolicy(g.cfg.Gateway, func() int {
+		return retrySharers(g.now().Sub(started), g.members.peakSize(), len(g.members.seeds()) > 0)
+	})
+	g.members.setRetryWindow(p.Window, !restarted(g.cfg.Gateway))
+	return p
+}
+
 // onSilence is called when an open connection to a member, a target or the source seems to be
 // silent while new ones come up. Connections that nobody uses are replaced, and the watch of the
 // source begins anew, since others may have fallen silent at the same moment.
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -65,7 +65,7 @@
 // publishStatus updates the status that this node reports.
 func (g *gossiper) publishStatus() {
 	v := g.views.load()
-	// The budget asks the members, whose lock setStatus holds.
+	// Read first: the budget takes the lock of the members, which setStatus holds.
 	spent := g.retriesSpent()
 	g.members.setStatus(func() membership.Status {
 		return membership.Status{
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -25,11 +25,11 @@
 	roster *membership.Roster
 }
 
-// setMemory sets for how long retries count, and whether no process of this node ran before.
-func (m *members) setMemory(window time.Duration, first bool) {
+// setRetryWindow sets for how long a retry counts, and whether no process of this node ran before.
+func (m *members) setRetryWindow(window time.Duration, firstProcess bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.roster.SetMemory(window, first)
+	m.roster.SetRetryWindow(window, firstProcess)
 }
 
 // earlierSpent returns what earlier processes of this node may have spent of the retry budget
@@ -202,7 +202,7 @@
 	m.roster.Merge(now, in)
 	m.roster.Contacted(now, address)
 	if in.Earlier != nil {
-		m.roster.LearnEarlier(*in.Earlier)
+		m.roster.SetEarlier(*in.Earlier)
 	}
 }
 
--- a/internal/gateway/membership/earlier_test.go
+++ b/internal/gateway/membership/earlier_test.go
@@ -23,7 +23,7 @@
 	}
 	convey.Convey("Given a member that has known another one for a window", t, func() {
 		r := membership.NewRoster("a", 1, nil)
-		r.SetMemory(budgetWindow, false)
+		r.SetRetryWindow(budgetWindow, false)
 		now := start
 		hear := func(after time.Duration, g message.Gossip) {
 			now = now.Add(after)
@@ -62,7 +62,7 @@
 	convey.Convey("A member that started itself lately can tell nothing, unless it was among the first", t, func() {
 		for _, first := range []bool{false, true} {
 			r := membership.NewRoster("a", 1, nil)
-			r.SetMemory(budgetWindow, first)
+			r.SetRetryWindow(budgetWindow, first)
 			r.SetStatus(membership.Status{Serving: true})
 			for beat := range 5 {
 				r.Merge(start.Add(time.Duration(beat)*time.Second), report(1, beat, 1))
@@ -73,11 +73,11 @@
 	})
 	convey.Convey("A process that started learns the most that it is told, and how many members there were", t, func() {
 		r := membership.NewRoster("a", 1, nil)
-		r.SetMemory(budgetWindow, false)
+		r.SetRetryWindow(budgetWindow, false)
 		_, known := r.EarlierSpent()
 		convey.So(known, convey.ShouldBeFalse)
 		for _, retries := range []int{2, 5, 1} {
-			r.LearnEarlier(message.EarlierProcess{Retries: retries, Firsts: 10 * retries, Service: 7, Members: 20 + retries})
+			r.SetEarlier(message.EarlierProcess{Retries: retries, Firsts: 10 * retries, Service: 7, Members: 20 + retries})
 		}
 		spent, known := r.EarlierSpent()
 		convey.So(known, convey.ShouldBeTrue)
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -28,7 +28,10 @@
 	peak int
 	// firstContact is the time of the first gossip from another member; zero for none.
 	firstContact time.Time
-	memory       memory
+	// retryWindow and firstProcess are as in SetRetryWindow.
+	retryWindow  time.Duration
+	firstProcess bool
+	own          ownHistory
 }
 
 // rosterEntry is the state of one other member.
@@ -40,8 +43,8 @@
 	// suspectedUntil is the end of the member's suspicion; zero for none.
 	suspectedUntil time.Time
 	// weight caches weightOf the member's address.
-	weight uint64
-	lives  lives
+	weight  uint64
+	history history
 }
 
 // NewRoster returns the roster of a member that knows only itself and its seeds, the
@@ -124,13 +127,13 @@
 				m.Counts, m.Service, m.Retries, m.Firsts = true, old.Service, old.Retries, old.Firsts
 			}
 		}
-		e := rosterEntry{GossipMember: m, lastSeen: now, weight: old.weight, lives: old.lives}
+		e := rosterEntry{GossipMember: m, lastSeen: now, weight: old.weight, history: old.history}
 		switch {
 		case !known:
 			e.weight = weightOf(m.Address)
-			e.lives = lives{firstSeen: now, known: true}
+			e.history = history{firstSeen: now, known: true}
 		case old.Incarnation != m.Incarnation:
-			e.lives = livesAfter(now, old, r.memory.window)
+			e.history = historyAfter(now, old, r.retryWindow)
 		}
 		r.others[m.Address] = e
 	}
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// mayRetry takes a retry from the budget, and reports if there is none.
+// mayRetry takes a retry from the budget and reports whether there was one.
 func (d *delivery) mayRetry() bool {
 	allowance, ok := d.budgets.spend(d.service.Name)
 	if !ok {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -183,8 +183,8 @@
 // Gossip is what two gateway nodes tell each other of the members, in both
 // directions.
 type Gossip struct {
-	// In an answer to a member that started lately: what its node did before, if the
-	// sender can tell.
+	// In an answer to a member that started lately: what the processes before it
+	// spent, if the sender knows.
 	Earlier *EarlierProcess `json:"earlier,omitempty,omitzero"`
 
 	// Hash of the requests that the sender holds back, in hexadecimal; empty for
