tcpconn: the first new connection decides whether an open one is silent

What callers would see: a silent connection that is kept for as long as new ones to the same target come up one after the other, as at a busy target. Cause: the time by which what was sent has to be acknowledged was counted from the last connection that came up, so that each further one put it off. It is counted from the first one now. Seen in reading the change, not in a run; TestSilenceBesideManyConnections failed before (doubtful where silent is due).

--- a/internal/tcpconn/silence.go
+++ b/internal/tcpconn/silence.go
@@ -28,6 +28,8 @@
 	// acked is how many bytes were acknowledged when that last rose, which was before since.
 	acked int64
 	since time.Time
+	// upAt is when the first connection was seen to come up after since; zero for none.
+	upAt time.Time
 }
 
 // ackVerdict is what an observation shows.
@@ -54,15 +56,18 @@
 		return acknowledged, 0
 	}
 	if acked > w.acked {
-		w.acked, w.since = acked, now
+		*w = ackWatch{acked: acked, since: now}
+	}
+	if w.upAt.IsZero() && upAt.After(w.since) {
+		w.upAt = upAt
 	}
 	if stuck := now.Sub(w.since); stuck < suspectAfter {
 		return waiting, suspectAfter - stuck
 	}
-	if !upAt.After(w.since) {
+	if w.upAt.IsZero() {
 		return suspected, suspectAfter
 	}
-	due := w.since.Add(max(2*upAt.Sub(w.since)+resendMargin, silentAfter))
+	due := w.since.Add(max(2*w.upAt.Sub(w.since)+resendMargin, silentAfter))
 	if now.Before(due) {
 		return doubtful, due.Sub(now)
 	}
--- a/internal/tcpconn/silence_test.go
+++ b/internal/tcpconn/silence_test.go
@@ -54,6 +54,21 @@
 	})
 }
 
+// TestSilenceBesideManyConnections guards against a silent connection that is kept for as long as
+// new ones to its address come up one after the other.
+func TestSilenceBesideManyConnections(t *testing.T) {
+	convey.Convey("The first connection that comes up decides, not the last", t, func() {
+		start := time.Unix(1000, 0)
+		w := ackWatch{since: start}
+		for after := suspectAfter; after < silentAfter; after += 100 * time.Millisecond {
+			verdict, _ := w.observe(start.Add(after), 0, 1, start.Add(after-time.Millisecond))
+			convey.So(verdict, convey.ShouldEqual, doubtful)
+		}
+		verdict, _ := w.observe(start.Add(silentAfter), 0, 1, start.Add(silentAfter-time.Millisecond))
+		convey.So(verdict, convey.ShouldEqual, silent)
+	})
+}
+
 // pair is a connection, made by a dialer, with its other end.
 type pair struct {
 	near net.Conn
