paths: a member that was late once is asked again

Cause: a member that did not connect to a target in time was not asked for it for 3 s, like one that the target refused, and every call that found nobody to ask stopped all calls to the target for a second. Where only one member reaches the target, one delay of it was 3 s of refusals. The logs of a failed run show the one late tunnel (456 ms) and then only refusals that took less than a millisecond.

Now a late or silent member is asked after the others; only definite answers exclude it. The pause after a failure doubles from 50 ms to the second that it was, and attempts that ran at the same time count once, so that a target that is gone costs the members what it did.

No message between members changed.

--- a/internal/gateway/reachability/reachability.go
+++ b/internal/gateway/reachability/reachability.go
@@ -29,9 +29,11 @@
 	// cutOffPaths is how many paths must break, with nothing heard from any target since,
 	// for the node to count as cut off. One may be an exception at its target.
 	cutOffPaths = 2
-	// downTime is how long members are not asked again for a target that they did not reach.
-	// It bounds what calls to a failed target cost the members.
-	downTime = time.Second
+	// minDownTime is how long members are not asked again for a target that they did not reach.
+	// It doubles with each failure that follows, up to maxDownTime, which bounds what calls to a
+	// failed target cost the members: a single failure may be a delay of the member.
+	minDownTime = 50 * time.Millisecond
+	maxDownTime = time.Second
 	// silentAlone is how long a target may leave a call without a byte, while others are
 	// heard, until its path is checked. It exceeds the second for which a sound target may
 	// fall silent.
@@ -59,8 +61,10 @@
 	// is the last one.
 	failedSince time.Time
 	err         string
-	// downAt is when no member connected, and downUntil until when none is asked to.
+	// downAt is when no member connected, and downUntil until when none is asked to. downTime is
+	// the time between the two; zero if a member connected since.
 	downAt, downUntil time.Time
+	downTime          time.Duration
 	// triedAt is when this node last tried to connect.
 	triedAt time.Time
 	// waitingSince is when the first byte was sent that nothing was heard after; zero if
@@ -107,7 +111,7 @@
 func (t *Table) Detoured(now time.Time, target string) (newlyBroken bool) {
 	t.detouredAt = now
 	p := t.paths[target]
-	p.downAt, p.downUntil = time.Time{}, time.Time{}
+	p.downAt, p.downUntil, p.downTime = time.Time{}, time.Time{}, 0
 	t.paths[target] = p
 	if _, broken := t.broken[target]; broken || p.failedSince.IsZero() {
 		return false
@@ -116,10 +120,15 @@
 	return true
 }
 
-// Down records that no member connected to a target.
-func (t *Table) Down(now time.Time, target string) {
+// Down records that no member connected to a target, when they were asked at a time. Attempts
+// that ran at the same time count as one failure.
+func (t *Table) Down(now, askedAt time.Time, target string) {
 	p := t.paths[target]
-	p.downAt, p.downUntil = now, now.Add(downTime)
+	if askedAt.Before(p.downUntil) {
+		return
+	}
+	p.downTime = min(max(minDownTime, 2*p.downTime), maxDownTime)
+	p.downAt, p.downUntil = now, now.Add(p.downTime)
 	t.paths[target] = p
 }
 
--- a/internal/gateway/reachability/reachability_test.go
+++ b/internal/gateway/reachability/reachability_test.go
@@ -30,6 +30,12 @@
 	}
 }
 
+// shouldSpareUntil holds when members may be asked for a target again.
+func shouldSpareUntil(table *reachability.Table, target string, ms int) {
+	convey.So(table.MayDetour(at(ms-1), target), convey.ShouldBeFalse)
+	convey.So(table.MayDetour(at(ms), target), convey.ShouldBeTrue)
+}
+
 // TestBrokenPaths guards against targets that are taken for failed, or for unreachable, by
 // what one node sees.
 func TestBrokenPaths(t *testing.T) {
@@ -41,12 +47,29 @@
 			convey.So(table.Failed(at(1), "a", errDial), convey.ShouldBeFalse)
 		})
 		convey.Convey("the target is down if no member connects, and members are spared for a while", func() {
-			table.Down(at(1), "a")
+			table.Down(at(1), at(0), "a")
 			shouldBreak(table, map[string]bool{"a": false})
-			convey.So(table.MayDetour(at(1000), "a"), convey.ShouldBeFalse)
-			convey.So(table.MayDetour(at(1001), "a"), convey.ShouldBeTrue)
+			shouldSpareUntil(table, "a", 51)
 			convey.So(table.MayDetour(at(1), "b"), convey.ShouldBeTrue)
 		})
+		convey.Convey("attempts that ran at the same time count as one", func() {
+			table.Down(at(100), at(0), "a")
+			table.Down(at(120), at(90), "a")
+			shouldSpareUntil(table, "a", 150)
+		})
+		convey.Convey("members are spared for longer with each failure, a second at most", func() {
+			ms := 0
+			for _, spared := range []int{50, 100, 200, 400, 800, 1000, 1000} {
+				table.Down(at(ms), at(ms), "a")
+				ms += spared
+				shouldSpareUntil(table, "a", ms)
+			}
+			convey.Convey("and after a success as for the first one", func() {
+				table.Detoured(at(ms), "a")
+				table.Down(at(ms+10), at(ms+10), "a")
+				shouldSpareUntil(table, "a", ms+60)
+			})
+		})
 		convey.Convey("the path is broken if a member connects, until this node does", func() {
 			convey.So(table.Detoured(at(1), "a"), convey.ShouldBeTrue)
 			convey.So(table.Detoured(at(2), "a"), convey.ShouldBeFalse)
@@ -140,9 +163,9 @@
 	convey.Convey("Given a node that no member helped to reach two targets", t, func() {
 		table := reachability.NewTable()
 		table.Heard(at(0), "c")
-		table.Down(at(10), "a")
+		table.Down(at(10), at(10), "a")
 		convey.So(table.MayBeIsolated(), convey.ShouldBeFalse)
-		table.Down(at(20), "b")
+		table.Down(at(20), at(20), "b")
 		convey.So(table.MayBeIsolated(), convey.ShouldBeTrue)
 		convey.So(table.Isolated(), convey.ShouldBeFalse)
 		convey.Convey("it is isolated if a sample of targets is not reached either", func() {
--- a/internal/gateway/targetpaths.go
+++ b/internal/gateway/targetpaths.go
@@ -90,12 +90,13 @@
 	if !p.mayDetour(t) {
 		return nil, errDown
 	}
+	askedAt := p.now()
 	conn, err := p.tunnels.connect(ctx, t.ID)
 	switch {
 	case err == nil:
 		p.detoured(t)
 	case ctx.Err() == nil:
-		p.down(t)
+		p.down(t, askedAt)
 	}
 	return conn, err
 }
@@ -192,11 +193,11 @@
 	p.updateIsolation()
 }
 
-func (p *targetPaths) down(t delivery.Target) {
+func (p *targetPaths) down(t delivery.Target, askedAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.table.MayBeIsolated()
-	p.table.Down(p.now(), t.ID)
+	p.table.Down(p.now(), askedAt, t.ID)
 	if !before && p.table.MayBeIsolated() && p.running != nil {
 		go p.findIsolation(p.running)
 	}
--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -227,6 +227,14 @@
 			now = now.Add(noTunnelTime)
 			connects(nil, order[1])
 		})
+		for _, late := range []error{errMemberSilent, errTargetSilent} {
+			convey.Convey("one is asked after the others for a while: "+late.Error(), func() {
+				c.avoid(order[0], "t", late)
+				connects(nil, order[1])
+				a.answer[order[1]], a.answer[order[2]] = errPathBroken, errPathBroken
+				connects(nil, order[1], order[2], order[0])
+			})
+		}
 		convey.Convey("no third one is asked when the target refused two", func() {
 			a.answer[order[0]], a.answer[order[1]] = errTargetRefused, errTargetRefused
 			connects(errTargetRefused, order[0], order[1])
--- a/internal/gateway/tunnelclient.go
+++ b/internal/gateway/tunnelclient.go
@@ -29,8 +29,9 @@
 	// own paths and not know it yet.
 	downAnswers = 2
 	// noTunnelTime is how long a member that gave no tunnels is not asked again, unreachedTime
-	// how long one is not asked for a target that it did not reach, so that others are asked
-	// next, and unsupportedTime how long one that does not know tunnels.
+	// how long one is not asked for a target that it did not reach, and unsupportedTime how long
+	// one is not asked that does not know tunnels. For the same times a member is asked after the
+	// others if it, or the target, did not answer in time.
 	noTunnelTime    = 500 * time.Millisecond
 	unreachedTime   = 3 * time.Second
 	unsupportedTime = 10 * time.Second
@@ -46,8 +47,9 @@
 	dial    func(ctx context.Context, member, target string) (net.Conn, error)
 
 	mu sync.Mutex
-	// avoided holds until when members are not asked.
-	avoided map[tunnelKey]time.Time
+	// avoided holds until when members are not asked, and late until when they are asked after the
+	// others.
+	avoided, late map[tunnelKey]time.Time
 	// last is the member that gave the last tunnel. It is asked first.
 	last string
 }
@@ -62,7 +64,7 @@
 }
 
 func newTunnelClient(now func() time.Time, m *members) *tunnelClient {
-	return &tunnelClient{now: now, members: m, dial: dialTunnel, avoided: map[tunnelKey]time.Time{}}
+	return &tunnelClient{now: now, members: m, dial: dialTunnel, avoided: map[tunnelKey]time.Time{}, late: map[tunnelKey]time.Time{}}
 }
 
 // connect connects to a target through a member. Members are asked one after the other, the
@@ -131,12 +133,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	members := c.members.others(func(member string) bool {
-		return !now.Before(c.avoided[tunnelKey{member, ""}]) && !now.Before(c.avoided[tunnelKey{member, target}])
-	})
+	holds := func(until map[tunnelKey]time.Time, member string) bool {
+		return now.Before(until[tunnelKey{member, ""}]) || now.Before(until[tunnelKey{member, target}])
+	}
+	isAvoided := func(member string) bool { return holds(c.avoided, member) }
+	isLate := func(member string) bool { return holds(c.late, member) }
+	members := c.members.others(func(member string) bool { return !isAvoided(member) && !isLate(member) })
 	if i := slices.Index(members, c.last); i > 0 {
 		members = append([]string{c.last}, slices.Delete(members, i, i+1)...)
 	}
+	late := c.members.others(func(member string) bool { return !isAvoided(member) && isLate(member) })
+	members = append(members, late...)
 	return members[:min(tunnelTries, len(members))]
 }
 
@@ -152,12 +159,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	maps.DeleteFunc(c.avoided, func(_ tunnelKey, until time.Time) bool { return until.Before(now) })
+	for _, m := range []map[tunnelKey]time.Time{c.avoided, c.late} {
+		maps.DeleteFunc(m, func(_ tunnelKey, until time.Time) bool { return until.Before(now) })
+	}
 	switch err {
 	case errUnsupported:
 		c.avoided[tunnelKey{member, ""}] = now.Add(unsupportedTime)
-	case errNoTunnels, errMemberSilent:
+	case errNoTunnels:
 		c.avoided[tunnelKey{member, ""}] = now.Add(noTunnelTime)
+	// A member that is only slow may be the only one that reaches the target.
+	case errMemberSilent:
+		c.late[tunnelKey{member, ""}] = now.Add(noTunnelTime)
+	case errTargetSilent:
+		c.late[tunnelKey{member, target}] = now.Add(unreachedTime)
 	default:
 		c.avoided[tunnelKey{member, target}] = now.Add(unreachedTime)
 	}
