gateway: a timeout does not shorten the time for which a member is avoided

Seen while tracing TestStreamOrigins, which failed once with 27 messages to members of an earlier version where 24 are due: with answers 30 to 90 ms late, 13 to 29 messages come in 12 runs. Two messages to such a member may be under way at once. If the answer to one says that it does not know the message and the other then ends with its timeout, the member was avoided for a second instead of ten, and sent messages that it cannot know.

The later of the two times counts now. TestAvoidedMembers fails on the code before.

--- a/internal/gateway/avoidedmembers.go
+++ b/internal/gateway/avoidedmembers.go
@@ -25,15 +25,17 @@
 	return &avoidedMembers{now: now, until: map[string]time.Time{}}
 }
 
-// avoid avoids a member for a time, or for unsupportedMemberTime if err says that it does not know
-// the message.
+// avoid avoids a member for a time at least, or for unsupportedMemberTime if err says that it does
+// not know the message.
 func (a *avoidedMembers) avoid(member string, d time.Duration, err error) {
 	if errors.Is(err, errUnsupported) {
 		d = unsupportedMemberTime
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.until[member] = a.now().Add(d)
+	if until := a.now().Add(d); until.After(a.until[member]) {
+		a.until[member] = until
+	}
 }
 
 // accept returns a function that reports whether a member is not avoided now.
