--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -22,6 +22,9 @@
 	lateness = 150 * time.Millisecond
 )
 
+// slots is how many requests a replica of each service works on at once.
+var slots = map[string]int{"desk": 6, "ledger": 1, "yard": 1, "pool": 64}
+
 // result is a result of a stage's item.
 type result struct {
 	// request and index say what it was made for.
@@ -93,7 +96,7 @@
 // enter writes the replica's entry and returns when the store has taken it.
 func (r *replica) enter(state string) time.Time {
 	entry, _ := json.Marshal(map[string]any{
-		"service": r.service, "address": r.ln.Addr().String(), "zone": r.zone, "version": "v1", "concurrencySlots": 6, "state": state,
+		"service": r.service, "address": r.ln.Addr().String(), "zone": r.zone, "version": "v1", "concurrencySlots": slots[r.service], "state": state,
 		"warmupRemainingMs": 0, "sequenceNumber": 1,
 	})
 	at := r.w.store.put(r.key(), entry)
@@ -170,7 +173,7 @@
 	if c.attempt != "" {
 		fmt.Fprintf(&b, "%s: %s\r\n", names["attempt"], c.attempt)
 	}
-	fmt.Fprintf(&b, "%s: 1,0,6\r\n%s: 1\r\n", names["load"], names["weights"])
+	fmt.Fprintf(&b, "%s: 1,0,%d\r\n%s: 1\r\n", names["load"], slots[c.r.service], names["weights"])
 	for name, value := range header {
 		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 	}
