--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -104,7 +104,7 @@
 // awaitReady waits until the node counts as ready.
 func (nd *node) awaitReady() {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		resp, err := http.Get("http://" + nd.ready + "/readiness")
+		resp, err := http.Get("http://" + nd.ready + names["readiness"])
 		if err != nil {
 			continue
 		}
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -97,7 +97,7 @@
 func (r *replica) enter(state string) time.Time {
 	entry, _ := json.Marshal(map[string]any{
 		"service": r.service, "address": r.ln.Addr().String(), "zone": r.zone, "version": "v1", "concurrencySlots": slots[r.service], "state": state,
-		"warmupRemainingMs": 0, "sequenceNumber": 1,
+		names["warmUp"]: 0, "sequenceNumber": 1,
 	})
 	at := r.w.store.put(r.key(), entry)
 	r.w.note("store: %s of %s at %s is %s", r.id, r.service, r.ln.Addr(), state)
