--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -37,13 +39,29 @@
 	return s
 }
 
-// listen returns a listener at a free loopback port.
+// Ports are given out from a random one on, below those that the system gives to connections.
+const firstPort, lastPort = 11_000, 31_000
+
+var (
+	portMu   sync.Mutex
+	nextPort = firstPort + rand.IntN(lastPort-firstPort)
+)
+
+// listen returns a listener at a free loopback port, which is given to nobody else.
 func listen() net.Listener {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("no port: %v", err)
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort)); err == nil {
+			return ln
+		}
 	}
-	return ln
+	fail("no port is free")
+	return nil
 }
 
 // put writes a key and returns when the store has taken it.
