An answer proves nothing before it is known to be the call's own

Cause: judge took a 421 for a proof of not-run before it compared identities, and the mark of not-run also on an answer without one. And a request that got 421 or 409 could go to the same address again over the same connection, where a copy of its own refusal passes any check.

Change: internal/delivery compares the identity, whatever the status, before an answer is handed out; it has to be there exactly once. A connection that brought 421 or 409 carries no other call.

Why it works: a copy carries another call's identity, or none, or its connection is gone before the call comes back.

--- a/internal/delivery/answer.go
+++ b/internal/delivery/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/honeydyke/honeydyke/internal/wire"
@@ -26,15 +27,68 @@
 // broken returns the error for an answer that cannot be trusted, and keeps its
 // connection from carrying another call.
 func (ex *exchange) broken(reason verdict.Reason, format string, args ...any) *verdict.Error {
+	ex.spoil()
+	return verdict.New(verdict.MayHaveRun, reason, format, args...)
+}
+
+// spoil keeps the connection from carrying another call.
+func (ex *exchange) spoil() {
 	if ex.conn != nil {
 		ex.conn.spoil()
 	}
-	return verdict.New(verdict.MayHaveRun, reason, format, args...)
+}
+
+// Rule: whose an answer is.
+//
+// An answer is a call's own if it carries the call's identity, exactly once. Answers to a call
+// without an identity carry none, so such a call gets a connection that carries no other. Before
+// an answer is known to be the call's own nothing of it counts: no status, no proof that the
+// call did not run, no other header. A target may send an answer twice, and the copy then
+// arrives in place of the answer to a later call on the connection. Why so:
+// docs/decisions/0003-verdicts.md. Trusting another call's answer runs work twice or gives a
+// caller another call's result.
+
+// isOwn reports whether the header of an answer carries the identity of a call, in the header
+// name, or no identity if the call has none.
+func isOwn(h http.Header, name, identity string) bool {
+	values := h.Values(name)
+	if identity == "" {
+		return strings.Join(values, "") == ""
+	}
+	return len(values) == 1 && values[0] == identity
+}
+
+// maxForeignIdentity limits how much of another identity an error quotes, in bytes.
+const maxForeignIdentity = 64
+
+// foreignError returns the error for an answer that is not the call's own.
+func foreignError(h http.Header, name, identity string, status int) *verdict.Error {
+	echoed := strings.Join(h.Values(name), ",")
+	echoed = echoed[:min(len(echoed), maxForeignIdentity)]
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonIdentity, "status %d answers %q, the call was %q", status, echoed, identity)
+}
+
+// Rule: when a refused call's connection is used again.
+//
+// A target refuses a call with proof that it did not run, and the same call may then go to
+// the same address: to the process that has replaced the one it was for, or with new inputs.
+// A copy of the refusal would be taken for the answer to it, since both have one identity.
+// So the connection is given up. After any other refusal the call goes to other targets, and
+// the connection is kept. Giving up too many costs connections; keeping one that the call
+// comes back to runs work twice.
+
+// KeepsConnection reports whether the connection that brought an error's answer may carry
+// other calls.
+func KeepsConnection(err *verdict.Error) bool {
+	if err.Verdict() != verdict.NotRun {
+		return false
+	}
+	return err.Reason() != verdict.ReasonIdentity && err.Reason() != verdict.ReasonInputGone
 }
 
 // Rule: when an answer counts.
 //
-// Checks, in this order: its identity is the call's; its status is 200, or the target
+// Checks, in this order: it is the call's own; its status is 200, or the target
 // states that the call did not run; the end of its body can be distinguished from a
 // lost connection; it has no more bytes than wire.MaxAnswerBytes. A call whose answer
 // fails a check may have run, unless the target states that it did not; a connection
@@ -44,11 +98,11 @@
 
 // checkHeader checks the answer's identity and status.
 func (ex *exchange) checkHeader() error {
-	echoed := ex.resp.Header.Get(wire.HeaderIdentity)
 	status := ex.resp.StatusCode
 	switch {
-	case echoed != ex.call.Identity:
-		return ex.broken(verdict.ReasonIdentity, "status %d answers %q, the call was %q", status, echoed, ex.call.Identity)
+	case !isOwn(ex.resp.Header, wire.HeaderIdentity, ex.call.Identity):
+		ex.spoil()
+		return foreignError(ex.resp.Header, wire.HeaderIdentity, ex.call.Identity, status)
 	case status == http.StatusOK:
 		return nil
 	case ex.resp.Header.Get(wire.HeaderVerdict) == verdict.NotRun.String():
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -205,22 +205,31 @@
 // Permit is asked just before the first byte of a request is written.
 type Permit func() error
 
-// Exchange sends a request to a target as it is, once, and returns the head of the answer.
-// The error is nil or says whether the request may have reached the target. spoil
-// keeps the connection from carrying another request; it is for answers that
-// cannot be trusted.
+// Exchange sends a request to a target with its identity, otherwise as it is, once, and returns
+// the head of the request's own answer. The error is nil or says whether the request may have
+// reached the target. spoil keeps the connection from carrying another request; it is for
+// answers that cannot be trusted.
 func (c *Client) Exchange(req *http.Request, s Sending) (resp *http.Response, spoil func(), failure *verdict.Error) {
+	if s.Identity != "" {
+		req.Header.Set(s.IdentityHeader, s.Identity)
+	}
 	return c.exchange(req.WithContext(withTarget(req.Context(), s.Target)), s)
 }
 
 // exchangeBy is Exchange by one HTTP client. It records in sent what became of the request.
-func exchangeBy(client *http.Client, req *http.Request, permit Permit, sent *attempt) (*http.Response, func(), *verdict.Error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.take(guardOf(info.Conn), permit) }}
+func exchangeBy(client *http.Client, req *http.Request, s Sending, sent *attempt) (*http.Response, func(), *verdict.Error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.take(guardOf(info.Conn), s.Permit) }}
 	ctx := httptrace.WithClientTrace(req.Context(), trace)
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
 		return nil, nil, sent.failure(req, err)
 	}
+	if !isOwn(resp.Header, s.IdentityHeader, s.Identity) {
+		sent.spoil()
+		// The answer is dropped, so that an error of its end changes nothing.
+		_ = resp.Body.Close()
+		return nil, nil, foreignError(resp.Header, s.IdentityHeader, s.Identity, resp.StatusCode)
+	}
 	return resp, sent.spoil, nil
 }
 
--- a/internal/delivery/paths.go
+++ b/internal/delivery/paths.go
@@ -38,6 +38,11 @@
 // Sending describes how Exchange sends a request.
 type Sending struct {
 	Target Target
+	// Identity is unique to the call, and IdentityHeader the name of the header that carries it
+	// and that the answer must echo. A call to which the target echoes none has an empty identity,
+	// and gets a connection of its own.
+	Identity       string
+	IdentityHeader string
 	// Permit is asked just before the first byte of the request is written.
 	Permit Permit
 	// Repeatable is set if the request may be sent again. It is given up before its answer
@@ -50,7 +55,7 @@
 // request without a connection has not left.
 func (c *Client) exchange(req *http.Request, s Sending) (*http.Response, func(), *verdict.Error) {
 	if c.paths == nil {
-		return exchangeBy(c.shared, req, s.Permit, new(attempt))
+		return exchangeBy(c.direct(s), req, s, new(attempt))
 	}
 	if !c.paths.Broken(s.Target) {
 		resp, spoil, err := c.exchangeDirectly(req, s)
@@ -58,7 +63,7 @@
 			return resp, spoil, err
 		}
 	}
-	return exchangeBy(c.detour, req, s.Permit, new(attempt))
+	return exchangeBy(c.detour, req, s, new(attempt))
 }
 
 func (c *Client) exchangeDirectly(req *http.Request, s Sending) (*http.Response, func(), *verdict.Error) {
@@ -67,7 +72,12 @@
 		release := c.paths.OnSilence(s.Target, sent.spoil)
 		defer release()
 	}
-	return exchangeBy(c.shared, req, s.Permit, sent)
+	return exchangeBy(c.direct(s), req, s, sent)
+}
+
+// direct returns the HTTP client for a call on a direct connection.
+func (c *Client) direct(s Sending) *http.Client {
+	return c.shared
 }
 
 type targetKey struct{}
