A call without an identity gets a connection of its own

Cause: batches, reports and releases carry no identity, shared connections, and took the next answer on theirs for their own; a batch's by the number of its entries.

Change: such a call gets a connection of its own. And a request no longer goes to a target that refused it if a placer of prompts names it: that the connection of a refusal is kept relies on it.

Why it works: the first and only answer on a connection is that of the first and only call.

--- a/internal/delivery/paths.go
+++ b/internal/delivery/paths.go
@@ -77,6 +77,9 @@
 
 // direct returns the HTTP client for a call on a direct connection.
 func (c *Client) direct(s Sending) *http.Client {
+	if s.Identity == "" {
+		return c.once
+	}
 	return c.shared
 }
 
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -127,8 +127,10 @@
 		InputBytes: inputs, Suspect: suspect, Version: c.stream.version,
 	})
 	target, known := d.Target(placed.Engine)
-	// A placer of an earlier version does not know that a version is required.
-	if !ok || !known || !target.Usable(now) || !c.stream.mayContinueAt(target) {
+	// A placer of an earlier version does not know that a version is required. A request never
+	// goes to a target again that it has tried: a copy of the first answer could be taken for
+	// the second.
+	if !ok || !known || !target.Usable(now) || !c.stream.mayContinueAt(target) || slices.Contains(c.tried, target.ID) {
 		return destination{}, false
 	}
 	return destination{Target: target, copyFrom: placed.CopyFrom}, true
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -47,6 +47,25 @@
 	})
 }
 
+// TestRefusalIsFinal guards against a request that returns to a target that refused it, whose refusal
+// could arrive a second time and be taken for the answer.
+func TestRefusalIsFinal(t *testing.T) {
+	for _, placed := range []string{"t0", "t1", "t2", "t3"} {
+		convey.Convey("A request never returns to a target that refused it if the placer names "+placed, t, func() {
+			f, s := setup(&catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 1}, true)
+			f.placed = placed
+			f.replies = []fakeReply{refusedCall(), refusedCall()}
+			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
+			sent := map[string]int{}
+			for _, call := range f.calls {
+				sent[call.Target.ID]++
+				convey.So(sent[call.Target.ID], convey.ShouldEqual, 1)
+			}
+			convey.So(f.calls, convey.ShouldHaveLength, 3)
+		})
+	}
+}
+
 func TestLate(t *testing.T) {
 	convey.Convey("A request whose deadline has passed is not sent, and is refused with a time to retry", t, func() {
 		_, s := setup(&catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 1}, false)
