Nobody is let in once the last key has been taken away

Cause: the catalog asked whether its table of keys was empty where it was meant to ask whether the configuration has organisations.

Change: a configuration that has the table of organisations requires keys, also if it holds no key, no organisation or null; one without the table requires none. An empty key belongs to nobody. The line of a configuration in force counts organisations and keys, and one without keys is a warning.

Why it works: whether keys are needed no longer depends on how many there are.

--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -188,7 +188,12 @@
 	Limits        Limits
 	services      map[string]*Service
 	routes        map[string][]*Route
-	organisations map[string]*Organisation
+	// organisations holds the organisations by their keys, and organisationCount counts them.
+	organisations     map[string]*Organisation
+	organisationCount int
+	// needsKeys is whether the configuration has organisations at all. It may hold none, or none
+	// that has a key.
+	needsKeys bool
 	// objectives holds the range of the objectives of the routes that have a stage at a
 	// service.
 	objectives map[string]objectiveRange
@@ -198,15 +203,16 @@
 // objectiveRange is the shortest and the longest of some objectives.
 type objectiveRange struct{ shortest, longest time.Duration }
 
-// New returns a catalog of the given parts. It returns an error if a route has no service,
-// or a stage that depends on itself or on a later stage.
+// New returns a catalog of the given parts. organisations is nil if the configuration has none,
+// so that no route requires a key; if they have been removed one by one, it is empty. New returns
+// an error if a route has no service, or a stage that depends on itself or on a later stage.
 func New(version int64, routes []*Route, services []*Service, organisations []*Organisation, limits Limits) (*Catalog, error) {
 	c := &Catalog{
 		Version: version, Limits: limits, routeCount: len(routes),
 		services:      make(map[string]*Service, len(services)),
 		routes:        make(map[string][]*Route),
-		organisations: make(map[string]*Organisation),
-		objectives:    make(map[string]objectiveRange),
+		organisations: make(map[string]*Organisation), organisationCount: len(organisations), needsKeys: organisations != nil,
+		objectives: make(map[string]objectiveRange),
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
@@ -221,7 +227,10 @@
 	}
 	for _, o := range organisations {
 		for _, k := range o.Keys {
-			c.organisations[k] = o
+			// A caller without a key has the empty one, which belongs to nobody.
+			if k != "" {
+				c.organisations[k] = o
+			}
 		}
 	}
 	return c, nil
@@ -287,9 +296,20 @@
 // Organisation returns the organisation that a key belongs to, or nil for an unknown key.
 func (c *Catalog) Organisation(key string) *Organisation { return c.organisations[key] }
 
-// NeedsKeys reports whether routes that are not public require a key, which is the case
-// if any organisation has one.
-func (c *Catalog) NeedsKeys() bool { return len(c.organisations) > 0 }
+// Rule: when a request needs a key.
+//
+// Routes that are not public require a key if the configuration has organisations, also if
+// none of them has a key: whoever takes the last one away wants nobody to be let in. A wrong
+// "no" opens the deployment to everybody; a wrong "yes" refuses all requests.
+
+// NeedsKeys reports whether routes that are not public require a key.
+func (c *Catalog) NeedsKeys() bool { return c.needsKeys }
+
+// OrganisationCount returns the number of organisations.
+func (c *Catalog) OrganisationCount() int { return c.organisationCount }
+
+// KeyCount returns the number of keys of all organisations.
+func (c *Catalog) KeyCount() int { return len(c.organisations) }
 
 // RouteCount returns the number of routes.
 func (c *Catalog) RouteCount() int { return c.routeCount }
--- a/internal/gateway/catalog/catalog_test.go
+++ b/internal/gateway/catalog/catalog_test.go
@@ -35,6 +35,24 @@
 		convey.So(c.Organisation("k").Name, convey.ShouldEqual, "o")
 		convey.So(c.Organisation("x"), convey.ShouldBeNil)
 	})
+	convey.Convey("An empty key belongs to nobody", t, func() {
+		c, _ := catalog.New(1, nil, nil, []*catalog.Organisation{{Name: "o", Keys: []string{""}}}, catalog.Limits{})
+		convey.So(c.Organisation(""), convey.ShouldBeNil)
+	})
+	convey.Convey("Keys are required by a configuration that has organisations, however few keys are left", t, func() {
+		for _, c := range []struct {
+			organisations []*catalog.Organisation
+			want          bool
+		}{
+			{nil, false},
+			{[]*catalog.Organisation{}, true},
+			{[]*catalog.Organisation{{Name: "o"}}, true},
+			{[]*catalog.Organisation{{Name: "o", Keys: []string{"k"}}}, true},
+		} {
+			got, _ := catalog.New(1, nil, nil, c.organisations, catalog.Limits{})
+			convey.So(got.NeedsKeys(), convey.ShouldEqual, c.want)
+		}
+	})
 	convey.Convey("Requests are split in proportion to the weights", t, func() {
 		r := &catalog.Route{Split: []catalog.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 		counts := map[string]int{}
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -86,7 +86,12 @@
 func (k *viewKeeper) logChanges(old, next *view.View, ch view.Changes) {
 	if next.CatalogVersion() != old.CatalogVersion() {
 		k.log.Info().Int64("version", next.CatalogVersion()).Int64("was", old.CatalogVersion()).Int64("revision", int64(next.Revision)).
-			Int("routes", next.Catalog.RouteCount()).Msg("view: configuration in force")
+			Int("routes", next.Catalog.RouteCount()).Int("organisations", next.Catalog.OrganisationCount()).Int("keys", next.Catalog.KeyCount()).
+			Bool("needsKeys", next.Catalog.NeedsKeys()).Msg("view: configuration in force")
+		if next.Catalog.NeedsKeys() && next.Catalog.KeyCount() == 0 {
+			k.log.Warn().Int64("version", next.CatalogVersion()).
+				Msg("view: no organisation has a key, so that only public routes are served")
+		}
 	}
 	restored := next.Revision.IsRestoredSince(old.Revision)
 	if restored {
