--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -184,10 +184,10 @@
 // Catalog is one version of the configuration.
 type Catalog struct {
 	// Version increases with each change of the configuration.
-	Version       int64
-	Limits        Limits
-	services      map[string]*Service
-	routes        map[string][]*Route
+	Version  int64
+	Limits   Limits
+	services map[string]*Service
+	routes   map[string][]*Route
 	// organisations holds the organisations by their keys, and organisationCount counts them.
 	organisations     map[string]*Organisation
 	organisationCount int
