Answers without an end are given up at a bound, all of them together

Cause: each answer had a bound of 16 MiB, heads one of 10 MB, and nothing bounded them together; the lines of an event had none.

Change: internal/answers bounds the bodies that a node is reading by an eighth of its memory and gives up the longest when that is full; heads, events, streams, batches, reports and releases have bounds of their own. Log lines, two metrics and a row of decisions. Heads from members and the source are bounded too.

--- a/internal/delivery/answer.go
+++ b/internal/delivery/answer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/wire"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -134,18 +134,18 @@
 }
 
 // readWhole returns the body of an answer once its end has come.
-func (ex *exchange) readWhole(ctx context.Context) ([]byte, error) {
+func (ex *exchange) readWhole(ctx context.Context, pool *answers.Pool) ([]byte, error) {
 	if !ex.delimited() {
 		return nil, ex.broken(verdict.ReasonCut, "the answer has no length; its end cannot be proved")
 	}
-	body, err := io.ReadAll(io.LimitReader(ex.resp.Body, wire.MaxAnswerBytes+1))
-	if err != nil {
-		return nil, ex.cut(ctx, err)
-	}
-	if len(body) > wire.MaxAnswerBytes {
-		return nil, ex.broken(verdict.ReasonTooLarge, "the answer has more than %d bytes", wire.MaxAnswerBytes)
+	body, err := pool.Read(ex.resp.Body, wire.MaxAnswerBytes)
+	switch {
+	case err == nil:
+		return body.Bytes(), nil
+	case answers.IsTooLong(err):
+		return nil, ex.broken(verdict.ReasonTooLarge, "the answer is too long").WithCause(err)
 	}
-	return body, nil
+	return nil, ex.cut(ctx, err)
 }
 
 // cut returns the error for an answer that ended before its end.
--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -5,8 +5,11 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
 var errSealed = errors.New("the connection is sealed")
@@ -24,6 +27,9 @@
 	begun bool
 	// sealed stops all later writes.
 	sealed bool
+
+	// read counts the bytes read since the connection was armed.
+	read atomic.Int64
 }
 
 // arm prepares the connection for one request; check runs just before the
@@ -33,8 +39,20 @@
 	defer c.mu.Unlock()
 	c.check = check
 	c.begun = false
+	c.read.Store(0)
 }
 
+// Read implements net.Conn.
+func (c *guardedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// headTooLong reports whether so many bytes came for the armed request that the transport gave
+// up before the end of a header.
+func (c *guardedConn) headTooLong() bool { return c.read.Load() >= wire.MaxHeaderBytes }
+
 // seal stops all later writes for good and says whether any write of the armed
 // request has begun.
 func (c *guardedConn) seal() (begun bool) {
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -31,6 +31,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/tcpconn"
 	"github.com/honeydyke/honeydyke/internal/wire"
@@ -96,6 +97,8 @@
 	now   func() time.Time
 	// stall is the longest silence of a stream.
 	stall time.Duration
+	// answers bounds the answers that are being read.
+	answers *answers.Pool
 }
 
 // Option changes a Client under construction.
@@ -122,7 +125,7 @@
 
 // New returns a client of targets over plain HTTP.
 func New(opts ...Option) *Client {
-	c := &Client{scheme: "http", dial: dialTimeout, now: time.Now, stall: defaultStall}
+	c := &Client{scheme: "http", dial: dialTimeout, now: time.Now, stall: defaultStall, answers: answers.NewPool(answers.PoolBytes(0))}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -146,6 +149,8 @@
 		DisableKeepAlives:   fresh,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: idlePerTarget,
+		// Of interim answers all headers together count.
+		MaxResponseHeaderBytes: wire.MaxHeaderBytes,
 	}
 	return &http.Client{
 		Transport:     transport,
@@ -153,6 +158,23 @@
 	}
 }
 
+// UseAnswers reads answers into a pool that others may share. It must be called before any call
+// is sent.
+func (c *Client) UseAnswers(p *answers.Pool) { c.answers = p }
+
+// ReadWhole reads the body of an answer of Exchange, which has at most most bytes. The error is
+// a *verdict.Error; the answer's connection then carries no other request.
+func (c *Client) ReadWhole(resp *http.Response, most int64) (*answers.Answer, *verdict.Error) {
+	a, err := c.answers.Read(resp.Body, most)
+	switch {
+	case err == nil:
+		return a, nil
+	case answers.IsTooLong(err):
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonTooLarge, "the answer is too long").WithCause(err)
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonCut, "the answer ended before its end").WithCause(err)
+}
+
 // CloseIdle closes connections that no call uses.
 func (c *Client) CloseIdle() {
 	c.shared.CloseIdleConnections()
@@ -173,7 +195,7 @@
 		return nil, err
 	}
 	defer ex.close()
-	body, err := ex.readWhole(ctx)
+	body, err := ex.readWhole(ctx, c.answers)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -236,6 +236,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 		defer cancel()
 		report, err := c.targets.Inspect(ctx, e.Target)
+		c.metrics.recordFailedCall(err)
 		c.logInspection(e, report, err)
 		c.system.Root.Send(self, batching.Inspected{Target: e.Target.Incarnation(), Report: report, Err: err})
 	}()
@@ -259,6 +260,7 @@
 		Target: e.Target, Items: e.Items, Now: now,
 		Permit: func() error { return c.permitCall(e.Target) },
 	})
+	c.metrics.recordFailedCall(err)
 	if err != nil {
 		c.log.Warn().Str("service", c.service).Str("target", e.Target.ID).Int("items", len(e.Items)).
 			Dur("took", c.now().Sub(now)).Err(err).Msg("items: batch failed")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/boottime"
 	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
@@ -128,6 +129,8 @@
 	peers.onSilence = g.onSilence
 	g.paths = newTargetPaths(g.now, g.log, g.metrics, g.dialTarget, newTunnelClient(g.now, g.members), g.views)
 	g.ports.Targets.UsePaths(g.paths)
+	pool := g.newAnswerPool()
+	g.ports.Targets.UseAnswers(pool)
 	g.follower = &sourceFollower{
 		source: g.ports.Source, views: g.views, members: g.members, health: g.health, peers: peers,
 		metrics: g.metrics, log: g.log, now: g.now,
@@ -172,7 +175,7 @@
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries.WithEarlier(started, g.members.earlierSpent), NodeCount: g.members.size,
 		TargetSample: targetSample(g.cfg.Gateway.TargetSpeed),
 		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Parts: g.parts, Streams: g.streams, Gate: g.backpressure.RequestGate(), Lender: g.loans, Isolated: g.paths.isolated,
-		Overload: g.intake.overload,
+		Overload: g.intake.overload, Answers: pool,
 	})
 	g.speeds = &targetSpeeds{log: g.log, sources: func(ctx context.Context) map[string][]targetspeed.View {
 		return map[string][]targetspeed.View{
@@ -182,6 +185,15 @@
 	g.createServers()
 }
 
+// newAnswerPool returns the pool of the answers that this node is reading.
+func (g *Gateway) newAnswerPool() *answers.Pool {
+	limit := answers.PoolBytes(int64(g.cfg.Gateway.MemoryMb) << 20)
+	return answers.NewPool(limit, answers.OnGivenUp(func(bytes int64) {
+		g.metrics.answersGivenUp.Inc(1)
+		g.log.Warn().Int64("bytes", bytes).Int64("most", limit).Msg("answers: the longest answer was given up, since all together have too many bytes")
+	}))
+}
+
 // createIntake creates what decides which callers this node takes, and connects it to the listener of
 // callers, the members and the paths.
 func (g *Gateway) createIntake() {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/telemetry"
+	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
 // metricsInterval is how often metrics are reported to the exposition. It is shorter than the
@@ -64,6 +65,10 @@
 	callerConnections, callerBytes tally.Counter
 	// turnedAway counts the connections of callers that were closed unread.
 	turnedAway tally.Counter
+	// longAnswers counts the calls that ended because the header or the body of the answer had more
+	// bytes than are read, and answersGivenUp those of them that ended because all answers together
+	// had.
+	longAnswers, answersGivenUp tally.Counter
 }
 
 func newMetrics() *metrics {
@@ -82,7 +87,8 @@
 		evacuatedDataCentres: scope.Gauge("evacuated_data_centres"), coldTargets: scope.Gauge("cold_targets"),
 		ownDelay:          scope.Gauge("own_delay_seconds"),
 		callerConnections: scope.Counter("caller_connections"), callerBytes: scope.Counter("caller_bytes"),
-		turnedAway: scope.Counter("caller_connections_turned_away"),
+		turnedAway:  scope.Counter("caller_connections_turned_away"),
+		longAnswers: scope.Counter("answers_too_long"), answersGivenUp: scope.Counter("answers_given_up"),
 	}
 }
 
@@ -109,6 +115,13 @@
 	}
 }
 
+// recordFailedCall counts a failed call to a target whose answer was too long.
+func (m *metrics) recordFailedCall(err *verdict.Error) {
+	if err != nil && err.Reason() == verdict.ReasonTooLarge {
+		m.longAnswers.Inc(1)
+	}
+}
+
 // recordView counts the evacuated data centres and the cold targets of a view.
 func (m *metrics) recordView(now time.Time, v *view.View) {
 	cold := 0
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -52,7 +52,7 @@
 	dialer := tcpconn.NewDialer(peerDialTimeout, tcpconn.OnSilence(func(member string) { c.onSilence(member) }))
 	c.client = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdleConns,
-		IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		IdleConnTimeout: peerIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeaderBytes,
 	}}
 	return c
 }
@@ -222,7 +222,7 @@
 		return errors.Errorf("member %s answered with status %d", member, resp.StatusCode)
 	}
 	if out == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, wire.MaxAnswerBytes))
 		return err
 	}
 	decoder := json.NewDecoder(io.LimitReader(resp.Body, wire.MaxAnswerBytes))
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/delivery"
 	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
@@ -65,6 +66,8 @@
 	// UsePaths makes all later calls connect through p. It is called once, before all other
 	// methods.
 	UsePaths(p delivery.Paths)
+	// UseAnswers reads all later answers into a pool. It is called once, before all other methods.
+	UseAnswers(p *answers.Pool)
 	// CloseIdle closes the connections that no call uses.
 	CloseIdle()
 	// RunBatch runs items at a target and returns one outcome per item, in order.
--- a/internal/gateway/relay/answer.go
+++ b/internal/gateway/relay/answer.go
@@ -8,16 +8,12 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
-// maxResponseBytes limits a response that is not a stream, which is buffered before it is
-// forwarded: far above the responses of services, and a tenth of the memory of the
-// smallest instances.
-const maxResponseBytes = 16 << 20
-
 // unknownLength is the length of a stream.
 const unknownLength = -1
 
@@ -28,8 +24,8 @@
 	if s.route.Kind == catalog.Stream && reply.Succeeded {
 		return s.response.forwardStream(ctx, reply, timer)
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
+	body, err := s.answers.Read(reply.Body, answers.MaxAnswerBytes)
+	if err != nil {
 		return truncatedError(ctx, err)
 	}
 	switch rules.AfterResponse(s.responseInput(reply, possibleRuns)).(type) {
@@ -92,14 +88,19 @@
 	return nil
 }
 
-func (r *clientResponse) forwardWhole(reply *Reply, body []byte) *verdict.Error {
+func (r *clientResponse) forwardWhole(reply *Reply, body *answers.Answer) *verdict.Error {
 	if reply.Succeeded {
 		r.onAnswer()
 	}
-	if err := r.start(reply, len(body)); err != nil {
+	if err := r.start(reply, body.Len()); err != nil {
 		return err
 	}
-	return r.write(body)
+	for _, chunk := range body.Chunks() {
+		if err := r.write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // forwardStream forwards events as they arrive. If the stream breaks, it can be resumed
@@ -140,11 +141,13 @@
 	return nil
 }
 
-// truncatedError returns the error for a response that was truncated or is longer than
-// maxResponseBytes. If the request itself had ended, that is the reason.
+// truncatedError returns the error for a response that was truncated or is longer than may be.
+// If the request itself had ended, that is the reason.
 func truncatedError(ctx context.Context, cause error) *verdict.Error {
 	reason := verdict.ReasonCut
 	switch {
+	case answers.IsTooLong(cause):
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonTooLarge, "the answer is too long").WithCause(cause)
 	case errors.Is(ctx.Err(), context.Canceled):
 		reason = verdict.ReasonCancelled
 	case ctx.Err() != nil:
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -40,7 +40,7 @@
 		sender: &sender{
 			resolvedRequest: r, upstream: s.cfg.Upstream, placer: s.cfg.Placer, view: s.cfg.View, now: s.cfg.Now,
 			targets: s.targets, budgets: s.budgets, prefills: s.prefills, missingInputs: s.missingInputs, runner: runner, response: response, outcome: outcome,
-			streams: s.cfg.Streams, stopping: s.stopping, reportDecision: reportDecision, quarantine: s.cfg.Quarantine, parts: s.cfg.Parts, gate: s.cfg.Gate,
+			streams: s.cfg.Streams, stopping: s.stopping, reportDecision: reportDecision, quarantine: s.cfg.Quarantine, parts: s.cfg.Parts, gate: s.cfg.Gate, answers: s.cfg.Answers,
 		},
 	}
 }
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -25,6 +25,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/intake"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
@@ -78,6 +79,8 @@
 	// Overload returns the load of this node for which a request is refused, if it is; nil if
 	// none ever is.
 	Overload func() (intake.Load, bool)
+	// Answers bounds the responses that are being read; nil for a pool of its own.
+	Answers *answers.Pool
 }
 
 // Server relays requests. Create it with New.
@@ -98,6 +101,9 @@
 
 // New returns a server.
 func New(cfg Config) *Server {
+	if cfg.Answers == nil {
+		cfg.Answers = answers.NewPool(answers.PoolBytes(0))
+	}
 	stopping, stop := context.WithCancel(context.Background())
 	return &Server{
 		cfg: cfg, stopping: stopping, stop: stop,
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
@@ -43,6 +44,7 @@
 	quarantine     Quarantine
 	parts          PartQuarantine
 	gate           Gate
+	answers        *answers.Pool
 	// trialSent is true once the request's trial has been sent.
 	trialSent bool
 }
--- a/internal/gateway/relay/stream.go
+++ b/internal/gateway/relay/stream.go
@@ -6,11 +6,9 @@
 	"io"
 
 	"github.com/pkg/errors"
-)
 
-// maxEventBytes limits the size of a stream's event, which is buffered before it is
-// forwarded; events have some hundred bytes.
-const maxEventBytes = 1 << 20
+	"github.com/honeydyke/honeydyke/internal/answers"
+)
 
 // errTruncatedEvent means that a stream ended within an event.
 var errTruncatedEvent = errors.New("the stream ended in the middle of an event")
@@ -26,12 +24,25 @@
 type eventReader struct {
 	r    *bufio.Reader
 	text []byte
+	// total counts the bytes of the stream.
+	total int64
 }
 
 func newEventReader(r io.Reader) *eventReader {
 	return &eventReader{r: bufio.NewReader(r)}
 }
 
+// tooLong returns an error if the event, or the stream, has more bytes than are read.
+func (e *eventReader) tooLong() error {
+	switch {
+	case len(e.text) > answers.MaxEventBytes:
+		return &answers.TooLongError{Most: answers.MaxEventBytes}
+	case e.total > answers.MaxStreamBytes:
+		return &answers.TooLongError{Most: answers.MaxStreamBytes}
+	}
+	return nil
+}
+
 // next returns the next event, or io.EOF at the end of a complete stream. The event is
 // valid until the next call.
 func (e *eventReader) next() (event, error) {
@@ -40,7 +51,11 @@
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.text = append(e.text, line...)
-		if err == bufio.ErrBufferFull && len(e.text) < maxEventBytes {
+		e.total += int64(len(line))
+		if tooLong := e.tooLong(); tooLong != nil {
+			return event{}, tooLong
+		}
+		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err == io.EOF && len(e.text) > 0 {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -71,6 +71,7 @@
 		withError(l.log.Warn(), d.Err).Str("request", request).Int("stage", d.Stage).Str("service", d.Service).Int("items", d.Items).
 			Dur("took", d.Took).Msg("request: stage failed")
 	case relay.AttemptFailed:
+		l.metrics.recordFailedCall(d.Attempt.Err)
 		withError(l.log.Warn(), d.Attempt.Err).Str("request", request).Str("target", d.Attempt.Target).Int("status", d.Attempt.Status).
 			Dur("took", d.Attempt.Took).Int("events", d.Events).Str("lastEvent", d.LastEvent).Dur("left", d.Left).Bool("again", d.WillRetry).
 			Str("next", describeNext(d.Next)).Msg("request: attempt failed")
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/delivery"
 	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
@@ -37,7 +38,9 @@
 func (noTargets) OnSignal(func(directory.Target, backpressure.Signal)) {}
 
 func (noTargets) UsePaths(delivery.Paths) {}
-func (noTargets) CloseIdle()              {}
+
+func (noTargets) UseAnswers(*answers.Pool) {}
+func (noTargets) CloseIdle()               {}
 
 func (noTargets) RunBatch(context.Context, BatchCall) (BatchAnswer, *verdict.Error) {
 	return BatchAnswer{}, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "none")
--- a/internal/losses/cause.go
+++ b/internal/losses/cause.go
@@ -84,6 +84,7 @@
 		verdict.ReasonStalled:        {"target silent", "internal/gateway/relay/rules/timeout.go", target},
 		verdict.ReasonCut:            {"answer cut", "internal/gateway/relay/rules/answer.go", target},
 		verdict.ReasonIdentity:       {"wrong answer", retry, target},
+		verdict.ReasonTooLarge:       {"answer too long", "internal/answers/answers.go", target},
 		verdict.ReasonBadRequest:     {"bad request", retry, "the request itself"},
 		verdict.ReasonInternal:       {"internal", "", "the node itself"},
 	}
--- a/internal/native/node/controlclient.go
+++ b/internal/native/node/controlclient.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
 const (
@@ -28,6 +30,8 @@
 			TLSClientConfig:     cfg,
 			MaxIdleConnsPerHost: controlIdlePerHost,
 			IdleConnTimeout:     controlIdleTimeout,
+
+			MaxResponseHeaderBytes: wire.MaxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -75,7 +75,7 @@
 	MaxRequestBytes = 4 << 20
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes = 16 << 20
-	// MaxHeaderBytes bounds the headers of a request, and a load report.
+	// MaxHeaderBytes bounds the headers of a request or an answer, and a load report.
 	MaxHeaderBytes = 64 << 10
 	// MaxEventBytes bounds one event of a stream.
 	MaxEventBytes = 1 << 20
