--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -16,12 +16,14 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
 const (
 	// MaxAnswerBytes is the most that any one answer may have, and the least that a Pool holds:
 	// an answer that is alone may be as long as that on the smallest machine.
-	MaxAnswerBytes = 16 << 20
+	MaxAnswerBytes = wire.MaxAnswerBytes
 	// MaxStreamBytes is the most that a stream may have in all. Its events are forwarded as they
 	// come and not buffered, so that this bounds the time and the link that it takes.
 	MaxStreamBytes = 64 << 20
