--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -82,9 +82,10 @@
 
 // Client sends calls. Create it with New.
 type Client struct {
-	// shared reuses connections; once and detour make a new one for each call, detour through
-	// another node.
+	// shared and unused reuse connections, unused for calls of whose answers nothing is used; once
+	// and detour make a new one for each call, detour through another node.
 	shared *http.Client
+	unused *http.Client
 	once   *http.Client
 	detour *http.Client
 	scheme string
@@ -131,6 +132,7 @@
 	}
 	c.dialer = tcpconn.NewDialer(c.dial, tcpconn.OnSilence(func(string) { c.CloseIdle() }))
 	c.shared = c.newHTTPClient(c.connect, false)
+	c.unused = c.newHTTPClient(c.connect, false)
 	c.once = c.newHTTPClient(c.connect, true)
 	c.detour = c.newHTTPClient(c.connectDetour, true)
 	return c
@@ -178,6 +180,7 @@
 // CloseIdle closes connections that no call uses.
 func (c *Client) CloseIdle() {
 	c.shared.CloseIdleConnections()
+	c.unused.CloseIdleConnections()
 	c.once.CloseIdleConnections()
 }
 
--- a/internal/delivery/paths.go
+++ b/internal/delivery/paths.go
@@ -43,6 +43,9 @@
 	// and gets a connection of its own.
 	Identity       string
 	IdentityHeader string
+	// Unused is set if nothing of the answer is used. Calls without an identity that are unused
+	// share connections that carry no other calls.
+	Unused bool
 	// Permit is asked just before the first byte of the request is written.
 	Permit Permit
 	// Repeatable is set if the request may be sent again. It is given up before its answer
@@ -77,10 +80,13 @@
 
 // direct returns the HTTP client for a call on a direct connection.
 func (c *Client) direct(s Sending) *http.Client {
-	if s.Identity == "" {
-		return c.once
+	switch {
+	case s.Identity != "":
+		return c.shared
+	case s.Unused:
+		return c.unused
 	}
-	return c.shared
+	return c.once
 }
 
 type targetKey struct{}
