Batches share connections again, and copies of their answers are told by their handles

Change: batches use shared connections. A handle names one result, so an answer with a handle that the connection has brought before is a copy, and wrong-identity. After an answer without handles or with another status the connection is given up, and none carries anything more before its last answer is proved. Reports keep connections of their own, releases share theirs. The time in which a target reads inputs counts from the first byte.

Why it works: a copy of a believed answer carries handles that the connection has brought, and no other answer leaves the connection in use.

--- a/internal/delivery/answer.go
+++ b/internal/delivery/answer.go
@@ -41,8 +41,10 @@
 // Rule: whose an answer is.
 //
 // An answer is a call's own if it carries the call's identity, exactly once. Answers to a call
-// without an identity carry none, so such a call gets a connection that carries no other, or,
-// if nothing of its answer is used, no other but such calls. Before
+// without an identity carry none, so such a call gets a connection that carries no other, unless
+// nothing of its answer is used, or its caller tells copies by what no two answers have in common
+// (Conn.First): then calls share connections, and one whose answer is not proved carries nothing
+// more. Before
 // an answer is known to be the call's own nothing of it counts: no status, no proof that the
 // call did not run, no other header. A target may send an answer twice, and the copy then
 // arrives in place of the answer to a later call on the connection. Why so:
--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -21,7 +21,7 @@
 }
 
 // take arms the connection that the transport gave to the call.
-func (a *attempt) take(conn *guardedConn, check func() error) {
+func (a *attempt) take(conn *guardedConn, check func() error, distinct bool) {
 	if conn == nil {
 		return
 	}
@@ -31,10 +31,13 @@
 			a.refusal.Store(verdict.From(err))
 		}
 		return err
-	})
+	}, distinct)
 	a.conn.Store(conn)
 }
 
+// carrier returns the connection of the call.
+func (a *attempt) carrier() Conn { return Conn{a.conn.Load()} }
+
 // spoil closes the connection of the call, if it has one.
 func (a *attempt) spoil() {
 	if conn := a.conn.Load(); conn != nil {
--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/honeydyke/honeydyke/internal/wire"
@@ -30,13 +31,63 @@
 
 	// read counts the bytes read since the connection was armed.
 	read atomic.Int64
+
+	// unproven is true from when a call is armed whose caller tells copies of earlier answers
+	// until it has done so. The transport may give the connection to another call before.
+	unproven bool
+	// brought holds the hashes of what Conn.First was asked of the connection's answers.
+	brought map[uint64]struct{}
+}
+
+// maxBrought limits how many answers a connection remembers. It is given up then.
+const maxBrought = 256
+
+// Conn is the connection that brought an answer.
+type Conn struct{ conn *guardedConn }
+
+// Spoil keeps the connection from carrying another call; it is for answers that cannot be
+// trusted.
+func (c Conn) Spoil() {
+	if c.conn != nil {
+		c.conn.spoil()
+	}
+}
+
+// First reports whether no earlier answer on the connection had this content, and remembers it.
+// The content must differ between all answers.
+func (c Conn) First(content string) bool {
+	if c.conn == nil {
+		return false
+	}
+	first, full := c.conn.first(xxhash.Sum64String(content))
+	if full {
+		c.conn.spoil()
+	}
+	return first
+}
+
+// first records what an answer brought. It reports whether no earlier answer had that, and whether
+// the connection remembers as many as it may.
+func (c *guardedConn) first(hash uint64) (first, full bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.brought == nil {
+		c.brought = map[uint64]struct{}{}
+	}
+	_, earlier := c.brought[hash]
+	c.brought[hash] = struct{}{}
+	c.unproven = c.unproven && earlier
+	return !earlier, len(c.brought) >= maxBrought
 }
 
 // arm prepares the connection for one request; check runs just before the
-// first byte is written, and the byte is not written when it fails.
-func (c *guardedConn) arm(check func() error) {
+// first byte is written, and the byte is not written when it fails. distinct is as in Sending. A
+// connection whose last answer may turn out to be a copy carries nothing more.
+func (c *guardedConn) arm(check func() error, distinct bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sealed = c.sealed || c.unproven
+	c.unproven = distinct
 	c.check = check
 	c.begun = false
 	c.read.Store(0)
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -231,10 +231,9 @@
 type Permit func() error
 
 // Exchange sends a request to a target with its identity, otherwise as it is, once, and returns
-// the head of the request's own answer. The error is nil or says whether the request may have
-// reached the target. spoil keeps the connection from carrying another request; it is for
-// answers that cannot be trusted.
-func (c *Client) Exchange(req *http.Request, s Sending) (resp *http.Response, spoil func(), failure *verdict.Error) {
+// the head of the request's own answer, with the connection that brought it. The error is nil or
+// says whether the request may have reached the target.
+func (c *Client) Exchange(req *http.Request, s Sending) (resp *http.Response, conn Conn, failure *verdict.Error) {
 	if s.Identity != "" {
 		req.Header.Set(s.IdentityHeader, s.Identity)
 	}
@@ -242,20 +241,20 @@
 }
 
 // exchangeBy is Exchange by one HTTP client. It records in sent what became of the request.
-func exchangeBy(client *http.Client, req *http.Request, s Sending, sent *attempt) (*http.Response, func(), *verdict.Error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.take(guardOf(info.Conn), s.Permit) }}
+func exchangeBy(client *http.Client, req *http.Request, s Sending, sent *attempt) (*http.Response, Conn, *verdict.Error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.take(guardOf(info.Conn), s.Permit, s.Distinct) }}
 	ctx := httptrace.WithClientTrace(req.Context(), trace)
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
-		return nil, nil, sent.failure(req, err)
+		return nil, Conn{}, sent.failure(req, err)
 	}
 	if !isOwn(resp.Header, s.IdentityHeader, s.Identity) {
 		sent.spoil()
 		// The answer is dropped, so that an error of its end changes nothing.
 		_ = resp.Body.Close()
-		return nil, nil, foreignError(resp.Header, s.IdentityHeader, s.Identity, resp.StatusCode)
+		return nil, Conn{}, foreignError(resp.Header, s.IdentityHeader, s.Identity, resp.StatusCode)
 	}
-	return resp, sent.spoil, nil
+	return resp, sent.carrier(), nil
 }
 
 // send writes the call and checks the answer's header. On an error nothing is
@@ -263,7 +262,7 @@
 func (c *Client) send(ctx context.Context, call Call) (*exchange, error) {
 	var sent attempt
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		sent.take(guardOf(info.Conn), func() error { return c.checkPermit(call) })
+		sent.take(guardOf(info.Conn), func() error { return c.checkPermit(call) }, false)
 	}}
 	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
--- a/internal/delivery/paths.go
+++ b/internal/delivery/paths.go
@@ -46,6 +46,9 @@
 	// Unused is set if nothing of the answer is used. Calls without an identity that are unused
 	// share connections that carry no other calls.
 	Unused bool
+	// Distinct is set if the caller itself tells copies of earlier answers, by Conn.First, and
+	// spoils the connection of any answer of which it cannot tell. Such a call shares connections.
+	Distinct bool
 	// Permit is asked just before the first byte of the request is written.
 	Permit Permit
 	// Repeatable is set if the request may be sent again. It is given up before its answer
@@ -56,20 +59,20 @@
 
 // exchange sends a request on a direct connection or, if there is none, through a detour: a
 // request without a connection has not left.
-func (c *Client) exchange(req *http.Request, s Sending) (*http.Response, func(), *verdict.Error) {
+func (c *Client) exchange(req *http.Request, s Sending) (*http.Response, Conn, *verdict.Error) {
 	if c.paths == nil {
 		return exchangeBy(c.direct(s), req, s, new(attempt))
 	}
 	if !c.paths.Broken(s.Target) {
-		resp, spoil, err := c.exchangeDirectly(req, s)
+		resp, conn, err := c.exchangeDirectly(req, s)
 		if err == nil || err.Reason() != verdict.ReasonDial {
-			return resp, spoil, err
+			return resp, conn, err
 		}
 	}
 	return exchangeBy(c.detour, req, s, new(attempt))
 }
 
-func (c *Client) exchangeDirectly(req *http.Request, s Sending) (*http.Response, func(), *verdict.Error) {
+func (c *Client) exchangeDirectly(req *http.Request, s Sending) (*http.Response, Conn, *verdict.Error) {
 	sent := new(attempt)
 	if s.Repeatable {
 		release := c.paths.OnSilence(s.Target, sent.spoil)
@@ -81,7 +84,7 @@
 // direct returns the HTTP client for a call on a direct connection.
 func (c *Client) direct(s Sending) *http.Client {
 	switch {
-	case s.Identity != "":
+	case s.Identity != "", s.Distinct:
 		return c.shared
 	case s.Unused:
 		return c.unused
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -215,13 +215,14 @@
 func (c *coordinator) sendBatch(now time.Time, e batching.Send) {
 	discard := c.discards.take(e.Target.Incarnation())
 	c.metrics.recordBatch(c.service, len(e.Items))
-	c.markStarted(e)
+	reading := c.markStarted(e)
 	self := c.self
 	go func() {
 		if discard != nil {
 			c.discards.send(discard)
 		}
-		c.system.Root.Send(self, c.runBatch(now, e))
+		written := func() { c.reportRead(self, reading) }
+		c.system.Root.Send(self, c.runBatch(now, e, written))
 	}()
 }
 
@@ -251,14 +252,20 @@
 	event.Bool("busy", report.Busy).Int64("freeBytes", report.FreeBytes).Msg("items: target inspected")
 }
 
-// runBatch runs a batch at its target and returns the result. It runs outside the actor, so
-// it must not touch the actor's state.
-func (c *coordinator) runBatch(now time.Time, e batching.Send) batching.Finished {
+// runBatch runs a batch at its target and returns the result. It calls written just before the first
+// byte is written. It runs outside the actor, so it must not touch the actor's state.
+func (c *coordinator) runBatch(now time.Time, e batching.Send, written func()) batching.Finished {
 	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
 	defer cancel()
 	answer, err := c.targets.RunBatch(ctx, BatchCall{
 		Target: e.Target, Items: e.Items, Now: now,
-		Permit: func() error { return c.permitCall(e.Target) },
+		Permit: func() error {
+			err := c.permitCall(e.Target)
+			if err == nil {
+				written()
+			}
+			return err
+		},
 	})
 	c.metrics.recordFailedCall(err)
 	if err != nil {
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -24,9 +28,9 @@
 	c.handle(batching.Submit{Items: items})
 }
 
-// markStarted records that items are part of a batch. Groups whose inputs are now being read
-// report them as read after their read time.
-func (c *coordinator) markStarted(e batching.Send) {
+// markStarted records that items are part of a batch. It returns the groups whose inputs are read
+// with it.
+func (c *coordinator) markStarted(e batching.Send) (reading []*pendingGroup) {
 	for _, item := range e.Items {
 		p, known := c.items[item.ID]
 		if !known {
@@ -38,9 +42,19 @@
 		}
 		p.reading = true
 		if p.group.markReading() {
-			c.sendAfter(p.group.group.ReadTime, inputsRead{p.group})
+			reading = append(reading, p.group)
 		}
 	}
+	return reading
+}
+
+// reportRead reports the inputs of groups as read once their read time has passed. It is called when
+// the batch that reads them is written, outside the actor: making the connection may take as long as
+// reading them.
+func (c *coordinator) reportRead(self *actor.PID, groups []*pendingGroup) {
+	for _, g := range groups {
+		time.AfterFunc(g.group.ReadTime, func() { c.system.Root.Send(self, inputsRead{g}) })
+	}
 }
 
 // resolveItem records the result of an item. The last result closes its group, and so does an
