--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -9,6 +9,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -197,6 +198,8 @@
 	// objectives holds the range of the objectives of the routes that have a stage at a
 	// service.
 	objectives map[string]objectiveRange
+	// resumable holds the services of streams that may be resumed.
+	resumable  map[string]bool
 	routeCount int
 }
 
@@ -212,7 +215,7 @@
 		services:      make(map[string]*Service, len(services)),
 		routes:        make(map[string][]*Route),
 		organisations: make(map[string]*Organisation), organisationCount: len(organisations), needsKeys: organisations != nil,
-		objectives: make(map[string]objectiveRange),
+		objectives: make(map[string]objectiveRange), resumable: make(map[string]bool),
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
@@ -249,6 +252,11 @@
 	}
 	host := strings.ToLower(r.Host)
 	c.routes[host] = append(c.routes[host], r)
+	if r.Kind == Stream && r.Resumable {
+		for _, s := range r.Split {
+			c.resumable[s.Service] = true
+		}
+	}
 	for _, s := range r.Stages {
 		c.addObjective(s.Service, r.Objective)
 	}
@@ -276,13 +284,50 @@
 	return float64(known.longest) / float64(known.shortest)
 }
 
-// Route returns the route with the longest matching path prefix for a host, which may
-// include a port. It returns nil if no route matches.
-func (c *Catalog) Route(host, path string) *Route {
+// ResumableServices returns the services of streams that may be resumed, in no order.
+func (c *Catalog) ResumableServices() []string { return slices.Collect(maps.Keys(c.resumable)) }
+
+// ChangedRoutes returns the routes that an earlier catalog does not have in the same form, and those
+// of it that this one does not have.
+func (c *Catalog) ChangedRoutes(old *Catalog) []*Route {
+	return append(c.routesNotIn(old), old.routesNotIn(c)...)
+}
+
+// routesNotIn returns the routes that another catalog does not have in the same form.
+func (c *Catalog) routesNotIn(other *Catalog) []*Route {
+	var list []*Route
+	for host, routes := range c.routes {
+		known := make(map[string]*Route, len(other.routes[host]))
+		for _, r := range other.routes[host] {
+			known[r.Prefix] = r
+		}
+		for _, r := range routes {
+			if !known[r.Prefix].leadsAs(r) {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
+// leadsAs reports whether a route, nil for none, leads streams as another one of its path does.
+func (r *Route) leadsAs(other *Route) bool {
+	return r != nil && r.Kind == other.Kind && r.Resumable == other.Resumable && slices.Equal(r.Split, other.Split) &&
+		r.Timeout == other.Timeout && r.Objective == other.Objective && r.PauseLimit == other.PauseLimit
+}
+
+// HostName returns the name in a request's host, in lower case and without its port.
+func HostName(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 {
 		host = host[:at]
 	}
-	for _, r := range c.routes[strings.ToLower(host)] {
+	return strings.ToLower(host)
+}
+
+// Route returns the route with the longest matching path prefix for a host, which may
+// include a port. It returns nil if no route matches.
+func (c *Catalog) Route(host, path string) *Route {
+	for _, r := range c.routes[HostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,8 +74,22 @@
 	log     zerolog.Logger
 	now     func() time.Time
 
+	// onListed is called once after the first snapshot.
+	onListed func(ctx context.Context)
+	// onHistory is called once after the start with what the source still knows of the time before,
+	// and whether that is all; nil if nothing happened before.
+	onHistory func(ch view.Changes, complete bool)
+
 	// catchingUp is set while updates are fetched from a member.
 	catchingUp atomic.Bool
+	// mu guards what follows, and makes callers of confirm and forgottenSince wait for one another.
+	mu sync.Mutex
+	// confirmedAt is the start of the last call that confirmed the view.
+	confirmedAt time.Time
+	// gone is the newest revision of which the source has forgotten what followed, -1 for none, by the
+	// search that ended at searchedAt.
+	gone       int64
+	searchedAt time.Time
 }
 
 // run reads the source until ctx is done: a full snapshot at first and whenever the source's
@@ -93,6 +108,7 @@
 		case err == nil:
 			full = false
 			f.recordSuccess()
+			f.reportHistory(ctx)
 			_ = wait.For(ctx, watchPause)
 		case errors.Is(err, ErrHistoryGone):
 			f.log.Info().Int64("revision", int64(f.views.load().Revision)).Msg("source: history no longer covers the view, reading a snapshot")
@@ -203,12 +219,7 @@
 	if err != nil {
 		return err
 	}
-	f.views.apply(ch, func(now time.Time, v *view.View) *view.View {
-		if v.Revision != after {
-			return v
-		}
-		return v.WithChanges(now, ch, f.health.lastOutage())
-	})
+	f.applyChanges(ch, after)
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
+	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
 	"github.com/honeydyke/honeydyke/internal/gateway/targetspeed"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
@@ -147,7 +148,10 @@
 		log: g.log, members: g.members, peers: peers, gate: g.backpressure.RequestGate(), metrics: g.metrics, avoided: newAvoidedMembers(g.now),
 	}
 	g.createIntake()
-	g.streams = newStreamOrigins(g.now, g.log, g.members, peers, g.metrics)
+	g.streams = newStreamOrigins(g.now, g.log, g.members, peers, g.metrics, streamHistoryOptions(g.cfg.Gateway)...)
+	g.streams.confirm = g.follower.confirm
+	g.views.onApplied = g.streams.observe
+	g.follower.onHistory, g.follower.onListed = g.historyReader(), g.readRuns
 	g.gossip = &gossiper{
 		now: g.now, log: g.log, members: g.members, peers: peers, views: g.views, health: g.health, shutdown: g.shutdown,
 		quarantine: g.quarantine, parts: g.parts, backpressure: g.backpressure, streams: g.streams, isolated: g.paths.isolated, busy: g.intake.isBusy, metrics: g.metrics,
@@ -212,6 +216,36 @@
 	return p
 }
 
+// readRuns asks the targets of streams that may be resumed what they are answering.
+func (g *Gateway) readRuns(ctx context.Context) {
+	v := g.views.load()
+	if v.Catalog == nil {
+		return
+	}
+	for _, service := range v.Catalog.ResumableServices() {
+		g.streams.readRuns(ctx, g.ports.Targets, v.Directory.Service(service))
+	}
+}
+
+// streamHistoryOptions returns the options of the history of targets.
+func streamHistoryOptions(cfg *settings.Gateway) []streamorigin.Option {
+	if restarted(cfg) {
+		return nil
+	}
+	return []streamorigin.Option{streamorigin.FromStart()}
+}
+
+// historyReader returns what records the source's history from before this process; nil if there is
+// none, or if nobody tells how far it reaches.
+func (g *Gateway) historyReader() func(ch view.Changes, complete bool) {
+	if !restarted(g.cfg.Gateway) || g.cfg.Gateway.SourceHistoryMs == 0 {
+		return nil
+	}
+	g.streams.reach = time.Duration(g.cfg.Gateway.SourceHistoryMs) * time.Millisecond
+	g.streams.forgotten = g.follower.forgottenSince
+	return func(ch view.Changes, complete bool) { g.streams.extend(complete, ch) }
+}
+
 // onSilence is called when an open connection to a member, a target or the source seems to be
 // silent while new ones come up. Connections that nobody uses are replaced, and the watch of the
 // source begins anew, since others may have fallen silent at the same moment.
--- a/internal/gateway/gossipcodec/gossipcodec.go
+++ b/internal/gateway/gossipcodec/gossipcodec.go
@@ -73,6 +73,7 @@
 	flagEpochs
 	flagCounts
 	flagBusy
+	flagAssigns
 )
 
 // jsonMediaType is the media type of the JSON format, which every member accepts.
@@ -153,7 +154,7 @@
 	for _, f := range []struct {
 		set  bool
 		flag int
-	}{{m.Leaving, flagLeaving}, {m.Serving, flagServing}, {m.Hears, flagHears}, {m.Compact, flagCompact}, {m.Epochs, flagEpochs}, {m.Counts, flagCounts}, {m.Busy, flagBusy}} {
+	}{{m.Leaving, flagLeaving}, {m.Serving, flagServing}, {m.Hears, flagHears}, {m.Compact, flagCompact}, {m.Epochs, flagEpochs}, {m.Counts, flagCounts}, {m.Busy, flagBusy}, {m.Assigns, flagAssigns}} {
 		if f.set {
 			flags |= f.flag
 		}
@@ -222,6 +223,7 @@
 			m.Epochs = value&flagEpochs != 0
 			m.Counts = value&flagCounts != 0
 			m.Busy = value&flagBusy != 0
+			m.Assigns = value&flagAssigns != 0
 		case fieldMemberRetries:
 			m.Retries = int(value)
 		case fieldMemberFirsts:
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -112,6 +112,14 @@
 	return placement.Rank(role, m.roster.Eligible(now), m.self)
 }
 
+// allAssign reports whether all members assign new streams to software versions, and did for as long
+// as a stream may last.
+func (m *members) allAssign() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.AllAssign(m.now(), maxOriginKeep)
+}
+
 // remoteCoordinator returns the other member that coordinates a service; empty if it is this
 // node, or if no member serves and each node does its own work.
 func (m *members) remoteCoordinator(service string) string {
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -32,6 +32,9 @@
 	retryWindow  time.Duration
 	firstProcess bool
 	own          ownHistory
+	// unassigned is when a member that does not assign streams to versions was last heard of; zero
+	// for never.
+	unassigned time.Time
 }
 
 // rosterEntry is the state of one other member.
@@ -52,7 +55,7 @@
 // start of the member.
 func NewRoster(self string, incarnation int64, seeds []string) *Roster {
 	r := &Roster{
-		self:   message.GossipMember{Address: self, Incarnation: int(incarnation), Compact: true, Epochs: true, Counts: true},
+		self:   message.GossipMember{Address: self, Incarnation: int(incarnation), Compact: true, Epochs: true, Counts: true, Assigns: true},
 		others: map[string]rosterEntry{}, ownWeight: weightOf(self),
 	}
 	r.SetSeeds(seeds)
@@ -126,6 +129,7 @@
 		// know.
 		if same := old.Incarnation == m.Incarnation; same {
 			m.Epochs = m.Epochs || old.Epochs
+			m.Assigns = m.Assigns || old.Assigns
 			if old.Counts && !m.Counts {
 				m.Counts, m.Service, m.Retries, m.Firsts = true, old.Service, old.Retries, old.Firsts
 			}
@@ -139,10 +143,19 @@
 			e.history = historyAfter(now, old, r.retryWindow)
 		}
 		r.others[m.Address] = e
+		if !m.Assigns {
+			r.unassigned = now
+		}
 	}
 	r.peak = max(r.peak, r.Size(now))
 }
 
+// AllAssign reports whether all members that this one heard of within a time, and knows well enough,
+// assign new streams to software versions.
+func (r *Roster) AllAssign(now time.Time, within time.Duration) bool {
+	return r.Settled(now) && (r.unassigned.IsZero() || now.Sub(r.unassigned) > within)
+}
+
 // refute raises this member's incarnation above that of a report from an earlier start at
 // the same address.
 func (r *Roster) refute(m message.GossipMember) {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -57,6 +57,13 @@
 	Slowdown float64
 }
 
+// Run is a request that an engine is answering.
+type Run struct {
+	// Request is the ID of the request, Events the number of events so far.
+	Request string
+	Events  int
+}
+
 // Targets sends calls to targets.
 type Targets interface {
 	relay.Upstream
@@ -74,6 +81,8 @@
 	RunBatch(ctx context.Context, c BatchCall) (BatchAnswer, *verdict.Error)
 	// Inspect asks a target of a batch service what it is running and holding.
 	Inspect(ctx context.Context, t directory.Target) (batching.Report, *verdict.Error)
+	// Runs asks an engine which requests it is answering.
+	Runs(ctx context.Context, t directory.Target) ([]Run, *verdict.Error)
 	// Release releases results at the target that holds them.
 	Release(ctx context.Context, t directory.Target, handles []string) error
 }
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -156,7 +156,8 @@
 	return rules.Admission{
 		Estimated: r.stages.Total(backlogs), Alone: r.stages.Total(nil),
 		Left: r.times.Left(now, a.ownDelay), Objective: r.route.Objective,
-		Priority: r.route.Priority, Retried: a.retried, Reserved: a.reserved(), OverShare: slices.ContainsFunc(a.quotes, isOverShare),
+		Priority: r.route.Priority, Retried: a.retried, Reserved: a.reserved(),
+		TakenUp: r.takesUp(), ToDeadline: r.times.ResponseDeadline.Sub(now), OverShare: slices.ContainsFunc(a.quotes, isOverShare),
 	}
 }
 
@@ -315,7 +316,7 @@
 			plan = append(plan, PlannedStage{
 				Service: r.route.Stages[i].Service, Stage: i, Items: stage.Items,
 				Due:      r.times.Stage(r.stages.Following(i)).Due,
-				Priority: r.priority(), Bytes: r.route.Stages[i].ResultBytes,
+				Priority: r.stagePriority(), Bytes: r.route.Stages[i].ResultBytes,
 			})
 		}
 	}
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -38,12 +38,13 @@
 	quarantine Quarantine
 	gate       Gate
 	lender     Lender
+	streams    StreamOrigins
 }
 
 func (s *Server) newChooser(r *resolvedRequest) *chooser {
 	return &chooser{
 		resolvedRequest: r, dataCentre: s.cfg.DataCentre, node: s.cfg.Node, view: s.cfg.View, placer: s.cfg.Placer, targets: s.targets,
-		now: s.cfg.Now, sample: s.cfg.TargetSample, nodeCount: s.cfg.NodeCount, sendsToCold: s.cfg.SendsToCold, quarantine: s.cfg.Quarantine, gate: s.cfg.Gate, lender: s.cfg.Lender,
+		now: s.cfg.Now, sample: s.cfg.TargetSample, nodeCount: s.cfg.NodeCount, sendsToCold: s.cfg.SendsToCold, quarantine: s.cfg.Quarantine, gate: s.cfg.Gate, lender: s.cfg.Lender, streams: s.cfg.Streams,
 	}
 }
 
@@ -64,6 +65,7 @@
 // the other would be quarantined as well although it is harmless
 // (platform.TestRequestThatEndsItsTargets). They share one only if no other is left.
 func (c *chooser) chooseTarget(ctx context.Context, inputs map[string]int64) (destination, bool) {
+	c.stream = c.assigned(c.streams)
 	if !c.quarantine.Suspected(c.digest) {
 		return c.chooseAllowed(ctx, inputs, c.tried, false)
 	}
@@ -130,7 +132,7 @@
 	// A placer of an earlier version does not know that a version is required. A request never
 	// goes to a target again that it has tried: a copy of the first answer could be taken for
 	// the second.
-	if !ok || !known || !target.Usable(now) || !c.stream.mayContinueAt(target) || slices.Contains(c.tried, target.ID) {
+	if !ok || !known || !target.Usable(now) || !c.stream.mayGoTo(target) || slices.Contains(c.tried, target.ID) {
 		return destination{}, false
 	}
 	return destination{Target: target, copyFrom: placed.CopyFrom}, true
@@ -170,7 +172,7 @@
 	exclude := slices.Concat(c.tried, c.targets.ejected(now, d))
 	var list []directory.Incarnation
 	for _, t := range d.Service(c.service.Name) {
-		if t.Usable(now) && !t.Cold(now) && c.stream.mayContinueAt(t) && !slices.Contains(exclude, t.ID) {
+		if t.Usable(now) && !t.Cold(now) && c.stream.mayGoTo(t) && !slices.Contains(exclude, t.ID) {
 			list = append(list, t.Incarnation())
 		}
 	}
@@ -186,7 +188,7 @@
 func (c *chooser) anyCrowded() bool {
 	now := c.now()
 	return slices.ContainsFunc(c.view().Directory.Service(c.service.Name), func(t directory.Target) bool {
-		return t.Usable(now) && c.stream.mayContinueAt(t) && !slices.Contains(c.tried, t.ID) && c.gate.Crowded(t.Incarnation())
+		return t.Usable(now) && c.stream.mayGoTo(t) && !slices.Contains(c.tried, t.ID) && c.gate.Crowded(t.Incarnation())
 	})
 }
 
@@ -197,7 +199,7 @@
 	var list []time.Duration
 	for _, t := range c.view().Directory.Service(c.service.Name) {
 		left := c.gate.PauseLeft(t.Incarnation())
-		if t.Usable(now) && c.stream.mayContinueAt(t) && (left > 0 || !c.gate.HeldBack(t.Incarnation())) {
+		if t.Usable(now) && c.stream.mayGoTo(t) && (left > 0 || !c.gate.HeldBack(t.Incarnation())) {
 			list = append(list, left)
 		}
 	}
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -109,6 +109,14 @@
 	// origins are where streams began, origin what is found of any.
 	origins []streamorigin.Origin
 	origin  *streamorigin.Origin
+	// assigned is the version at which streams have to begin, inferred the one at which lost ones
+	// began, lost the last one.
+	assigned, inferred directory.Version
+	lost               streamorigin.Lost
+	// onSend is called before each call; nil for nothing.
+	onSend func()
+	// run is where a target was answering the stream; none without a service.
+	run streamorigin.Origin
 	// lent is the target that a member lends a request to; none if it has no ID.
 	lent directory.Incarnation
 	// told is what Tell returns.
@@ -136,7 +144,25 @@
 	return *f.origin, true
 }
 
+// Assign returns the version of the test.
+func (f *fakePorts) Assign(string, streamorigin.Key) directory.Version { return f.assigned }
+
+// FindRun finds the run of the test.
+func (f *fakePorts) FindRun(string) (streamorigin.Origin, bool) { return f.run, f.run.Service != "" }
+
+// Infer returns what the test says of lost streams.
+func (f *fakePorts) Infer(_ context.Context, l streamorigin.Lost) (directory.Version, string) {
+	f.lost = l
+	if f.inferred.Known() {
+		return f.inferred, ""
+	}
+	return 0, "the test does not tell"
+}
+
 func (f *fakePorts) Send(ctx context.Context, c relay.Call) (*relay.Reply, *verdict.Error) {
+	if f.onSend != nil {
+		f.onSend()
+	}
 	if err := c.Permit(); err != nil {
 		return nil, verdict.From(err)
 	}
--- a/internal/gateway/relay/outcome.go
+++ b/internal/gateway/relay/outcome.go
@@ -128,6 +128,8 @@
 	// Software is the software version of the target that began the stream which the request
 	// takes up; empty if it takes none up, or if that is unknown.
 	Software string
+	// Inferred is whether Software follows from the targets that there were, as no node knew it.
+	Inferred bool
 	// Version and Revision are those of the view that applied to the request.
 	Version  int64
 	Revision int64
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -318,6 +318,14 @@
 	// Find returns where a stream began, by what this node or a member knows. It waits for
 	// members for a short time only.
 	Find(ctx context.Context, k streamorigin.Key) (streamorigin.Origin, bool)
+	// FindRun returns where a stream began by what targets were answering when this node started.
+	FindRun(request string) (streamorigin.Origin, bool)
+	// Assign returns the version at which a new stream of a service has to begin; unknown if it may
+	// begin at any.
+	Assign(service string, k streamorigin.Key) directory.Version
+	// Infer returns the version at which a stream must have begun that nobody knows of, or why that
+	// is not known. It waits for the source for a short time only.
+	Infer(ctx context.Context, l streamorigin.Lost) (v directory.Version, unknown string)
 }
 
 // PlannedStage is a stage that a request will run.
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -64,6 +64,7 @@
 	r.stages = stagesOf(c, r.route, req.Items)
 	r.times = rules.NewTimes(rules.TimesInput{
 		Arrived: req.Arrived, ClientTimeout: req.Timeout, RouteTimeout: r.route.Timeout, Objective: r.route.Objective,
+		TakenUp: r.takesUp(),
 		Prefill: s.prefills.firstEventTime(r.service.Name, req.Tokens),
 	})
 	return r, nil
@@ -119,7 +120,10 @@
 	return list
 }
 
-// priority returns the priority of the request's items and prompt at targets.
+// priority returns the priority of the request's prompt at targets.
 func (r *resolvedRequest) priority() int {
 	return rules.EnginePriority(r.org.Priority, r.route.Priority)
 }
+
+// stagePriority returns the priority of the request's items.
+func (r *resolvedRequest) stagePriority() int { return rules.StagePriority(r.priority(), r.takesUp()) }
--- a/internal/gateway/relay/rules/admission.go
+++ b/internal/gateway/relay/rules/admission.go
@@ -38,6 +38,10 @@
 	Retried bool
 	// Reserved is true if a coordinator reserved capacity for the request.
 	Reserved bool
+	// TakenUp is true if the client already has a part of the stream, ToDeadline the time to the
+	// response deadline.
+	TakenUp    bool
+	ToDeadline time.Duration
 	// OverShare is true if a stage's service is full and the request's organisation asks for
 	// more than its share of it.
 	OverShare bool
@@ -80,6 +84,10 @@
 // planShare and the margin by priority, since first attempts wait for its reservation.
 // A request that is not admitted is refused immediately.
 //
+// A stream that its client takes up has met its objective, or missed it, at an earlier node. It is
+// measured against its deadline, whatever its priority: refused, all that was made of it is lost.
+// It is refused for its own work alone if that takes longer.
+//
 // A request over its organisation's share may wait for minWait only, so that it takes
 // capacity that nobody else waits for.
 //
@@ -95,7 +103,7 @@
 // its response late.
 func Admit(a Admission) AdmissionDecision {
 	c := compare(a)
-	if c.Wait <= c.Bound {
+	if c.Wait <= c.Bound && (!a.TakenUp || c.Alone+c.Lead <= c.Window) {
 		return Admitted{}
 	}
 	return Refused{Comparison: c}
@@ -112,9 +120,12 @@
 	if a.Reserved {
 		c.PlanShare, c.PriorityMargin = 1, 0
 	}
+	if a.TakenUp {
+		c.Window, c.PlanShare, c.PriorityMargin, c.MinWait = a.ToDeadline, 1, 0, 0
+	}
 	planned := time.Duration(c.PlanShare * float64(c.Window))
 	c.Bound = max(planned-c.Alone-c.Lead-c.PriorityMargin, c.MinWait)
-	if a.OverShare && !a.Reserved {
+	if a.OverShare && !a.Reserved && !a.TakenUp {
 		c.Bound = c.MinWait
 	}
 	return c
--- a/internal/gateway/relay/rules/admission_test.go
+++ b/internal/gateway/relay/rules/admission_test.go
@@ -138,3 +138,22 @@
 		convey.So(excessWait(firstAttempt(bound+time.Second)), convey.ShouldEqual, time.Second)
 	})
 }
+
+// TestAdmitTakenUp guards against streams that are lost to their clients although their rest could be
+// made in time, and against work for those whose rest cannot.
+func TestAdmitTakenUp(t *testing.T) {
+	in := Admission{Estimated: 3 * time.Second, Alone: time.Second, Objective: 2 * time.Second, Priority: 2, TakenUp: true, OverShare: true}
+	shouldAdmit := func(toDeadline time.Duration, want AdmissionDecision) {
+		in.ToDeadline = toDeadline
+		convey.So(Admit(in), convey.ShouldHaveSameTypeAs, want)
+	}
+	convey.Convey("A stream that its client takes up is measured against its deadline alone", t, func() {
+		shouldAdmit(3*time.Second+engineLead, Admitted{})
+		shouldAdmit(3*time.Second+engineLead-1, Refused{})
+	})
+	convey.Convey("It is refused for its own work if that takes longer, also on an idle system", t, func() {
+		in.Estimated = in.Alone
+		shouldAdmit(time.Second+engineLead, Admitted{})
+		shouldAdmit(time.Second+engineLead-1, Refused{})
+	})
+}
--- a/internal/gateway/relay/rules/priority.go
+++ b/internal/gateway/relay/rules/priority.go
@@ -9,6 +9,20 @@
 	routePriorityLevels = 3
 )
 
+// takenUpLevels is how many priorities the items of a stream go before those of their route if its
+// client already has a part of it: about a second.
+const takenUpLevels = 5
+
+// StagePriority decides the priority of a request's items, by that of its prompt and by whether
+// its client takes a stream up. Such a client has little time left, and what was made for it is lost
+// if its items come too late. A wrong priority makes other requests wait.
+func StagePriority(prompt int, takenUp bool) int {
+	if takenUp {
+		return prompt - takenUpLevels
+	}
+	return prompt
+}
+
 // EnginePriority decides the priority of a request's items and prompt at a target, from
 // 0 (first) to 9. The organisation's priority (0 without one) takes precedence over the
 // route's. Both come from the configuration, 0 for the most urgent. A wrong priority
--- a/internal/gateway/relay/rules/priority_test.go
+++ b/internal/gateway/relay/rules/priority_test.go
@@ -23,3 +23,13 @@
 		})
 	}
 }
+
+// TestStagePriority guards against streams whose clients have little time left and whose items wait
+// behind those of streams that begin.
+func TestStagePriority(t *testing.T) {
+	convey.Convey("The items of a stream that its client takes up go before those of all streams that begin", t, func() {
+		convey.So(StagePriority(2, false), convey.ShouldEqual, 2)
+		convey.So(StagePriority(2, true), convey.ShouldBeLessThan, 0)
+		convey.So(StagePriority(0, true), convey.ShouldBeLessThan, StagePriority(1, true))
+	})
+}
--- a/internal/gateway/relay/rules/times.go
+++ b/internal/gateway/relay/rules/times.go
@@ -27,6 +27,8 @@
 	RouteTimeout time.Duration
 	// Objective is the time from arrival within which the response should start.
 	Objective time.Duration
+	// TakenUp is whether the client already has a part of the stream.
+	TakenUp bool
 	// Prefill is the engine's time to the prompt's first event (PrefillRate.Time).
 	Prefill time.Duration
 }
@@ -42,7 +44,9 @@
 	Lead time.Duration
 }
 
-// NewTimes decides by when a request must and should be answered. The response deadline
+// NewTimes decides by when a request must and should be answered. The rest of a stream that its
+// client takes up is due by the deadline, if that comes first: later it is of no use, and all that was
+// made of the stream is lost. The response deadline
 // is the shorter of the client's and the route's timeout, minus a margin for the way back
 // to the client. The lead is the prompt's prefill time, and engineLead at least. Too late
 // a deadline loses responses on the way to the client; too early a deadline abandons
@@ -55,10 +59,15 @@
 	if in.RouteTimeout > 0 {
 		timeout = min(timeout, in.RouteTimeout)
 	}
+	untilDeadline := timeout - min(responseMargin, timeout/responseMarginDivisor)
+	objective := in.Objective
+	if in.TakenUp {
+		objective = min(objective, untilDeadline)
+	}
 	return Times{
 		Arrived:          in.Arrived,
-		ResponseDeadline: in.Arrived.Add(timeout - min(responseMargin, timeout/responseMarginDivisor)),
-		Objective:        in.Arrived.Add(in.Objective),
+		ResponseDeadline: in.Arrived.Add(untilDeadline),
+		Objective:        in.Arrived.Add(objective),
 		Lead:             max(engineLead, in.Prefill),
 	}
 }
--- a/internal/gateway/relay/rules/times_test.go
+++ b/internal/gateway/relay/rules/times_test.go
@@ -40,6 +40,13 @@
 		convey.So(stage.Due.Sub(arrived), convey.ShouldEqual, 2*time.Second-engineLead-following)
 		convey.So(stage.Deadline.Sub(arrived), convey.ShouldEqual, 10*time.Second-responseMargin-engineLead-following)
 	})
+	convey.Convey("The stages of a stream that a client takes up are due by its deadline if that comes first", t, func() {
+		taken := in
+		taken.TakenUp = true
+		convey.So(NewTimes(taken).Stage(0).Due, convey.ShouldEqual, NewTimes(in).Stage(0).Due)
+		taken.ClientTimeout = time.Second
+		convey.So(NewTimes(taken).Objective, convey.ShouldEqual, NewTimes(taken).ResponseDeadline)
+	})
 	convey.Convey("The stages of a long prompt are due earlier, but have the same deadline", t, func() {
 		long := in
 		long.Prefill = 600 * time.Millisecond
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -209,8 +209,8 @@
 	if !now.Before(s.times.ResponseDeadline) {
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline has passed")
 	}
-	if !s.stream.mayContinueAt(target) {
-		return verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "the target is of another version than the one that began the stream")
+	if stream := s.assigned(s.streams); !stream.mayGoTo(target) {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "the target is of another version than the stream")
 	}
 	if !s.view().Directory.Usable(target.ID, now) || s.gate.HeldBack(target.Incarnation()) {
 		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target, or its data centre, takes no new work")
--- a/internal/gateway/relay/stages.go
+++ b/internal/gateway/relay/stages.go
@@ -183,7 +183,7 @@
 	g := Group{
 		Digest:  runner.stageDigest(i),
 		Request: runner.req.ID, Stage: i, Count: runner.stages[i].Items, Bytes: runner.route.Stages[i].ResultBytes,
-		Due: times.Due, Deadline: times.Deadline, Priority: runner.priority(),
+		Due: times.Due, Deadline: times.Deadline, Priority: runner.stagePriority(),
 		WithdrawableUntil: r.withdrawableUntil(i),
 	}
 	if len(runner.stages[i].After) == 0 {
--- a/internal/gateway/relay/streamorigin.go
+++ b/internal/gateway/relay/streamorigin.go
@@ -7,6 +7,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -20,14 +21,15 @@
 	originMargin = time.Second
 )
 
-// streamOrigin is what began the stream that a request continues. Targets do not check whether
-// they understand a stream of another software version, so that it goes on only at targets of
-// the version that began it.
+// streamOrigin is the software version of the targets that may get the request of a stream. Targets
+// do not check whether they understand a stream of another version, so that it goes on only at
+// targets of the version that began it.
 type streamOrigin struct {
 	// begun is true once the client has a part of the stream.
 	begun bool
 	// version is that of the target that began it; unknown if a member of an earlier version
-	// reported that target.
+	// reported that target. Before the stream has begun it is the one that it has to begin at;
+	// unknown for any.
 	version directory.Version
 }
 
@@ -38,14 +40,32 @@
 	}
 }
 
-// mayContinueAt reports whether a target may get the request.
-func (o *streamOrigin) mayContinueAt(t directory.Target) bool {
-	return !o.begun || o.version.Known() && t.Version == o.version
+// mayGoTo reports whether a target may get the request.
+func (o *streamOrigin) mayGoTo(t directory.Target) bool {
+	if o.begun && !o.version.Known() {
+		return false
+	}
+	return !o.version.Known() || t.Version == o.version
 }
 
 // nowhere reports whether no target may get the request since it is not known which began it.
 func (o *streamOrigin) nowhere() bool { return o.begun && !o.version.Known() }
 
+// resumable reports whether the request's client may take its stream up.
+func (r *resolvedRequest) resumable() bool {
+	return r.route.Kind == catalog.Stream && r.route.Resumable
+}
+
+// assigned returns the request's stream with the version at which it has to begin, by the targets as
+// they are now.
+func (r *resolvedRequest) assigned(streams StreamOrigins) streamOrigin {
+	stream := r.stream
+	if r.resumable() && !stream.begun {
+		stream.version = streams.Assign(r.service.Name, streamorigin.KeyOf(r.org.Name, r.req.ID))
+	}
+	return stream
+}
+
 // takesUp reports whether the client has a part of the stream from an earlier request.
 func (r *resolvedRequest) takesUp() bool {
 	return r.route.Kind == catalog.Stream && r.req.LastEvent != ""
@@ -54,7 +74,7 @@
 // tellOrigin tells members at which target a stream begins that clients may take up. told is
 // nil if there is nothing to tell.
 func (s *sender) tellOrigin(target directory.Target) (told <-chan struct{}) {
-	if s.route.Kind != catalog.Stream || !s.route.Resumable || s.stream.begun {
+	if !s.resumable() || s.stream.begun {
 		return nil
 	}
 	origin := streamorigin.Origin{Service: s.service.Name, Version: target.Version, Attempt: len(s.outcome.Attempts)}
@@ -84,9 +104,21 @@
 	if !r.takesUp() {
 		return nil
 	}
-	origin, found := s.cfg.Streams.Find(ctx, streamorigin.KeyOf(r.org.Name, r.req.Resumes))
-	if !found || !origin.Version.Known() {
-		return s.refuseStream(r, verdict.ReasonStreamUnknown, "no node knows which version began the stream of request "+r.req.Resumes)
+	key := streamorigin.KeyOf(r.org.Name, r.req.Resumes)
+	origin, found := s.cfg.Streams.Find(ctx, key)
+	if !found {
+		origin, found = s.cfg.Streams.FindRun(r.req.Resumes)
+	}
+	if !found {
+		v, unknown := s.inferVersion(ctx, r, key)
+		if unknown != "" {
+			return s.refuseStream(r, verdict.ReasonStreamUnknown, "no node knows which version began the stream of request "+r.req.Resumes+", and "+unknown)
+		}
+		origin = streamorigin.Origin{Service: r.service.Name, Version: v}
+		outcome.Inferred = true
+	}
+	if !origin.Version.Known() {
+		return s.refuseStream(r, verdict.ReasonStreamUnknown, "the version that began the stream of request "+r.req.Resumes+" was not known to the node that sent it")
 	}
 	outcome.Software = origin.Version.String()
 	if !leadsTo(r.route, origin.Service) {
@@ -100,11 +132,26 @@
 	return nil
 }
 
+// inferVersion returns the version at which a stream must have begun of which no node knows, or why
+// that is not known.
+func (s *Server) inferVersion(ctx context.Context, r *resolvedRequest, key streamorigin.Key) (v directory.Version, unknown string) {
+	if len(r.route.Split) != 1 || !r.route.Resumable {
+		return 0, "its route leads to several services, or its streams are not resumed"
+	}
+	longest := max(s.timeouts.longestOf(r.route.Name), r.req.Timeout)
+	return s.cfg.Streams.Infer(ctx, streamorigin.Lost{
+		Key: key, Named: r.req.Resumes != "", Service: r.service.Name, Host: r.req.Host, Path: r.req.Path,
+		Age: rules.StreamAge(rules.StreamAgeInput{
+			Longest: max(longest, r.route.Timeout), Left: r.req.Timeout, Held: s.cfg.Now().Sub(r.req.Arrived), Most: streamorigin.MaxAge(r.route, longest),
+		}),
+	})
+}
+
 // anyContinues reports whether a usable target may continue the stream of a request.
 func (s *Server) anyContinues(r *resolvedRequest) bool {
 	now := s.cfg.Now()
 	return slices.ContainsFunc(s.cfg.View().Directory.Service(r.service.Name), func(t directory.Target) bool {
-		return t.Usable(now) && r.stream.mayContinueAt(t)
+		return t.Usable(now) && r.stream.mayGoTo(t)
 	})
 }
 
--- a/internal/gateway/relay/timings.go
+++ b/internal/gateway/relay/timings.go
@@ -26,6 +26,13 @@
 	return rules.Retried(timeout, c.longest[route])
 }
 
+// longestOf returns the longest timeout of a client of a route; 0 for none.
+func (c *clientTimeouts) longestOf(route string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.longest[route]
+}
+
 // prefillRates tracks the prefill rate of each service's engines. It is safe for
 // concurrent use.
 type prefillRates struct {
--- a/internal/gateway/relay/version_test.go
+++ b/internal/gateway/relay/version_test.go
@@ -134,6 +134,26 @@
 			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
 			convey.So(f.origins, convey.ShouldBeEmpty)
 		})
+		convey.Convey("goes on at the version that the targets' history leaves, if no node knows where it began", func() {
+			f.inferred = directory.VersionOf("v2")
+			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
+			convey.So(f.calls[0].Target.ID, convey.ShouldEqual, "t3")
+			convey.So(f.outcome.Inferred, convey.ShouldBeTrue)
+			convey.So(f.lost.Key, convey.ShouldEqual, streamorigin.KeyOf("", "first"))
+			convey.So(f.lost.Service, convey.ShouldEqual, "s")
+			convey.So(f.lost.Named, convey.ShouldBeTrue)
+		})
+		convey.Convey("goes on at the version of the target that was answering it, before anything is inferred", func() {
+			f.run, f.inferred = *origin("s", "v2"), directory.VersionOf("v1")
+			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
+			convey.So(f.calls[0].Target.ID, convey.ShouldEqual, "t3")
+			convey.So(f.outcome.Inferred, convey.ShouldBeFalse)
+		})
+		convey.Convey("is not inferred if its route leads to several services", func() {
+			f.inferred = directory.VersionOf("v2")
+			route.Split = append(route.Split, catalog.Share{Service: "two", Weight: 0})
+			shouldRefuse(f, takeUp(f, s, 1), verdict.ReasonStreamUnknown)
+		})
 		convey.Convey("is refused at once, before its stages, if no node knows where it began", func() {
 			shouldRefuse(f, takeUp(f, s, 1), verdict.ReasonStreamUnknown)
 		})
@@ -163,6 +183,32 @@
 			convey.So(f.outcome.FirstByte, convey.ShouldBeBetween, 50*time.Millisecond, 500*time.Millisecond)
 		})
 	})
+	convey.Convey("A stream that begins where targets have several versions", t, func() {
+		f, s := setupWithView(resumableRoute(), true, 0, withVersions("v1", "v1", "v2", "v2"))
+		f.assigned = directory.VersionOf("v2")
+		shouldGoTo := func(version string) {
+			for _, c := range f.calls {
+				convey.So(c.Target.Version.String(), convey.ShouldEqual, version)
+			}
+		}
+		convey.Convey("goes to the version that it is assigned to, at each attempt", func() {
+			f.replies = []fakeReply{lostConnection()}
+			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
+			convey.So(f.calls, convey.ShouldHaveLength, 2)
+			shouldGoTo("v2")
+		})
+		convey.Convey("is not sent if the assignment changes just before", func() {
+			f.onSend = func() { f.assigned = directory.VersionOf("v1") }
+			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
+			shouldGoTo("v1")
+		})
+		convey.Convey("is not bound if it may not be taken up", func() {
+			f, s := setupWithView(&catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, true, 0, withVersions("v1", "v1", "v1", "v1"))
+			f.assigned = directory.VersionOf("v2")
+			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
+			convey.So(f.calls, convey.ShouldHaveLength, 1)
+		})
+	})
 	convey.Convey("A stream that may not be taken up is not told to members", t, func() {
 		f, s := setup(&catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, true)
 		convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -184,7 +184,7 @@
 	}
 	ev.Dur("first", o.FirstByte).Dur("took", o.Took).Int("status", o.Status).Int("events", o.Events)
 	if o.Request.LastEvent != "" {
-		ev.Str("resumes", o.Request.Resumes).Str("after", o.Request.LastEvent).Str("software", o.Software)
+		ev.Str("resumes", o.Request.Resumes).Str("after", o.Request.LastEvent).Str("software", o.Software).Bool("inferred", o.Inferred).Dur("waits", o.Request.Timeout)
 	}
 	if o.Recomputed > 0 {
 		ev.Int("remade", o.Recomputed)
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -46,6 +46,8 @@
 	return BatchAnswer{}, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "none")
 }
 
+func (noTargets) Runs(context.Context, directory.Target) ([]Run, *verdict.Error) { return nil, nil }
+
 func (noTargets) Inspect(context.Context, directory.Target) (batching.Report, *verdict.Error) {
 	return batching.Report{}, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "none")
 }
--- /dev/null
+++ b/internal/gateway/streamorigin/history_test.go
@@ -0,0 +1,398 @@
+package streamorigin_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
+)
+
+// reach is how long the source of these tests remembers a change, start when its record begins.
+const reach = 20 * time.Second
+
+var start = time.Unix(10_000, 0)
+
+// streams returns a catalog with one route of streams that may be resumed.
+func streams(version int64, service string) *catalog.Catalog {
+	route := &catalog.Route{Host: "h", Prefix: "/", Kind: catalog.Stream, Resumable: true, Split: []catalog.Share{{Service: service, Weight: 1}}, Timeout: 10 * time.Second}
+	c, err := catalog.New(version, []*catalog.Route{route}, []*catalog.Service{{Name: service}}, nil, catalog.Limits{})
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// dated is a change of the source at a time.
+type dated struct {
+	at time.Time
+	view.Change
+}
+
+func ready(id, version string) view.TargetChange {
+	return view.TargetChange{Target: directory.Target{ID: id, Service: "s", Version: directory.VersionOf(version)}}
+}
+
+func draining(id, version string) view.TargetChange {
+	c := ready(id, version)
+	c.Target.State = directory.Draining
+	return c
+}
+
+// source is the record of all changes; the first is revision 1.
+type source []dated
+
+// node follows a source, behind it by a time.
+type node struct {
+	src     source
+	view    *view.View
+	history *streamorigin.History
+	lag     time.Duration
+	applied int
+}
+
+// startNode starts a node at a time. Unless it is the first one, it learns what the source remembers.
+func startNode(src source, now time.Time, lag time.Duration, first bool) *node {
+	var opts []streamorigin.Option
+	if first {
+		opts = append(opts, streamorigin.FromStart())
+	}
+	n := &node{src: src, view: view.New(), history: streamorigin.NewHistory(now, opts...), lag: lag}
+	listed := map[string]view.Change{}
+	var order []string
+	for n.applied < len(src) && !src[n.applied].at.After(now) {
+		key := keyOf(src[n.applied].Change)
+		if _, known := listed[key]; !known {
+			order = append(order, key)
+		}
+		listed[key] = src[n.applied].Change
+		n.applied++
+	}
+	ch := view.Changes{Revision: view.NewRevision(0, int64(n.applied))}
+	for _, key := range order {
+		if _, gone := listed[key].(view.TargetRemoval); !gone {
+			ch.List = append(ch.List, listed[key])
+		}
+	}
+	n.apply(now, ch, true)
+	if !first {
+		n.extend(now)
+	}
+	return n
+}
+
+func keyOf(c view.Change) string {
+	switch c := c.(type) {
+	case view.TargetChange:
+		return c.Target.ID
+	case view.TargetRemoval:
+		return c.ID
+	default:
+		return "config"
+	}
+}
+
+func (n *node) apply(now time.Time, ch view.Changes, snapshot bool) {
+	old := n.view
+	if snapshot {
+		n.view = old.WithSnapshot(now, ch, time.Time{})
+	} else {
+		n.view = old.WithChanges(now, ch, time.Time{})
+	}
+	n.history.Observe(now, old, n.view, ch)
+}
+
+// extend tells the history what the source remembers at a time.
+func (n *node) extend(now time.Time) {
+	var ch view.Changes
+	forgotten := false
+	for i, c := range n.src[:n.applied] {
+		if now.Sub(c.at) > reach {
+			forgotten = true
+			continue
+		}
+		if first, ok := c.Change.(view.CatalogChange); ok {
+			first.First = i == 0
+			c.Change = first
+		}
+		ch.List, ch.At = append(ch.List, c.Change), append(ch.At, view.NewRevision(0, int64(i+1)))
+	}
+	n.history.Extend(now, reach, !forgotten, ch)
+}
+
+// forget tells the history what the source has forgotten at a time.
+func (n *node) forget(now time.Time) {
+	for i, c := range n.src {
+		if now.Sub(c.at) > reach {
+			n.history.Narrow(view.NewRevision(0, int64(i+1)), now.Add(-reach))
+		}
+	}
+}
+
+// follow applies what the node knows of the source at a time.
+func (n *node) follow(now time.Time) {
+	for n.applied < len(n.src) && !n.src[n.applied].at.After(now.Add(-n.lag)) {
+		c := n.src[n.applied]
+		n.applied++
+		n.apply(c.at.Add(n.lag), view.Changes{Revision: view.NewRevision(0, int64(n.applied)), List: []view.Change{c.Change}}, false)
+	}
+}
+
+// confirm applies all that the source knows at a time.
+func (n *node) confirm(now time.Time) {
+	n.follow(now)
+	for n.applied < len(n.src) && !n.src[n.applied].at.After(now) {
+		c := n.src[n.applied]
+		n.applied++
+		n.apply(now, view.Changes{Revision: view.NewRevision(0, int64(n.applied)), List: []view.Change{c.Change}}, false)
+	}
+}
+
+// begin returns the version of the target at which the node begins a stream; unknown if it has none.
+func (n *node) begin(now time.Time, k streamorigin.Key) directory.Version {
+	v := n.history.Assign(now, "s", k)
+	for _, t := range n.view.Directory.Service("s") {
+		if t.Usable(now) && (!v.Known() || t.Version == v) {
+			return t.Version
+		}
+	}
+	return 0
+}
+
+// lost is a stream of the route of streams.
+func lost(k streamorigin.Key, age time.Duration) streamorigin.Lost {
+	return streamorigin.Lost{Key: k, Service: "s", Host: "h", Path: "/x", Age: age, Named: true, Assigned: true}
+}
+
+// drawSource draws targets of three versions that start, leave with and without saying so, become cold
+// and change their version.
+func drawSource(t *rapid.T) source {
+	src := source{{start, view.CatalogChange{Catalog: streams(1, "s")}}}
+	at := start
+	known := map[string]bool{}
+	for i := range rapid.IntRange(4, 40).Draw(t, "changes") {
+		at = at.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "after")) * time.Millisecond)
+		id := fmt.Sprint("t", rapid.IntRange(0, 7).Draw(t, "target"))
+		c := ready(id, rapid.SampledFrom([]string{"v1", "v1", "v2", "v3"}).Draw(t, "version"))
+		if old, _ := src[len(src)-1].Change.(view.TargetChange); known[id] && old.Target.ID == id {
+			c.Target.Version = old.Target.Version
+		}
+		switch rapid.IntRange(0, 5).Draw(t, "what") {
+		case 0:
+			c.Target.State = directory.Draining
+		case 1:
+			if known[id] && i > 0 {
+				known[id] = false
+				src = append(src, dated{at, view.TargetRemoval{ID: id}})
+				continue
+			}
+		case 2:
+			c.ColdFor = time.Duration(rapid.IntRange(1, 3000).Draw(t, "cold")) * time.Millisecond
+		}
+		known[id] = true
+		src = append(src, dated{at, c})
+	}
+	return src
+}
+
+// TestInferredVersion guards against a lost stream for which another version is named than the one that
+// began it, whatever the targets did, for nodes that run on, that start again and that are behind.
+func TestInferredVersion(t *testing.T) {
+	inferred := 0
+	rapid.Check(t, func(t *rapid.T) {
+		src := drawSource(t)
+		seconds := func(name string, from, to int) time.Duration {
+			return time.Duration(rapid.IntRange(from*1000, to*1000).Draw(t, name)) * time.Millisecond
+		}
+		lag := time.Duration(rapid.IntRange(0, 2900).Draw(t, "lag")) * time.Millisecond
+		started := start.Add(seconds("started", 0, 60))
+		begun := started.Add(lag + seconds("begun", 0, 20))
+		age := seconds("age", 0, 10)
+		beginner := startNode(src, started, lag, started.Equal(start))
+		beginner.follow(begun)
+		taker := startNode(src, begun.Add(-seconds("running", -5, 60)), time.Duration(rapid.IntRange(0, 1000).Draw(t, "behind"))*time.Millisecond, false)
+		if begun.Add(age).Before(taker.startedAt(src)) {
+			return
+		}
+		taker.confirm(begun.Add(age))
+		taker.forget(begun.Add(age))
+		for k := range streamorigin.Key(20) {
+			at := beginner.begin(begun, k)
+			v, unknown := taker.history.Infer(begun.Add(age), lost(k, age+seconds("margin", 0, 2)))
+			if unknown == "" {
+				inferred++
+			}
+			if unknown == "" && at.Known() && v != at {
+				t.Fatalf("begun at %s, inferred %s", at, v)
+			}
+		}
+	})
+	if inferred == 0 {
+		t.Error("no version was ever inferred")
+	}
+}
+
+// startedAt returns when the last change that the node listed at its start happened.
+func (n *node) startedAt(src source) time.Time {
+	if n.applied == 0 {
+		return time.Time{}
+	}
+	return src[n.applied-1].at
+}
+
+// TestHistory guards against lost streams that go on nowhere although one version alone can have begun
+// them, and against a version that is named although the targets of that time are not known.
+func TestHistory(t *testing.T) {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	config := dated{at(0), view.CatalogChange{Catalog: streams(1, "s")}}
+	pair := func(s float64, version string, ids ...string) source {
+		var list source
+		for _, id := range ids {
+			list = append(list, dated{at(s), ready(id, version)})
+		}
+		return list
+	}
+	shouldKnow := func(n *node, now time.Time, age time.Duration, want string) {
+		known := 0
+		for k := range streamorigin.Key(100) {
+			v, unknown := n.history.Infer(now, lost(k, age))
+			convey.So(unknown == "", convey.ShouldEqual, v.Known())
+			if v.Known() {
+				convey.So(v.String(), convey.ShouldEqual, want)
+				known++
+			}
+		}
+		convey.So(known, convey.ShouldEqual, 100)
+	}
+	shouldNotKnow := func(n *node, now time.Time, age time.Duration) {
+		for k := range streamorigin.Key(100) {
+			_, unknown := n.history.Infer(now, lost(k, age))
+			convey.So(unknown, convey.ShouldNotBeEmpty)
+		}
+	}
+	one := slices.Concat(source{config}, pair(1, "v1", "a", "b", "c"))
+	convey.Convey("A node that starts after all others ended", t, func() {
+		convey.Convey("knows the version if there was only one", func() {
+			n := startNode(one, at(60), 0, false)
+			shouldKnow(n, at(61), 10*time.Second, "v1")
+		})
+		convey.Convey("does not know it of streams that can be older than what the source remembers", func() {
+			n := startNode(one, at(60), 0, false)
+			shouldNotKnow(n, at(61), 19*time.Second)
+		})
+		convey.Convey("does not know it just after the only targets of another version left, and knows it later", func() {
+			src := slices.Concat(one, pair(30, "v2", "x", "y"), source{{at(50), view.TargetRemoval{ID: "a"}}, {at(50), view.TargetRemoval{ID: "b"}}, {at(50), view.TargetRemoval{ID: "c"}}})
+			n := startNode(src, at(55), 0, false)
+			v, unknown := n.history.Infer(at(56), lost(1, 2*time.Second))
+			convey.So(unknown, convey.ShouldNotBeEmpty)
+			convey.So(v.Known(), convey.ShouldBeFalse)
+			n.forget(at(71))
+			shouldKnow(n, at(71), 10*time.Second, "v2")
+		})
+		convey.Convey("knows each stream's version if two have been there for long", func() {
+			src := slices.Concat(one, pair(2, "v2", "x", "y", "z"))
+			n, before := startNode(src, at(60), 0, false), startNode(src, at(3), 0, true)
+			for k := range streamorigin.Key(100) {
+				v, unknown := n.history.Infer(at(61), lost(k, 10*time.Second))
+				convey.So(unknown, convey.ShouldBeEmpty)
+				convey.So(v, convey.ShouldEqual, before.begin(at(59), k))
+			}
+		})
+		convey.Convey("does not know it if the client does not name its request, or nodes did not assign streams", func() {
+			n := startNode(slices.Concat(one, pair(2, "v2", "x", "y", "z")), at(60), 0, false)
+			for _, change := range []func(*streamorigin.Lost){func(l *streamorigin.Lost) { l.Named = false }, func(l *streamorigin.Lost) { l.Assigned = false }} {
+				l := lost(1, time.Second)
+				change(&l)
+				_, unknown := n.history.Infer(at(61), l)
+				convey.So(unknown, convey.ShouldNotBeEmpty)
+			}
+		})
+		convey.Convey("does not know it if the catalog changed meanwhile, as the route may have led elsewhere", func() {
+			n := startNode(slices.Concat(one, source{{at(50), view.CatalogChange{Catalog: streams(2, "s")}}}), at(60), 0, false)
+			shouldNotKnow(n, at(61), time.Second)
+		})
+	})
+	convey.Convey("A node that runs on", t, func() {
+		convey.Convey("does not know the version of a route that led elsewhere", func() {
+			n := startNode(slices.Concat(source{{at(0), view.CatalogChange{Catalog: streams(1, "other")}}}, pair(1, "v1", "a", "b"), source{{at(40), view.CatalogChange{Catalog: streams(2, "s")}}}), at(0), 0, true)
+			n.confirm(at(45))
+			shouldNotKnow(n, at(45), 10*time.Second)
+			shouldKnow(n, at(60), 1*time.Second, "v1")
+		})
+		convey.Convey("does not know it after a gap in what it was told", func() {
+			n := startNode(one, at(10), 0, true)
+			n.apply(at(40), view.Changes{Revision: view.NewRevision(0, 90), List: []view.Change{ready("a", "v1"), ready("b", "v1")}}, true)
+			shouldNotKnow(n, at(41), 10*time.Second)
+		})
+	})
+	convey.Convey("New streams", t, func() {
+		convey.Convey("are not assigned to a version with one target", func() {
+			n := startNode(slices.Concat(one, pair(2, "v2", "x")), at(3), 0, true)
+			for k := range streamorigin.Key(100) {
+				convey.So(n.history.Assign(at(3), "s", k).String(), convey.ShouldEqual, "v1")
+			}
+		})
+		convey.Convey("are assigned in proportion to the targets that are ready", func() {
+			src := slices.Concat(one, pair(2, "v2", "x", "y"), source{{at(2), draining("c", "v1")}})
+			n := startNode(src, at(3), 0, true)
+			counts := map[string]int{}
+			for k := range streamorigin.Key(1000) {
+				counts[n.history.Assign(at(3), "s", k).String()]++
+			}
+			convey.So(counts["v1"], convey.ShouldBeBetween, 400, 600)
+			convey.So(counts["v2"], convey.ShouldEqual, 1000-counts["v1"])
+		})
+		convey.Convey("are not assigned to targets that are cold", func() {
+			cold := ready("x", "v2")
+			cold.ColdFor = 5 * time.Second
+			other := ready("y", "v2")
+			other.ColdFor = 5 * time.Second
+			n := startNode(slices.Concat(one, source{{at(2), cold}, {at(2), other}}), at(0), 0, true)
+			n.confirm(at(3))
+			for k := range streamorigin.Key(100) {
+				convey.So(n.history.Assign(at(3), "s", k).String(), convey.ShouldEqual, "v1")
+			}
+			seen := map[string]bool{}
+			for k := range streamorigin.Key(100) {
+				seen[n.history.Assign(at(8), "s", k).String()] = true
+			}
+			convey.So(seen["v2"], convey.ShouldBeTrue)
+		})
+	})
+}
+
+// TestRuns guards against a run at targets of two versions that names one of them, and against runs that
+// are found for too long.
+func TestRuns(t *testing.T) {
+	first := streamorigin.Origin{Service: "s", Version: directory.VersionOf("v1")}
+	second := streamorigin.Origin{Service: "s", Version: directory.VersionOf("v2")}
+	convey.Convey("Given a run", t, func() {
+		runs := streamorigin.NewRuns()
+		runs.Put(start, "r", first, time.Second)
+		convey.Convey("it is found until its time has passed", func() {
+			o, found := runs.Find(start, "r")
+			convey.So(found, convey.ShouldBeTrue)
+			convey.So(o, convey.ShouldEqual, first)
+			_, found = runs.Find(start.Add(time.Second), "r")
+			convey.So(found, convey.ShouldBeFalse)
+			runs.Prune(start.Add(time.Second))
+			convey.So(runs.Len(), convey.ShouldEqual, 0)
+		})
+		convey.Convey("it is found at another target of its version, and not at one of another version", func() {
+			runs.Put(start, "r", first, time.Second)
+			_, found := runs.Find(start, "r")
+			convey.So(found, convey.ShouldBeTrue)
+			runs.Put(start, "r", second, time.Second)
+			runs.Put(start, "r", second, time.Second)
+			_, found = runs.Find(start, "r")
+			convey.So(found, convey.ShouldBeFalse)
+		})
+	})
+}
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -11,6 +11,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/streamorigin"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
 )
 
@@ -48,15 +49,91 @@
 	// late holds the members that did not answer lately, earlier those of an earlier version.
 	late, earlier *avoidedMembers
 
+	// confirm makes sure that the view has all that the source knew when it was called.
+	confirm func(ctx context.Context) error
+	// forgotten returns the newest revision up to one whose changes the source has forgotten, and
+	// when it was asked. The source remembers each change for reach.
+	forgotten func(ctx context.Context, last view.Revision) (view.Revision, time.Time, error)
+	reach     time.Duration
+
 	mu    sync.Mutex
 	table *streamorigin.Table
+
+	// historyMu guards history and runs.
+	historyMu sync.Mutex
+	history   *streamorigin.History
+	runs      *streamorigin.Runs
 }
 
-func newStreamOrigins(now func() time.Time, log zerolog.Logger, members *members, peers *peerClient, m *metrics) *streamOrigins {
+// newStreamOrigins returns the origins of a node that starts now; opts are those of its history.
+func newStreamOrigins(now func() time.Time, log zerolog.Logger, members *members, peers *peerClient, m *metrics, opts ...streamorigin.Option) *streamOrigins {
 	return &streamOrigins{
 		now: now, log: log, members: members, peers: peers, metrics: m, table: streamorigin.NewTable(),
-		late: newAvoidedMembers(now), earlier: newAvoidedMembers(now),
+		late: newAvoidedMembers(now), earlier: newAvoidedMembers(now), history: streamorigin.NewHistory(now(), opts...), runs: streamorigin.NewRuns(),
+		confirm: func(context.Context) error { return nil },
+	}
+}
+
+// observe records a change of the view.
+func (s *streamOrigins) observe(now time.Time, old, next *view.View, ch view.Changes) {
+	s.historyMu.Lock()
+	defer s.historyMu.Unlock()
+	s.history.Observe(now, old, next, ch)
+}
+
+// extend records what the source still knows of the time before this process, which is all there was
+// if complete.
+func (s *streamOrigins) extend(complete bool, ch view.Changes) {
+	s.historyMu.Lock()
+	defer s.historyMu.Unlock()
+	s.history.Extend(s.now(), s.reach, complete, ch)
+}
+
+// Assign implements relay.StreamOrigins.
+func (s *streamOrigins) Assign(service string, k streamorigin.Key) directory.Version {
+	s.historyMu.Lock()
+	defer s.historyMu.Unlock()
+	return s.history.Assign(s.now(), service, k)
+}
+
+// Infer implements relay.StreamOrigins.
+func (s *streamOrigins) Infer(ctx context.Context, l streamorigin.Lost) (directory.Version, string) {
+	if err := s.confirm(ctx); err != nil {
+		s.log.Info().Err(err).Msg("streams: confirming the view failed")
+		return 0, "the targets may have changed unseen"
+	}
+	l.Assigned = s.members.allAssign()
+	v, unknown := s.infer(l)
+	if unknown == "" || !s.narrow(ctx, l) {
+		return v, unknown
+	}
+	return s.infer(l)
+}
+
+func (s *streamOrigins) infer(l streamorigin.Lost) (directory.Version, string) {
+	s.historyMu.Lock()
+	defer s.historyMu.Unlock()
+	return s.history.Infer(s.now(), l)
+}
+
+// narrow learns which of the changes from before this process happened before a lost stream can have
+// begun, and reports whether it asked: what the source has forgotten is older than its reach.
+func (s *streamOrigins) narrow(ctx context.Context, l streamorigin.Lost) bool {
+	s.historyMu.Lock()
+	last, some := s.history.Earlier(l.From(s.now()))
+	s.historyMu.Unlock()
+	if !some || s.forgotten == nil {
+		return false
+	}
+	forgotten, asked, err := s.forgotten(ctx, last)
+	if err != nil {
+		s.log.Info().Err(err).Msg("streams: asking what the source has forgotten failed")
+		return false
 	}
+	s.historyMu.Lock()
+	defer s.historyMu.Unlock()
+	s.history.Narrow(forgotten, asked.Add(-s.reach))
+	return true
 }
 
 // put keeps an origin for at most maxOriginKeep.
@@ -79,6 +156,9 @@
 	defer s.mu.Unlock()
 	s.table.Prune(s.now())
 	s.metrics.streamOrigins.Update(float64(s.table.Len()))
+	s.historyMu.Lock()
+	defer s.historyMu.Unlock()
+	s.runs.Prune(s.now())
 }
 
 // candidates returns the members that keep an origin, or that would next, in order.
--- a/internal/gateway/streamorigins_test.go
+++ b/internal/gateway/streamorigins_test.go
@@ -101,7 +101,7 @@
 	for _, m := range list {
 		known := newMembers(time.Now, m.address, 1, nil, 0)
 		known.mergeAndReport(gossip)
-		m.streamOrigins = newStreamOrigins(time.Now, zerolog.Nop(), known, newPeerClient(time.Now), newMetrics())
+		m.streamOrigins = newStreamOrigins(time.Now, zerolog.Nop(), known, newPeerClient(time.Now), newMetrics(), streamorigin.FromStart())
 	}
 	return list
 }
--- a/internal/gateway/view/history.go
+++ b/internal/gateway/view/history.go
@@ -79,6 +79,12 @@
 	return slices.Compact(ids), true
 }
 
+// Continues reports whether the view records all changes since an earlier one.
+func (v *View) Continues(earlier *View) bool {
+	_, known := v.history.Since(earlier.Revision)
+	return known
+}
+
 // Delta holds what changed between two revisions, as of the later one.
 type Delta struct {
 	// Since is the revision of the views to which the delta applies, Revision the one that
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -41,6 +41,8 @@
 	// Document is the configuration as read from the source, byte for byte. It is passed on
 	// to members.
 	Document []byte
+	// First reports whether the source never had another one; false if that is not known.
+	First bool
 }
 
 // TargetChange adds or updates a target.
@@ -83,6 +85,8 @@
 type Changes struct {
 	Revision Revision
 	List     []Change
+	// At holds the revision of each change, if the source tells it.
+	At []Revision
 }
 
 // View is a node's view of the deployment. It is immutable.
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -21,6 +21,9 @@
 	// onChange is called with the lock held, in the order of the views, when the
 	// configuration or the targets have changed.
 	onChange func(*view.View)
+	// onApplied is called with the lock held for each new view, with the one before it and the
+	// reported changes.
+	onApplied func(now time.Time, old, next *view.View, ch view.Changes)
 	// onRejected is called for each entry of the source that cannot be decoded.
 	onRejected func()
 
@@ -34,7 +37,7 @@
 
 // newViewKeeper returns a keeper of an empty view.
 func newViewKeeper(now func() time.Time, log zerolog.Logger, onChange func(*view.View)) *viewKeeper {
-	k := &viewKeeper{now: now, log: log, onChange: onChange, onRejected: func() {}, configured: make(chan struct{})}
+	k := &viewKeeper{now: now, log: log, onChange: onChange, onApplied: func(time.Time, *view.View, *view.View, view.Changes) {}, onRejected: func() {}, configured: make(chan struct{})}
 	k.current.Store(view.New())
 	return k
 }
@@ -61,6 +64,7 @@
 		return
 	}
 	k.current.Store(next)
+	k.onApplied(now, old, next, ch)
 	k.logChanges(old, next, ch)
 	if next.Directory == old.Directory && next.Catalog == old.Catalog {
 		return
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -213,6 +213,10 @@
 	// Peer address.
 	Address string `json:"address"`
 
+	// Whether the member assigns new streams to software versions; members of an
+	// earlier version do not.
+	Assigns bool `json:"assigns,omitempty,omitzero"`
+
 	// Rises while the member runs.
 	Beat int `json:"beat"`
 
--- a/pkg/settings/settings_gen.go
+++ b/pkg/settings/settings_gen.go
@@ -64,6 +64,9 @@
 	// Retries corresponds to the JSON schema field "retries".
 	Retries *Retries `json:"retries,omitempty,omitzero"`
 
+	// How long the source remembers each change, in milliseconds; 0 for unknown.
+	SourceHistoryMs int `json:"sourceHistoryMs,omitempty,omitzero"`
+
 	// Address of the store.
 	Store string `json:"store"`
 
