Lost streams: cold targets, and clients that wait longer than their route allows

A target whose entry had changed before this node started counted as ready for long as soon as that change was older than the stream, although a node that had just started still took it for cold (begun at v1, named v2); a later entry without a warm-up did not end an earlier one. And the age of a stream was taken from the time that its client had left although clients of the route wait longer than its timeout, or none had been seen yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,10 +229,11 @@
 
 // streamHistoryOptions returns the options of the history of targets.
 func streamHistoryOptions(cfg *settings.Gateway) []streamorigin.Option {
-	if restarted(cfg) {
-		return nil
+	opts := []streamorigin.Option{streamorigin.WithReach(time.Duration(cfg.SourceHistoryMs) * time.Millisecond)}
+	if !restarted(cfg) {
+		opts = append(opts, streamorigin.FromStart())
 	}
-	return []streamorigin.Option{streamorigin.FromStart()}
+	return opts
 }
 
 // historyReader returns what records the source's history from before this process; nil if there is
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -19,7 +19,7 @@
 // A request whose plan would have to wait behind others at a late coordinator, and that could
 // not be done after that coordinator's delay alone, is refused without being announced.
 func (s *Server) admit(ctx context.Context, r *resolvedRequest) (*admission, *verdict.Error) {
-	a := &admission{plan: r.plan(), retried: s.timeouts.observe(r.route.Name, r.req.Timeout)}
+	a := &admission{plan: r.plan(), retried: s.timeouts.observe(r.route.Name, r.req.Timeout, r.takesUp())}
 	if len(a.plan) == 0 {
 		return a, nil
 	}
--- a/internal/gateway/relay/streamorigin.go
+++ b/internal/gateway/relay/streamorigin.go
@@ -138,11 +138,12 @@
 	if len(r.route.Split) != 1 || !r.route.Resumable {
 		return 0, "its route leads to several services, or its streams are not resumed"
 	}
-	longest := max(s.timeouts.longestOf(r.route.Name), r.req.Timeout)
+	seen := s.timeouts.of(r.route.Name).With(r.req.Timeout, true)
 	return s.cfg.Streams.Infer(ctx, streamorigin.Lost{
 		Key: key, Named: r.req.Resumes != "", Service: r.service.Name, Host: r.req.Host, Path: r.req.Path,
 		Age: rules.StreamAge(rules.StreamAgeInput{
-			Longest: max(longest, r.route.Timeout), Left: r.req.Timeout, Held: s.cfg.Now().Sub(r.req.Arrived), Most: streamorigin.MaxAge(r.route, longest),
+			Clients: seen, RouteTimeout: r.route.Timeout, Left: r.req.Timeout, Held: s.cfg.Now().Sub(r.req.Arrived),
+			Most: streamorigin.MaxAge(r.route, seen.Longest),
 		}),
 	})
 }
--- a/internal/gateway/relay/timings.go
+++ b/internal/gateway/relay/timings.go
@@ -7,30 +7,32 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 )
 
-// clientTimeouts tracks the longest client timeout of each route since this node started.
-// It is safe for concurrent use.
+// clientTimeouts tracks the client timeouts of each route since this node started. It is safe for
+// concurrent use.
 type clientTimeouts struct {
-	mu      sync.Mutex
-	longest map[string]time.Duration
+	mu   sync.Mutex
+	seen map[string]rules.ClientTimeouts
 }
 
 func newClientTimeouts() *clientTimeouts {
-	return &clientTimeouts{longest: map[string]time.Duration{}}
+	return &clientTimeouts{seen: map[string]rules.ClientTimeouts{}}
 }
 
-// observe records a client's timeout and reports whether its request is a retry.
-func (c *clientTimeouts) observe(route string, timeout time.Duration) bool {
+// observe records a client's timeout and reports whether its request is a retry. takesUp tells
+// whether it takes a stream up.
+func (c *clientTimeouts) observe(route string, timeout time.Duration, takesUp bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.longest[route] = max(c.longest[route], timeout)
-	return rules.Retried(timeout, c.longest[route])
+	seen := c.seen[route].With(timeout, takesUp)
+	c.seen[route] = seen
+	return rules.Retried(timeout, seen.Longest)
 }
 
-// longestOf returns the longest timeout of a client of a route; 0 for none.
-func (c *clientTimeouts) longestOf(route string) time.Duration {
+// of returns what is known of the client timeouts of a route.
+func (c *clientTimeouts) of(route string) rules.ClientTimeouts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.longest[route]
+	return c.seen[route]
 }
 
 // prefillRates tracks the prefill rate of each service's engines. It is safe for
