delivery: end a connection whose bytes begin no answer

Callers of a target that sends bytes past the Content-Length of a whole answer got 504 at their deadline, or no status within their time.

Cause: the whole answers reached their callers. The connection was kept and given to the next call, whose answer the transport then awaited behind those bytes: it reads up to the end of a first line, so that a byte a second holds the call until its deadline.

The guard of a plain connection now compares the first bytes read for a call with "HTTP/" and fails the read at the first that differs. The call may have run (target-error): callers with a request that may run once get 502 within a second, others go to another target. Encrypted connections are left out, since the guard lies below the encryption.

--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -71,9 +71,14 @@
 	}
 	if ctx := req.Context(); ctx.Err() != nil {
 		reason = reasonOfContext(ctx)
-	} else if conn := a.conn.Load(); conn != nil && v == verdict.MayHaveRun && conn.headTooLong() {
-		return verdict.New(v, verdict.ReasonTooLarge, "the header of the answer has more than %d bytes", wire.MaxHeaderBytes).
-			WithCause(withoutPath(req, err))
+	} else if conn := a.conn.Load(); conn != nil && v == verdict.MayHaveRun {
+		switch {
+		case conn.foreign.Load():
+			reason = verdict.ReasonTargetError
+		case conn.headTooLong():
+			return verdict.New(v, verdict.ReasonTooLarge, "the header of the answer has more than %d bytes", wire.MaxHeaderBytes).
+				WithCause(withoutPath(req, err))
+		}
 	}
 	return verdict.New(v, reason, "the call got no answer").WithCause(withoutPath(req, err))
 }
--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -13,7 +13,14 @@
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
-var errSealed = errors.New("the connection is sealed")
+var (
+	errSealed = errors.New("the connection is sealed")
+	// errNoAnswer ends a connection that brought bytes with which no answer begins.
+	errNoAnswer = errors.New("the bytes that came begin no answer")
+)
+
+// answerStart is what an answer begins with.
+const answerStart = "HTTP/"
 
 // guardedConn proves whether a request's first byte may have left. The
 // transport gives a connection to one request at a time: arm is called when it
@@ -29,8 +36,12 @@
 	// sealed stops all later writes.
 	sealed bool
 
+	// plain is set if the connection is not encrypted, so that its bytes are those of answers.
+	plain bool
 	// read counts the bytes read since the connection was armed.
 	read atomic.Int64
+	// foreign is set once bytes came with which no answer begins.
+	foreign atomic.Bool
 
 	// unproven is true from when a call is armed whose caller tells copies of earlier answers
 	// until it has done so. The transport may give the connection to another call before.
@@ -93,13 +104,29 @@
 	c.read.Store(0)
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails as soon as the bytes that come for the armed request begin no
+// answer: they may be those past the end of an earlier answer, and the transport would wait for a
+// whole line of them.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.read.Add(int64(n))
+	before := c.read.Add(int64(n)) - int64(n)
+	if c.plain && !startsAnswer(b[:n], before) {
+		c.foreign.Store(true)
+		return 0, errNoAnswer
+	}
 	return n, err
 }
 
+// startsAnswer reports whether an answer may have these bytes, which follow the first before ones.
+func startsAnswer(b []byte, before int64) bool {
+	if before >= int64(len(answerStart)) {
+		return true
+	}
+	due := answerStart[before:]
+	n := min(len(due), len(b))
+	return string(b[:n]) == due[:n]
+}
+
 // headTooLong reports whether so many bytes came for the armed request that the transport gave
 // up before the end of a header.
 func (c *guardedConn) headTooLong() bool { return c.read.Load() >= wire.MaxHeaderBytes }
@@ -159,13 +186,13 @@
 // dialFunc connects to an address.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// dialGuarded returns a dial function of guarded connections.
-func dialGuarded(dial dialFunc) dialFunc {
+// dialGuarded returns a dial function of guarded connections, which are plain or encrypted.
+func dialGuarded(dial dialFunc, plain bool) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn}, nil
+		return &guardedConn{Conn: conn, plain: plain}, nil
 	}
 }
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -144,7 +144,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	transport := &http.Transport{
-		DialContext:         dialGuarded(dial),
+		DialContext:         dialGuarded(dial, c.tls == nil),
 		TLSClientConfig:     c.tls,
 		Protocols:           protocols,
 		DisableCompression:  true,
