A silent stream is abandoned only if another attempt can follow it

Callers saw a stream cut in the middle while all targets stood still for 1.2 to 1.3 s: the connection was closed 3 ms after the stream had been silent for 1.2 s, 100 ms before its target went on.

Cause: the timeout of a silent attempt (AttemptTimeout, 1.2 s for streams) cancelled the attempt before it was known whether another could follow. If the request's inputs had been computed again twice already ("stage results were lost too often"), the retry budget was spent or no other target could get the stream, the cancelled attempt was the last one and its stream ended.

Now the timeout asks first whether another target can get the request, whether the stages may and can run again, and takes the retry from the budget; otherwise the attempt goes on and is asked about again after the same time. The decision and the retry are taken together, so that streams that fall silent at one moment do not count on the same retry.

--- a/internal/gateway/relay/answer.go
+++ b/internal/gateway/relay/answer.go
@@ -18,7 +18,7 @@
 const unknownLength = -1
 
 // forwardReply forwards a target's response to the client.
-func (s *sender) forwardReply(ctx context.Context, reply *Reply, timer attemptTimer, possibleRuns int) *verdict.Error {
+func (s *sender) forwardReply(ctx context.Context, reply *Reply, timer *attemptTimer, possibleRuns int) *verdict.Error {
 	// The body has been read to its end or is not needed, so an error of Close is ignored.
 	defer reply.Body.Close()
 	if s.route.Kind == catalog.Stream && reply.Succeeded {
@@ -105,7 +105,7 @@
 
 // forwardStream forwards events as they arrive. If the stream breaks, it can be resumed
 // after the last event that was forwarded.
-func (r *clientResponse) forwardStream(ctx context.Context, reply *Reply, timer attemptTimer) *verdict.Error {
+func (r *clientResponse) forwardStream(ctx context.Context, reply *Reply, timer *attemptTimer) *verdict.Error {
 	events := newEventReader(reply.Body)
 	for {
 		ev, err := events.next()
--- a/internal/gateway/relay/chooser.go
+++ b/internal/gateway/relay/chooser.go
@@ -184,6 +184,17 @@
 	return destination{Target: target}, known
 }
 
+// anyOther reports whether a target other than the given one can get the request now. stream is the
+// request's stream. Cold targets are left out, as they may belong to another member.
+func (c *chooser) anyOther(target directory.Target, stream streamOrigin) bool {
+	d, now := c.view().Directory, c.now()
+	exclude := slices.Concat(c.tried, c.targets.ejected(now, d), c.gate.Blocked(d))
+	return slices.ContainsFunc(d.Service(c.service.Name), func(t directory.Target) bool {
+		return t.ID != target.ID && t.Usable(now) && !t.Cold(now) && stream.mayGoTo(t) && !slices.Contains(exclude, t.ID) &&
+			!c.gate.HeldBack(t.Incarnation())
+	})
+}
+
 // anyCrowded reports whether a target of the service that was not tried makes room soon.
 func (c *chooser) anyCrowded() bool {
 	now := c.now()
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/internal/wait"
@@ -35,7 +36,7 @@
 	c, reportDecision := s.newChooser(r), s.decisionReporter(r)
 	runner := newStageRunner(r, &s.cfg, reportDecision, c)
 	response := &clientResponse{out: out, arrived: r.req.Arrived, now: s.cfg.Now, outcome: outcome, lastEvent: r.req.LastEvent}
-	return &delivery{
+	d := &delivery{
 		resolvedRequest: r, now: s.cfg.Now, reportDecision: reportDecision, budgets: s.budgets, chooser: c, runner: runner, response: response, outcome: outcome,
 		sender: &sender{
 			resolvedRequest: r, upstream: s.cfg.Upstream, placer: s.cfg.Placer, view: s.cfg.View, now: s.cfg.Now,
@@ -43,6 +44,8 @@
 			streams: s.cfg.Streams, stopping: s.stopping, reportDecision: reportDecision, quarantine: s.cfg.Quarantine, parts: s.cfg.Parts, gate: s.cfg.Gate, answers: s.cfg.Answers,
 		},
 	}
+	d.sender.takeRetry = d.takeRetry
+	return d
 }
 
 // deliver sends the request to targets until one responds, the deadline passes or no other
@@ -77,8 +80,31 @@
 	}
 }
 
-// mayRetry takes a retry from the budget and reports whether there was one.
+// takeRetry takes a retry from the budget for an attempt that follows a silent one at the target, and
+// reports whether one can follow. It is called while the silent attempt is in progress; stream is as
+// in sender.takeRetry.
+func (d *delivery) takeRetry(target directory.Target, stream streamOrigin) bool {
+	if d.response.started.Load() {
+		stream.begin(target)
+	}
+	r := rules.Replacement{
+		OtherTarget: d.chooser.anyOther(target, stream), NeedsStages: d.runner.needsStages(), Recomputes: d.runner.results.recomputes(),
+		StagesTime: d.outcome.Planned, Left: d.times.ResponseDeadline.Sub(d.now()),
+	}
+	if !rules.MayAbandon(r) {
+		return false
+	}
+	_, ok := d.budgets.spend(d.service.Name)
+	return ok
+}
+
+// mayRetry takes a retry from the budget, unless the last attempt took it, and reports whether there
+// was one.
 func (d *delivery) mayRetry() bool {
+	if d.sender.retryTaken {
+		d.sender.retryTaken = false
+		return true
+	}
 	allowance, ok := d.budgets.spend(d.service.Name)
 	if !ok {
 		d.reportDecision(RetryRefused{Attempts: len(d.outcome.Attempts), Allowance: allowance})
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -413,10 +413,21 @@
 	return setupServer(r, engine, bytesPerSecond, change, newTracker())
 }
 
+// manyRetries is a budget that no test spends.
+var manyRetries = retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}
+
 // setupServer returns a server for one route, with a modified view and the given
 // quarantine.
 func setupServer(
 	r *catalog.Route, engine bool, bytesPerSecond float64, change func(*view.View) *view.View, q relay.Quarantine,
+) (*fakePorts, *relay.Server) {
+	return setupWithRetries(r, engine, bytesPerSecond, change, q, manyRetries)
+}
+
+// setupWithRetries returns a server for one route, with a modified view and the given
+// quarantine and retry budget.
+func setupWithRetries(
+	r *catalog.Route, engine bool, bytesPerSecond float64, change func(*view.View) *view.View, q relay.Quarantine, retries retrybudget.Policy,
 ) (*fakePorts, *relay.Server) {
 	f := &fakePorts{held: map[string]bool{}, body: "whole"}
 	f.crowded.Store(-1)
@@ -443,7 +454,7 @@
 	v := change(&view.View{Revision: 1, Catalog: c, Directory: directory.New(targets...)})
 	return f, relay.New(relay.Config{
 		DataCentre: "d", View: func() *view.View { return v }, Upstream: f, Batcher: f, Placer: f, Observer: f, Now: time.Now, Isolated: f.isolation,
-		RetryPolicy: retrybudget.Policy{Ratio: 1, Window: 10 * time.Second, Extra: 100, MaxNodes: 1}, NodeCount: func() int { return 1 },
+		RetryPolicy: retries, NodeCount: func() int { return 1 },
 		WarmUp: warmup.Margin{Overshoot: 1.5, Tolerance: 5}, SendsToCold: func(string) bool { return true },
 		Quarantine: q, Parts: newPartTracker(), Gate: f, Streams: f, Lender: f,
 	})
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -8,6 +8,9 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
+	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -137,6 +140,66 @@
 	})
 }
 
+// TestSilentStream guards against a stream that is ended for the silence of its target though it
+// cannot go on at another one.
+func TestSilentStream(t *testing.T) {
+	// serve returns how long the request took whose first target never answers.
+	retries := manyRetries
+	serve := func(t *testing.T, change func(*view.View) *view.View, prepare func(*fakePorts)) (took time.Duration, calls int) {
+		synctest.Test(t, func(t *testing.T) {
+			route := &catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 2}
+			f, s := setupWithRetries(route, true, 0, change, newTracker(), retries)
+			f.replies = []fakeReply{{hangs: true}}
+			prepare(f)
+			began := time.Now()
+			_ = s.Serve(t.Context(), request(), &fakeClient{})
+			took, calls = time.Since(began), len(f.calls)
+		})
+		return took, calls
+	}
+	nothing := func(*fakePorts) {}
+	convey.Convey("A stream goes on at another target after 1.2 s", t, func() {
+		took, calls := serve(t, keepView, nothing)
+		convey.So(took, convey.ShouldEqual, 1200*time.Millisecond)
+		convey.So(calls, convey.ShouldEqual, 2)
+	})
+	const all = 10*time.Second - 25*time.Millisecond
+	convey.Convey("It stays until its deadline where there is no other", t, func() {
+		took, calls := serve(t, func(v *view.View) *view.View {
+			first, _ := v.Directory.Target("t0")
+			return &view.View{Revision: v.Revision, Catalog: v.Catalog, Directory: directory.New(first)}
+		}, nothing)
+		convey.So(took, convey.ShouldEqual, all)
+		convey.So(calls, convey.ShouldEqual, 1)
+	})
+	convey.Convey("It stays where all others are held back", t, func() {
+		took, calls := serve(t, keepView, func(f *fakePorts) {
+			f.onSend = func() {
+				time.AfterFunc(time.Second, func() { f.heldBack = map[string]bool{"t0": true, "t1": true, "t2": true, "t3": true} })
+			}
+		})
+		convey.So(took, convey.ShouldEqual, all)
+		convey.So(calls, convey.ShouldEqual, 1)
+	})
+	convey.Convey("It goes on elsewhere once another is there again", t, func() {
+		took, calls := serve(t, keepView, func(f *fakePorts) {
+			f.onSend = func() {
+				f.onSend = nil
+				time.AfterFunc(time.Second, func() { f.heldBack = map[string]bool{"t0": true, "t1": true, "t2": true, "t3": true} })
+				time.AfterFunc(2*time.Second, func() { f.heldBack = nil })
+			}
+		})
+		convey.So(took, convey.ShouldEqual, 2400*time.Millisecond)
+		convey.So(calls, convey.ShouldEqual, 2)
+	})
+	convey.Convey("It stays without a retry left", t, func() {
+		retries = retrybudget.Policy{Window: 10 * time.Second, MaxNodes: 1}
+		took, calls := serve(t, keepView, nothing)
+		convey.So(took, convey.ShouldEqual, all)
+		convey.So(calls, convey.ShouldEqual, 1)
+	})
+}
+
 func TestStop(t *testing.T) {
 	convey.Convey("A stopping node abandons requests without a response, and reports those that were sent as may have run", t, func() {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/relay/results.go
+++ b/internal/gateway/relay/results.go
@@ -82,6 +82,13 @@
 	return nil
 }
 
+// recomputes returns how often results were recomputed.
+func (r *stageResults) recomputes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runner.recomputes
+}
+
 func (r *stageResults) held(i int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/relay/rules/retry_test.go
+++ b/internal/gateway/relay/rules/retry_test.go
@@ -142,3 +142,30 @@
 		shouldNotLimit(last)
 	})
 }
+
+// TestMayAbandon guards against a response that is ended for the silence of its target though no
+// other attempt can follow.
+func TestMayAbandon(t *testing.T) {
+	held := Replacement{OtherTarget: true, Recomputes: maxRecomputes, Left: time.Millisecond, StagesTime: time.Second}
+	stages := Replacement{OtherTarget: true, NeedsStages: true, Recomputes: maxRecomputes - 1, StagesTime: time.Second, Left: time.Second + engineLead}
+	convey.Convey("A silent attempt is abandoned if another target can get the request", t, func() {
+		convey.So(MayAbandon(held), convey.ShouldBeTrue)
+		convey.So(MayAbandon(stages), convey.ShouldBeTrue)
+	})
+	convey.Convey("It goes on without another target", t, func() {
+		for _, alone := range []Replacement{held, stages} {
+			alone.OtherTarget = false
+			convey.So(MayAbandon(alone), convey.ShouldBeFalse)
+		}
+	})
+	convey.Convey("It goes on if the stages may not run again", t, func() {
+		spent := stages
+		spent.Recomputes = maxRecomputes
+		convey.So(MayAbandon(spent), convey.ShouldBeFalse)
+	})
+	convey.Convey("It goes on if the stages would take too long", t, func() {
+		late := stages
+		late.Left--
+		convey.So(MayAbandon(late), convey.ShouldBeFalse)
+	})
+}
--- a/internal/gateway/relay/rules/timeout.go
+++ b/internal/gateway/relay/rules/timeout.go
@@ -43,3 +43,28 @@
 	}
 	return time.Duration(responseTimeoutFactor * float64(a.Objective)), true
 }
+
+// Replacement is the input of MayAbandon: the attempt that would follow a silent one.
+type Replacement struct {
+	// OtherTarget is true if another target can get the request.
+	OtherTarget bool
+	// NeedsStages is true if the request's inputs are not held, Recomputes counts how often they
+	// were recomputed before, and StagesTime is how long that should take.
+	NeedsStages bool
+	Recomputes  int
+	StagesTime  time.Duration
+	// Left is the time to the response deadline.
+	Left time.Duration
+}
+
+// MayAbandon decides whether an attempt that was silent for AttemptTimeout is abandoned: only if
+// another can follow it, apart from the retry budget, which package relay takes the retry from first.
+// Silence alone does not end a response, as a target that stands still for a moment goes on later. A
+// false positive ends a response that would have been completed; a false negative leaves a request
+// at a target that is stuck until its deadline.
+func MayAbandon(r Replacement) bool {
+	if !r.OtherTarget {
+		return false
+	}
+	return !r.NeedsStages || MayRecompute(r.Recomputes+1) && r.Left >= r.StagesTime+engineLead
+}
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -47,6 +47,11 @@
 	answers        *answers.Pool
 	// trialSent is true once the request's trial has been sent.
 	trialSent bool
+	// takeRetry takes a retry for an attempt that follows a silent one at the target, and reports
+	// whether one can follow. stream is the request's stream at the begin of the silent attempt.
+	takeRetry func(target directory.Target, stream streamOrigin) bool
+	// retryTaken is true if the retry of the next attempt was taken from the budget already.
+	retryTaken bool
 }
 
 // send makes one attempt. possibleRuns counts the earlier attempts that may have run.
@@ -55,7 +60,7 @@
 	s.targets.sent(target.Incarnation())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := s.startTimer(cancel, possibleRuns)
+	timer := s.startTimer(cancel, target.Target, possibleRuns)
 	defer timer.stop()
 	attempt := Attempt{Target: target.ID}
 	events := s.outcome.Events
@@ -81,6 +86,7 @@
 	}
 	if err != nil && errors.Is(context.Cause(ctx), errAttemptTimeout) {
 		err = err.WithReason(verdict.ReasonStalled)
+		s.retryTaken = true
 	}
 	attempt.Took = s.now().Sub(start)
 	attempt.Err = err
@@ -156,34 +162,67 @@
 	return hold, held
 }
 
-// attemptTimer ends an attempt that is silent for too long. The zero value never fires.
+// attemptTimer ends an attempt that is silent for too long. It is nil for an attempt without a limit.
 type attemptTimer struct {
-	timer *time.Timer
 	limit time.Duration
+	// abandon ends the attempt and returns true, or returns false if it has to go on.
+	abandon func() bool
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
 }
 
-func (t attemptTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
+// stop ends the timer. abandon is not called afterwards.
+func (t *attemptTimer) stop() {
+	if t == nil {
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
 }
 
 // reset restarts the timer after a sign of activity.
-func (t attemptTimer) reset() {
-	if t.timer != nil {
+func (t *attemptTimer) reset() {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer.Reset(t.limit)
+}
+
+// expire abandons the attempt, or waits for another limit if it has to go on.
+func (t *attemptTimer) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped && !t.abandon() {
 		t.timer.Reset(t.limit)
 	}
 }
 
-func (s *sender) startTimer(cancel context.CancelCauseFunc, possibleRuns int) attemptTimer {
+func (s *sender) startTimer(cancel context.CancelCauseFunc, target directory.Target, possibleRuns int) *attemptTimer {
 	limit, limited := rules.AttemptTimeout(rules.Attempt{
 		Stream: s.route.Kind == catalog.Stream, Retryable: s.route.Retryable(), PossibleRuns: possibleRuns, MaxAttempts: s.route.MaxAttempts,
 		Objective: s.route.Objective, PauseLimit: s.route.PauseLimit,
 	})
 	if !limited {
-		return attemptTimer{}
+		return nil
 	}
-	return attemptTimer{limit: limit, timer: time.AfterFunc(limit, func() { cancel(errAttemptTimeout) })}
+	stream := s.assigned(s.streams)
+	t := &attemptTimer{limit: limit, abandon: func() bool {
+		if !s.takeRetry(target, stream) {
+			return false
+		}
+		cancel(errAttemptTimeout)
+		return true
+	}}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(limit, t.expire)
+	return t
 }
 
 func (s *sender) call(target destination) Call {
--- a/internal/gateway/relay/stages.go
+++ b/internal/gateway/relay/stages.go
@@ -32,9 +32,12 @@
 	return s
 }
 
+// needsStages reports whether the stages have to run again before the request can be sent.
+func (s *stageRunner) needsStages() bool { return len(s.stages) > 0 && !s.results.holdsInputs() }
+
 // ensureInputs recomputes the request's inputs if they were released or lost.
 func (s *stageRunner) ensureInputs(ctx context.Context) *verdict.Error {
-	if s.results.holdsInputs() || len(s.stages) == 0 {
+	if !s.needsStages() {
 		return nil
 	}
 	if err := s.results.countRecompute(); err != nil {
