Failed calls say which answer they were concluded from, over which connection

Operators: after requests were refused and ran all the same, the logs could not tell which answer the refusal was believed from, on which connection, nor what that connection had brought before. So the hypotheses of the incident (a copy of an earlier refusal, or a silence without any answer) could not be told apart.

A failure of Exchange, of a refused or foreign answer, and of a batch, report or release carries them as a cause. request: attempt failed, request: ended, request: stage failed, items: batch failed and items: inspecting a target failed log them as answer, connection and before; a failed batch lists its requests. honeydyke explain says it in a sentence and finds failed batches.

--- a/internal/delivery/answer.go
+++ b/internal/delivery/answer.go
@@ -61,14 +61,9 @@
 	return len(values) == 1 && values[0] == identity
 }
 
-// maxForeignIdentity limits how much of another identity an error quotes, in bytes.
-const maxForeignIdentity = 64
-
 // foreignError returns the error for an answer that is not the call's own.
 func foreignError(h http.Header, name, identity string, status int) *verdict.Error {
-	echoed := strings.Join(h.Values(name), ",")
-	echoed = echoed[:min(len(echoed), maxForeignIdentity)]
-	return verdict.New(verdict.MayHaveRun, verdict.ReasonIdentity, "status %d answers %q, the call was %q", status, echoed, identity)
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonIdentity, "status %d answers %q, the call was %q", status, echoedIdentity(h, name), identity)
 }
 
 // Rule: when a refused call's connection is used again.
--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -16,6 +16,8 @@
 type attempt struct {
 	// conn is the connection that the transport gave to the call; nil before.
 	conn atomic.Pointer[guardedConn]
+	// call is the number of the call on conn.
+	call atomic.Int64
 	// refusal is what the check before the first byte returned; nil when it passed.
 	refusal atomic.Pointer[verdict.Error]
 }
@@ -25,18 +27,30 @@
 	if conn == nil {
 		return
 	}
-	conn.arm(func() error {
+	call := conn.arm(func() error {
 		err := check()
 		if err != nil {
 			a.refusal.Store(verdict.From(err))
 		}
 		return err
 	}, distinct)
+	a.call.Store(int64(call))
 	a.conn.Store(conn)
 }
 
-// carrier returns the connection of the call.
-func (a *attempt) carrier() Conn { return Conn{a.conn.Load()} }
+// answered records an answer, and returns the connection that brought it.
+func (a *attempt) answered(status int, identity string) Conn {
+	c := Conn{conn: a.conn.Load(), answer: Received{Call: int(a.call.Load()), Status: status, Identity: identity}}
+	if c.conn != nil {
+		c.conn.remember(c.answer)
+	}
+	return c
+}
+
+// unanswered returns the connection of a call without an answer.
+func (a *attempt) unanswered() Conn {
+	return Conn{conn: a.conn.Load(), answer: Received{Call: int(a.call.Load())}}
+}
 
 // spoil closes the connection of the call, if it has one.
 func (a *attempt) spoil() {
--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -27,6 +27,8 @@
 // does, before any byte of that request is written.
 type guardedConn struct {
 	net.Conn
+	// number is that of the connection in logs.
+	number uint64
 
 	mu sync.Mutex
 	// check runs before the first byte of the armed request; nil before the first arm.
@@ -48,13 +50,21 @@
 	unproven bool
 	// brought holds the hashes of what Conn.First was asked of the connection's answers.
 	brought map[uint64]struct{}
+	// calls counts the calls that the connection was armed for. received holds its last answers,
+	// and next is where the next one is kept.
+	calls    int
+	received [maxEarlier]Received
+	next     int
 }
 
 // maxBrought limits how many answers a connection remembers. It is given up then.
 const maxBrought = 256
 
 // Conn is the connection that brought an answer.
-type Conn struct{ conn *guardedConn }
+type Conn struct {
+	conn   *guardedConn
+	answer Received
+}
 
 // Spoil keeps the connection from carrying another call; it is for answers that cannot be
 // trusted.
@@ -70,6 +80,7 @@
 	if c.conn == nil {
 		return false
 	}
+	c.conn.identify(c.answer.Call, content)
 	first, full := c.conn.first(xxhash.Sum64String(content))
 	if full {
 		c.conn.spoil()
@@ -93,8 +104,9 @@
 
 // arm prepares the connection for one request; check runs just before the
 // first byte is written, and the byte is not written when it fails. distinct is as in Sending. A
-// connection whose last answer may turn out to be a copy carries nothing more.
-func (c *guardedConn) arm(check func() error, distinct bool) {
+// connection whose last answer may turn out to be a copy carries nothing more. It returns the
+// number of the call on the connection, from 1.
+func (c *guardedConn) arm(check func() error, distinct bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = c.sealed || c.unproven
@@ -102,6 +114,8 @@
 	c.check = check
 	c.begun = false
 	c.read.Store(0)
+	c.calls++
+	return c.calls
 }
 
 // Read implements net.Conn. It fails as soon as the bytes that come for the armed request begin no
@@ -193,6 +207,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn, plain: plain}, nil
+		return &guardedConn{Conn: conn, plain: plain, number: lastConnection.Add(1)}, nil
 	}
 }
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -246,15 +246,16 @@
 	ctx := httptrace.WithClientTrace(req.Context(), trace)
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
-		return nil, Conn{}, sent.failure(req, err)
+		return nil, Conn{}, sent.unanswered().WithEvidence(sent.failure(req, err))
 	}
 	if !isOwn(resp.Header, s.IdentityHeader, s.Identity) {
+		conn := sent.answered(resp.StatusCode, echoedIdentity(resp.Header, s.IdentityHeader))
 		sent.spoil()
 		// The answer is dropped, so that an error of its end changes nothing.
 		_ = resp.Body.Close()
-		return nil, Conn{}, foreignError(resp.Header, s.IdentityHeader, s.Identity, resp.StatusCode)
+		return nil, Conn{}, conn.WithEvidence(foreignError(resp.Header, s.IdentityHeader, s.Identity, resp.StatusCode))
 	}
-	return resp, sent.carrier(), nil
+	return resp, sent.answered(resp.StatusCode, s.Identity), nil
 }
 
 // send writes the call and checks the answer's header. On an error nothing is
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -246,7 +246,7 @@
 func (c *coordinator) logInspection(e batching.Inspect, report batching.Report, err *verdict.Error) {
 	event := c.log.Debug().Str("service", c.service).Str("target", e.Target.ID)
 	if err != nil {
-		event.Err(err).Msg("items: inspecting a target failed, treating it as idle")
+		withEvidence(event, err).Err(err).Msg("items: inspecting a target failed, treating it as idle")
 		return
 	}
 	event.Bool("busy", report.Busy).Int64("freeBytes", report.FreeBytes).Msg("items: target inspected")
@@ -269,12 +269,26 @@
 	})
 	c.metrics.recordFailedCall(err)
 	if err != nil {
-		c.log.Warn().Str("service", c.service).Str("target", e.Target.ID).Int("items", len(e.Items)).
-			Dur("took", c.now().Sub(now)).Err(err).Msg("items: batch failed")
+		withEvidence(c.log.Warn(), err).Str("service", c.service).Str("target", e.Target.ID).Int("items", len(e.Items)).
+			Strs("requests", requestsOf(e.Items)).Dur("took", c.now().Sub(now)).Err(err).Msg("items: batch failed")
 	}
 	return batching.Finished{Batch: e.Batch, Outcomes: answer.Outcomes, Slowdown: answer.Slowdown, Err: err, TargetCrashed: c.recordResult(e, now, err)}
 }
 
+// maxLoggedRequests bounds the requests in a line.
+const maxLoggedRequests = 16
+
+// requestsOf returns the IDs of the first requests that items belong to.
+func requestsOf(items []batching.Item) []string {
+	var ids []string
+	for _, item := range items {
+		if len(ids) < maxLoggedRequests && !slices.Contains(ids, item.Request) {
+			ids = append(ids, item.Request)
+		}
+	}
+	return ids
+}
+
 // permitCall is called just before the first byte of a batch is written; an error forbids the
 // call.
 func (c *coordinator) permitCall(t directory.Target) error {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/honeydyke/honeydyke/internal/delivery"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -147,7 +148,29 @@
 	if err == nil {
 		return ev
 	}
-	return ev.Str("verdict", err.Verdict().String()).Str("reason", string(err.Reason())).Str("error", err.Error())
+	return withEvidence(ev.Str("verdict", err.Verdict().String()).Str("reason", string(err.Reason())).Str("error", err.Error()), err)
+}
+
+// withEvidence adds the answer that a failure was concluded from, its connection, and what that
+// had brought before.
+func withEvidence(ev *zerolog.Event, err *verdict.Error) *zerolog.Event {
+	e := delivery.EvidenceOf(err)
+	if e == nil {
+		return ev
+	}
+	ev.Str("answer", e.Answer.String()).Str("connection", fmt.Sprintf("%d from %s to %s", e.Connection, e.Local, e.Remote))
+	if len(e.Earlier) > 0 {
+		ev.Strs("before", earlierAnswers(e))
+	}
+	return ev
+}
+
+func earlierAnswers(e *delivery.Evidence) []string {
+	texts := make([]string, len(e.Earlier))
+	for i, r := range e.Earlier {
+		texts[i] = r.String()
+	}
+	return texts
 }
 
 // Ended implements relay.Observer. Requests that succeed at the first attempt are sampled, all
--- a/internal/gateway/requestlog_test.go
+++ b/internal/gateway/requestlog_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/honeydyke/honeydyke/internal/delivery"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -49,6 +52,41 @@
 	})
 }
 
+// evidentFailure returns the failure of a request that got the copy of an earlier answer.
+func evidentFailure(t *testing.T) *verdict.Error {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Id", "one") }))
+	t.Cleanup(target.Close)
+	client := delivery.New()
+	send := func(id string) *verdict.Error {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, target.URL, nil)
+		convey.So(err, convey.ShouldBeNil)
+		resp, _, failure := client.Exchange(req, delivery.Sending{
+			Target: delivery.Target{Address: target.Listener.Addr().String()}, Identity: id, IdentityHeader: "Id", Permit: func() error { return nil },
+		})
+		if failure == nil {
+			_ = resp.Body.Close()
+		}
+		return failure
+	}
+	convey.So(send("one"), convey.ShouldBeNil)
+	return send("two")
+}
+
+// TestEvidenceLog guards against log lines that lack the answer that a failure was concluded from.
+func TestEvidenceLog(t *testing.T) {
+	convey.Convey("A failed attempt and the end of its request show the answer, its connection and what came before", t, func() {
+		err := evidentFailure(t)
+		for _, line := range []map[string]any{
+			loggedLine(relay.AttemptFailed{Attempt: relay.Attempt{Target: "t", Err: err}, Next: rules.OtherTarget{}}),
+			loggedEnd(&relay.Outcome{Request: &relay.Request{}, Err: err.WithVerdict(verdict.NotRun)}),
+		} {
+			convey.So(line["answer"], convey.ShouldEqual, `200 of "one" to call 2`)
+			convey.So(line["connection"], convey.ShouldContainSubstring, " from 127.0.0.1:")
+			convey.So(line["before"], convey.ShouldResemble, []any{`200 of "one" to call 1`})
+		}
+	})
+}
+
 func TestRefusedLog(t *testing.T) {
 	convey.Convey("The log line of a refusal shows the planned stages, what was compared and the terms of the bound", t, func() {
 		decision := rules.Admit(rules.Admission{
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -123,8 +123,8 @@
 }
 
 // text is the line for people: the time since the request's first, where it comes from,
-// what happened, what a refusal compared or what a withdrawn request was displaced by, and
-// the other fields by name.
+// what happened, what a refusal compared, what a withdrawn request was displaced by or which answer
+// a failure was concluded from, and the other fields by name.
 func (l line) text(first time.Time) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%+.3fs  %v", l.at().Sub(first).Seconds(), l.Fields["message"])
@@ -137,6 +137,9 @@
 	if w, ok := withdrawalOf(l.Fields); ok {
 		fmt.Fprintf(&b, "\n         %s", w.text())
 	}
+	if e, ok := evidenceOf(l.Fields); ok {
+		fmt.Fprintf(&b, "\n         %s", e.text())
+	}
 	for _, k := range slices.Sorted(maps.Keys(l.Fields)) {
 		switch k {
 		case "message", "time", "request", "level":
--- a/pkg/cmd/explain/explain_test.go
+++ b/pkg/cmd/explain/explain_test.go
@@ -19,6 +19,8 @@
 {"level":"info","request":"second","lasts":1533.8,"left":-20,"waitMs":1253.8,"boundMs":150,"windowMs":500,"planShare":0.85,"aloneMs":280,"leadMs":150,"priorityMarginMs":0,"minWaitMs":150,"retried":true,"time":2000,"message":"request: refused, the stages would take too long"}
 {"level":"info","request":"third","lasts":1533.8,"left":1500,"waitMs":253.8,"boundMs":150,"windowMs":1500,"planShare":0.85,"aloneMs":280,"leadMs":150,"priorityMarginMs":0,"minWaitMs":150,"retried":false,"overShare":true,"time":2000,"message":"request: refused, the stages would take too long"}
 {"level":"warn","request":"r1","verdict":"may-have-run","time":1750,"message":"request: ended"}
+{"level":"warn","request":"copied","target":"t1","verdict":"not-run","answer":"421 of \"old\" to call 3","connection":"7 from a:1 to b:2","before":["200 of \"older\" to call 1","421 of \"old\" to call 2"],"time":2000,"message":"request: attempt failed"}
+{"level":"warn","requests":["other","batched"],"target":"t1","answer":"503 of \"\" to call 1","connection":"8 from a:1 to b:2","time":2000,"message":"items: batch failed"}
 {"level":"warn","request":"displaced","took":321,"verdict":"not-run","reason":"overload","withdrawnBy":"rank","waitedMs":320.5,"latePriority":2,"projectedMs":2312,"dueMs":1500,"time":2000,"message":"request: ended"}
 `
 
@@ -94,6 +96,21 @@
 	})
 }
 
+// TestExplainEvidence guards against an incident in which nothing tells whose answer a refusal was
+// believed from.
+func TestExplainEvidence(t *testing.T) {
+	convey.Convey("A failed attempt says from which answer it was concluded and what came before on the connection", t, func() {
+		out, err := execute("copied")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(out, convey.ShouldContainSubstring, "\n         The verdict \"not-run\" was concluded from the answer 421 of \"old\" to call 3 on connection 7 from a:1 to b:2, which had brought before: 200 of \"older\" to call 1, 421 of \"old\" to call 2.\n")
+	})
+	convey.Convey("So does a failed batch, for each request with items in it", t, func() {
+		out, err := execute("batched")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(out, convey.ShouldContainSubstring, "\n         This was concluded from the answer 503 of \"\" to call 1 on connection 8 from a:1 to b:2, which had brought nothing before.\n")
+	})
+}
+
 func TestExplainInput(t *testing.T) {
 	convey.Convey("The lines are to be had as JSON", t, func() {
 		out, err := execute("r1", "--json")
--- a/pkg/cmd/explain/story.go
+++ b/pkg/cmd/explain/story.go
@@ -24,13 +24,19 @@
 func (s *story) add(l line, request string) {
 	message, _ := l.Fields["message"].(string)
 	switch {
-	case l.Fields["request"] == request:
+	case l.Fields["request"] == request, l.names(request):
 		s.own = append(s.own, l)
 	case strings.HasPrefix(message, quarantinePrefix), message == evacuatedMessage, message == takenBackMessage:
 		s.background = append(s.background, l)
 	}
 }
 
+// names reports whether the line is of a batch with items of the request.
+func (l line) names(request string) bool {
+	requests, _ := l.Fields["requests"].([]any)
+	return slices.Contains(requests, any(request))
+}
+
 // lines returns the request's lines and those of its background that bear on it, in the
 // order of their times.
 func (s *story) lines() []line {
