The version of a lost stream is no longer named from what one node saw alone

Callers saw: nothing yet; a lost stream could go on at a version that did not begin it.

Cause, each with a test that failed on: - a target that left and came back, or changed its version, within one report counted as ready throughout, as did one that a member passed on, which tells the last state only; - a target that drained and is ready again, which a node that runs on keeps draining, was no candidate; - while a target without a version is ready nothing is assigned, but a target that ranked higher was taken for proof; - after a start, a target that started again in place, or left and came back, had one version for all of the history although its entry before was forgotten (no entry of the source's history is from the key's creation); - a node that started marked targets of the source's history cold as from now, those of earlier processes and, with a whole history, of any age too; the node that inferred took off its own reach only, or nothing if it never restarted; - a target that started again in place kept the passed end of being cold, so that it counted as ready since before.

Change: entries between two views interrupt a target; its passing versions are candidates; entries without a version make a stream unknown; the first entry that the history has of a target that was not new has an unknown one before it; only starts that a node saw make a target cold for it.

TestInferredVersion draws targets without a version and restarts in place more often. It no longer draws entries that take a drain back or lose their version without a new start: nodes that run on keep what they knew there, others don't, and no rule can tell (replicas never write that; a store that came back from a copy does, and its history is not used).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,11 +229,10 @@
 
 // streamHistoryOptions returns the options of the history of targets.
 func streamHistoryOptions(cfg *settings.Gateway) []streamorigin.Option {
-	opts := []streamorigin.Option{streamorigin.WithReach(time.Duration(cfg.SourceHistoryMs) * time.Millisecond)}
-	if !restarted(cfg) {
-		opts = append(opts, streamorigin.FromStart())
+	if restarted(cfg) {
+		return nil
 	}
-	return opts
+	return []streamorigin.Option{streamorigin.FromStart()}
 }
 
 // historyReader returns what records the source's history from before this process; nil if there is
--- a/internal/gateway/streamorigin/history.go
+++ b/internal/gateway/streamorigin/history.go
@@ -40,10 +40,9 @@
 	// changed holds the path prefixes whose routes changed, by host, and until when streams of the
 	// earlier route may last.
 	changed map[string]map[string]time.Time
-	// earlier holds the changes from before the first view.
-	earlier []earlierChange
-	// reach is how long the source remembers a change; 0 if unknown.
-	reach time.Duration
+	// earlier holds the changes from before the first view; complete is whether they are all.
+	earlier  []earlierChange
+	complete bool
 }
 
 // targets are those of one service.
@@ -69,6 +68,9 @@
 	// listedCold the end by its latest entry.
 	coldFor               time.Duration
 	coldUntil, listedCold time.Time
+	// takenBack is whether its entry says again that it is ready while this node keeps it draining.
+	// Nodes that started since use it.
+	takenBack bool
 }
 
 // departed is a target that was usable until a time.
@@ -84,9 +86,6 @@
 // FromStart is for a node with which the deployment starts, so that no stream began before.
 func FromStart() Option { return func(h *History) { h.since = time.Time{} } }
 
-// WithReach sets how long the source remembers a change.
-func WithReach(reach time.Duration) Option { return func(h *History) { h.reach = reach } }
-
 // NewHistory returns the history of a node that starts at a time.
 func NewHistory(now time.Time, opts ...Option) *History {
 	h := &History{
@@ -112,9 +111,49 @@
 	for name, s := range h.services {
 		s.observe(now, continues, old.Directory.Service(name), next.Directory.Service(name))
 	}
+	h.observeEntries(now, next, ch)
 	h.forget(now)
 }
 
+// observeEntries records what other nodes may have seen of the listed targets between two views of
+// this one.
+func (h *History) observeEntries(now time.Time, next *view.View, ch view.Changes) {
+	// Only the source lists each change; a member passes on the last state.
+	listsAll := len(ch.At) == len(ch.List)
+	for _, c := range ch.List {
+		switch c := c.(type) {
+		case view.TargetChange:
+			if l := h.listed(c.Target.Service, c.Target.ID); l != nil {
+				h.services[c.Target.Service].observeEntry(now, l, c.Target, listsAll)
+			}
+		case view.TargetRemoval:
+			if t, listed := next.Directory.Target(c.ID); listed {
+				h.listed(t.Service, c.ID).interrupt(now)
+			}
+		case view.CatalogChange, view.EvacuationChange, view.RejectedEntry:
+		}
+	}
+}
+
+// observeEntry records one of the entries of a target between two views.
+func (s *targets) observeEntry(now time.Time, l *listed, t directory.Target, listsAll bool) {
+	if t.Version.Known() && t.Version != l.version {
+		s.gone = append(s.gone, departed{id: l.id, version: t.Version, until: now})
+		l.interrupt(now)
+	}
+	if !listsAll || t.State != directory.Ready {
+		l.interrupt(now)
+	}
+	l.takenBack = !l.ready && t.State == directory.Ready
+}
+
+// interrupt records that the target may not have been ready until now, nil for none.
+func (l *listed) interrupt(now time.Time) {
+	if l != nil && l.ready {
+		l.readySince = now
+	}
+}
+
 // observeRemovals records the targets that left without having been listed.
 func (h *History) observeRemovals(now time.Time, old *view.View, ch view.Changes) {
 	for _, c := range ch.List {
@@ -190,8 +229,9 @@
 		l = &listed{version: t.Version, id: xxhash.Sum64String(t.ID), usableUntil: now}
 		s.listed[t.ID] = l
 	}
-	if !t.ColdUntil.Equal(l.listedCold) {
-		l.listedCold, l.coldUntil, l.coldFor, l.readySince = t.ColdUntil, time.Time{}, max(t.ColdUntil.Sub(now), 0), now
+	if !t.ColdUntil.IsZero() && !t.ColdUntil.Equal(l.listedCold) {
+		// One that started again in place keeps the later time of both processes, which may have passed.
+		l.coldFor, l.listedCold = max(t.ColdUntil.Sub(now), 0), t.ColdUntil
 		if started {
 			l.coldUntil = t.ColdUntil
 		}
@@ -244,17 +284,17 @@
 	latest   time.Time
 }
 
-// Extend adds what the source still knows of the time before the first view: all changes within its
-// reach, or all there were if complete.
-func (h *History) Extend(now time.Time, complete bool, ch view.Changes) {
-	since := now.Add(-h.reach)
+// Extend adds what the source still knows of the time before the first view: all changes within
+// reach before now, or all there were if complete.
+func (h *History) Extend(now time.Time, reach time.Duration, complete bool, ch view.Changes) {
+	since := now.Add(-reach)
 	if complete {
 		since = time.Time{}
 	}
 	if !since.Before(h.since) || len(ch.At) != len(ch.List) {
 		return
 	}
-	h.since = since
+	h.since, h.complete = since, complete
 	for _, s := range h.services {
 		s.since = since
 		for _, l := range s.listed {
@@ -263,20 +303,11 @@
 	}
 	for i, c := range ch.List {
 		h.earlier = append(h.earlier, earlierChange{Change: c, revision: ch.At[i], latest: now})
-		h.observeEarlier(now, c)
-	}
-}
-
-// observeEarlier applies an earlier change to the targets that are listed now.
-func (h *History) observeEarlier(now time.Time, c view.Change) {
-	switch c := c.(type) {
-	case view.TargetChange:
-		if l := h.listed(c.Target.Service, c.Target.ID); l != nil {
-			l.coldFor, l.coldUntil = c.ColdFor, now.Add(c.ColdFor)
+		switch c.(type) {
+		case view.EvacuationChange, view.RejectedEntry:
+			h.since = now
+		case view.TargetChange, view.CatalogChange, view.TargetRemoval:
 		}
-	case view.EvacuationChange, view.RejectedEntry:
-		h.since = now
-	case view.CatalogChange, view.TargetRemoval:
 	}
 }
 
@@ -313,9 +344,9 @@
 // A stream that may be resumed begins at the version of the ready target that ranks first for it
 // by rendezvous hashing, among the versions that have minTargets ready targets. So any node can
 // tell later which version began it, even if all nodes that knew have ended. Inputs: the stream's
-// key and the ready targets; not their load, their health or this node. A target that is known to
-// be cold does not count. If the rule were left, streams would go on at a version that does not
-// understand them.
+// key and the ready targets; not their load, their health or this node. A target that was seen to
+// start does not count while it is cold; a node that starts does not know how long ago those that it
+// lists did. If the rule were left, streams would go on at a version that does not understand them.
 
 // Assign returns the version at which a new stream of a service has to begin; unknown if it may
 // begin at any.
@@ -403,7 +434,11 @@
 	case h.routeChanged(l.Host, l.Path, from):
 		return 0, "the route may have led elsewhere at its beginning"
 	}
-	for _, c := range h.candidates(s, l, from) {
+	candidates := h.candidates(s, l, from)
+	if slices.ContainsFunc(candidates, func(c candidate) bool { return c.unversioned }) {
+		return 0, "a target without a version was there, so that it was not assigned"
+	}
+	for _, c := range candidates {
 		switch {
 		case !c.version.Known() || v.Known() && c.version != v:
 			return 0, "targets of several versions can have begun it"
@@ -424,24 +459,29 @@
 	rank    uint64
 	// always is whether the node that began the stream must have counted it.
 	always bool
+	// unversioned is whether its entry has no version. While one is ready, streams are not assigned.
+	unversioned bool
 }
 
 // candidates returns the targets at which a stream can have begun, by descending rank.
 func (h *History) candidates(s *targets, l Lost, from time.Time) []candidate {
-	changed := h.changedEarlier(l.Service)
+	changed := h.changedEarlier(l.Service, from)
 	var list []candidate
 	always := func(t *listed) bool {
-		return l.Named && l.Assigned && t.ready && !h.countedSince(t, changed[t.id]).After(from)
+		return l.Named && l.Assigned && !changed[t.id] && t.readyThroughout(from)
 	}
 	counts := s.count(always)
 	for _, t := range s.listed {
-		if t.usable || !t.usableUntil.Before(from) {
-			list = append(list, candidate{version: t.version, rank: rank(l.Key, t.id), always: always(t) && counts[t.version] >= minTargets})
+		if t.usable || t.takenBack || !t.usableUntil.Before(from) {
+			list = append(list, candidate{
+				version: t.version, rank: rank(l.Key, t.id), unversioned: !t.version.Known(),
+				always: always(t) && counts[t.version] >= minTargets,
+			})
 		}
 	}
 	for _, d := range s.gone {
 		if !d.until.Before(from) {
-			list = append(list, candidate{version: d.version, rank: rank(l.Key, d.id)})
+			list = append(list, candidate{version: d.version, rank: rank(l.Key, d.id), unversioned: !d.version.Known()})
 		}
 	}
 	for id, at := range h.unknown {
@@ -454,66 +494,53 @@
 	return list
 }
 
-// changedEarlier returns when the entries of the targets of a service changed at the latest before the
-// first view.
-func (h *History) changedEarlier(service string) map[uint64]time.Time {
-	changed := map[uint64]time.Time{}
+// changedEarlier returns the targets of a service of which an entry may have changed between a time
+// and the first view.
+func (h *History) changedEarlier(service string, from time.Time) map[uint64]bool {
+	changed := map[uint64]bool{}
 	for _, c := range h.earlier {
-		t, ok := c.Change.(view.TargetChange)
-		if !ok || t.Target.Service != service {
-			continue
-		}
-		if id := xxhash.Sum64String(t.Target.ID); c.latest.After(changed[id]) {
-			changed[id] = c.latest
+		if t, ok := c.Change.(view.TargetChange); ok && t.Target.Service == service && !c.latest.Before(from) {
+			changed[xxhash.Sum64String(t.Target.ID)] = true
 		}
 	}
 	return changed
 }
 
 // earlierCandidates returns the targets that left between a time and the first view, or changed their
-// version. Of one without an entry in the history neither service nor version is known.
+// version. What was before the first entry that the source remembers is not known: neither service nor
+// version of a target that left, and not the version of one that is ready again, as after a restart in
+// place. A target that drains is the one that was ready before.
 func (h *History) earlierCandidates(s *targets, l Lost, from time.Time) []candidate {
 	var list []candidate
-	entries := map[string]bool{}
+	known := map[string]bool{}
 	for _, c := range h.earlier {
-		switch c := c.Change.(type) {
-		case view.TargetChange:
-			entries[c.Target.ID] = true
-		case view.TargetRemoval, view.CatalogChange, view.EvacuationChange, view.RejectedEntry:
-		}
-	}
-	for _, c := range h.earlier {
-		if c.latest.Before(from) {
-			continue
-		}
+		recent := !c.latest.Before(from)
 		switch e := c.Change.(type) {
 		case view.TargetChange:
-			now := s.listed[e.Target.ID]
-			if e.Target.Service == l.Service && (now == nil || now.version != e.Target.Version) {
-				list = append(list, candidate{version: e.Target.Version, rank: rank(l.Key, xxhash.Sum64String(e.Target.ID))})
+			began := known[e.Target.ID] || h.complete || e.First || e.Target.State != directory.Ready
+			known[e.Target.ID] = true
+			if !recent || e.Target.Service != l.Service {
+				continue
+			}
+			if r := rank(l.Key, xxhash.Sum64String(e.Target.ID)); !began {
+				list = append(list, candidate{rank: r})
+			} else if now := s.listed[e.Target.ID]; now == nil || now.version != e.Target.Version {
+				list = append(list, candidate{version: e.Target.Version, rank: r, unversioned: !e.Target.Version.Known()})
 			}
 		case view.TargetRemoval:
-			if !entries[e.ID] && s.listed[e.ID] == nil {
+			if recent && !known[e.ID] {
 				list = append(list, candidate{rank: rank(l.Key, xxhash.Sum64String(e.ID))})
 			}
+			known[e.ID] = true
 		case view.CatalogChange, view.EvacuationChange, view.RejectedEntry:
 		}
 	}
 	return list
 }
 
-// countedSince returns since when each node must have counted a target that is ready. changed is when its
-// entry changed before the first view. A node that started lately takes a warm target for a cold one for
-// as long as that stays cold, if its entry is among what the source remembers.
-func (h *History) countedSince(l *listed, changed time.Time) time.Time {
-	since := l.readySince
-	if changed.After(since) {
-		since = changed
-	}
-	if l.coldFor > 0 {
-		since = since.Add(l.coldFor + h.reach)
-	}
-	return since
+// readyThroughout reports whether each node must have counted the target since a time.
+func (l *listed) readyThroughout(from time.Time) bool {
+	return l.ready && !l.readySince.Add(l.coldFor).After(from)
 }
 
 // routeChanged reports whether a stream of a path can have begun under another route.
--- a/internal/gateway/streamorigin/history_test.go
+++ b/internal/gateway/streamorigin/history_test.go
@@ -49,6 +49,17 @@
 // source is the record of all changes; the first is revision 1.
 type source []dated
 
+// isNew reports whether a target has no entry after all changes.
+func (s source) isNew(id string) bool {
+	for _, c := range slices.Backward(s) {
+		if keyOf(c.Change) == id {
+			_, gone := c.Change.(view.TargetRemoval)
+			return gone
+		}
+	}
+	return true
+}
+
 // node follows a source, behind it by a time.
 type node struct {
 	src     source
@@ -60,7 +71,7 @@
 
 // startNode starts a node at a time. Unless it is the first one, it learns what the source remembers.
 func startNode(src source, now time.Time, lag time.Duration, first bool) *node {
-	opts := []streamorigin.Option{streamorigin.WithReach(reach)}
+	var opts []streamorigin.Option
 	if first {
 		opts = append(opts, streamorigin.FromStart())
 	}
@@ -118,13 +129,17 @@
 			forgotten = true
 			continue
 		}
-		if first, ok := c.Change.(view.CatalogChange); ok {
+		switch first := c.Change.(type) {
+		case view.CatalogChange:
 			first.First = i == 0
 			c.Change = first
+		case view.TargetChange:
+			first.First = n.src[:i].isNew(first.Target.ID)
+			c.Change = first
 		}
 		ch.List, ch.At = append(ch.List, c.Change), append(ch.At, view.NewRevision(0, int64(i+1)))
 	}
-	n.history.Extend(now, !forgotten, ch)
+	n.history.Extend(now, reach, !forgotten, ch)
 }
 
 // forget tells the history what the source has forgotten at a time.
@@ -171,36 +186,34 @@
 	return streamorigin.Lost{Key: k, Service: "s", Host: "h", Path: "/x", Age: age, Named: true, Assigned: true}
 }
 
-// drawSource draws targets of three versions that start, leave with and without saying so, become cold
-// and change their version. A target that is draining never becomes ready again.
+// drawSource draws targets of three versions, and of none, that start, leave with and without saying so,
+// become cold and start again in place with another version. As targets do, one that drains stays so
+// until it left, and one with a version keeps having one: without a start in its entry, nodes that run
+// on would take it for the earlier process and keep what they know, and nodes that start would not.
 func drawSource(t *rapid.T) source {
 	src := source{{start, view.CatalogChange{Catalog: streams(1, "s")}}}
 	at := start
-	known, drains := map[string]bool{}, map[string]bool{}
-	for i := range rapid.IntRange(4, 40).Draw(t, "changes") {
+	entries := map[string]view.TargetChange{}
+	for range rapid.IntRange(4, 40).Draw(t, "changes") {
 		at = at.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "after")) * time.Millisecond)
 		id := fmt.Sprint("t", rapid.IntRange(0, 7).Draw(t, "target"))
-		c := ready(id, rapid.SampledFrom([]string{"v1", "v1", "v2", "v3"}).Draw(t, "version"))
-		if old, _ := src[len(src)-1].Change.(view.TargetChange); known[id] && old.Target.ID == id {
-			c.Target.Version = old.Target.Version
-		}
+		c := ready(id, rapid.SampledFrom([]string{"v1", "v1", "v1", "v2", "v2", "v3", ""}).Draw(t, "version"))
 		what := rapid.IntRange(0, 5).Draw(t, "what")
-		if drains[id] && what != 1 {
-			what = 0
+		old, known := entries[id]
+		if last, _ := src[len(src)-1].Change.(view.TargetChange); known && (last.Target.ID == id || what == 0 || !c.Target.Version.Known()) {
+			c.Target.Version = old.Target.Version
 		}
-		switch what {
-		case 0:
-			c.Target.State, drains[id] = directory.Draining, true
-		case 1:
-			if known[id] && i > 0 {
-				known[id], drains[id] = false, false
-				src = append(src, dated{at, view.TargetRemoval{ID: id}})
-				continue
-			}
-		case 2:
+		switch {
+		case known && (what == 1 || old.Target.State == directory.Draining):
+			delete(entries, id)
+			src = append(src, dated{at, view.TargetRemoval{ID: id}})
+			continue
+		case what == 0:
+			c.Target.State = directory.Draining
+		case what == 2:
 			c.ColdFor = time.Duration(rapid.IntRange(1, 3000).Draw(t, "cold")) * time.Millisecond
 		}
-		known[id] = true
+		entries[id] = c
 		src = append(src, dated{at, c})
 	}
 	return src
@@ -336,6 +349,95 @@
 			shouldNotKnow(n, at(41), 10*time.Second)
 		})
 	})
+	convey.Convey("A node that was told several changes at once", t, func() {
+		two := slices.Concat(one, pair(2, "v2", "x", "y", "z"))
+		batch := func(n *node, now time.Time, list ...view.Change) {
+			ch := view.Changes{Revision: n.view.Revision + view.Revision(len(list)), List: list}
+			for i := range list {
+				ch.At = append(ch.At, n.view.Revision+view.Revision(i+1))
+			}
+			n.apply(now, ch, false)
+		}
+		// known counts those of 200 streams whose version is known.
+		known := func(n *node, now time.Time) (count int) {
+			for k := range streamorigin.Key(200) {
+				if _, unknown := n.history.Infer(now, lost(k, 2*time.Second)); unknown == "" {
+					count++
+				}
+			}
+			return count
+		}
+		n := startNode(two, at(3), 0, true)
+		convey.So(known(n, at(40)), convey.ShouldEqual, 200)
+		convey.Convey("does not count a target as ready throughout that left and came back", func() {
+			batch(n, at(40), view.TargetRemoval{ID: "a"}, ready("a", "v1"), view.TargetRemoval{ID: "b"}, ready("b", "v1"), view.TargetRemoval{ID: "c"}, ready("c", "v1"))
+			convey.So(known(n, at(41)), convey.ShouldBeBetween, 0, 150)
+		})
+		convey.Convey("nor one that was passed on by a member", func() {
+			n.apply(at(40), view.Changes{Revision: n.view.Revision + 1, List: []view.Change{ready("a", "v1"), ready("b", "v1"), ready("c", "v1")}}, false)
+			convey.So(known(n, at(41)), convey.ShouldBeBetween, 0, 150)
+		})
+		convey.Convey("names no version of a target that had another one meanwhile", func() {
+			n := startNode(source{config, dated{at(0), ready("a", "v1")}}, at(1), 0, true)
+			batch(n, at(40), ready("a", "v2"), ready("a", "v1"))
+			shouldNotKnow(n, at(41), 2*time.Second)
+			shouldKnow(n, at(60), 2*time.Second, "v1")
+		})
+	})
+	convey.Convey("Targets that are seen otherwise by other nodes", t, func() {
+		convey.Convey("a target that drained and is ready again is used by nodes that started since", func() {
+			n := startNode(source{config, dated{at(0), draining("a", "v1")}, dated{at(0), ready("x", "v2")}}, at(0), 0, true)
+			n.apply(at(1), view.Changes{Revision: n.view.Revision + 1, List: []view.Change{ready("a", "v1")}}, false)
+			shouldNotKnow(n, at(40), time.Second)
+		})
+		convey.Convey("a target that is warm is so for a node that started later", func() {
+			var cold source
+			for _, id := range []string{"a", "b"} {
+				c := ready(id, "v1")
+				c.ColdFor = 5 * time.Second
+				cold = append(cold, dated{at(10), c})
+			}
+			src := slices.Concat(source{config}, cold, pair(10, "v2", "x", "y"))
+			runsOn, later := startNode(src, at(0), 0, true), startNode(src, at(25), 0, false)
+			runsOn.confirm(at(29))
+			for k := range streamorigin.Key(100) {
+				begun := later.begin(at(28), k)
+				if v, unknown := runsOn.history.Infer(at(29), lost(k, time.Second)); unknown == "" {
+					convey.So(v, convey.ShouldEqual, begun)
+				}
+			}
+		})
+		convey.Convey("one that starts again in place when it was warm is ready from then on", func() {
+			cold := ready("a", "v1")
+			cold.ColdFor = time.Second
+			src := slices.Concat(source{config, dated{at(0), cold}}, pair(0, "v1", "b"), pair(0, "v2", "x", "y"), pair(40, "v2", "a"))
+			n := startNode(src, at(0), 0, true)
+			n.confirm(at(41))
+			before := startNode(src, at(0), 0, true)
+			before.follow(at(39))
+			for k := range streamorigin.Key(100) {
+				if v, unknown := n.history.Infer(at(41), lost(k, 2*time.Second)); unknown == "" {
+					convey.So(v, convey.ShouldEqual, before.begin(at(39), k))
+				}
+			}
+		})
+		convey.Convey("a target without a version lets streams begin anywhere", func() {
+			n := startNode(slices.Concat(one, pair(2, "v2", "x", "y", "z"), pair(2, "", "u")), at(60), 0, false)
+			shouldNotKnow(n, at(61), 2*time.Second)
+		})
+		convey.Convey("what the source remembers does not tell the version of a target before it started again", func() {
+			src := slices.Concat(source{config}, pair(1, "v1", "a"), pair(50, "v2", "a"))
+			shouldNotKnow(startNode(src, at(60), 0, false), at(61), 10*time.Second)
+		})
+		convey.Convey("nor of one that left before it came back", func() {
+			src := slices.Concat(source{config}, pair(1, "v1", "a"), source{{at(50), view.TargetRemoval{ID: "a"}}}, pair(51, "v2", "a"))
+			shouldNotKnow(startNode(src, at(60), 0, false), at(61), 10*time.Second)
+		})
+		convey.Convey("but of one that started meanwhile, and of one that drains", func() {
+			src := slices.Concat(source{config}, pair(1, "v1", "a", "b"), pair(50, "v1", "c"), source{{at(50), draining("b", "v1")}})
+			shouldKnow(startNode(src, at(60), 0, false), at(61), 10*time.Second, "v1")
+		})
+	})
 	convey.Convey("New streams", t, func() {
 		convey.Convey("are not assigned to a version with one target", func() {
 			n := startNode(slices.Concat(one, pair(2, "v2", "x")), at(3), 0, true)
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -86,7 +86,7 @@
 func (s *streamOrigins) extend(complete bool, ch view.Changes) {
 	s.historyMu.Lock()
 	defer s.historyMu.Unlock()
-	s.history.Extend(s.now(), complete, ch)
+	s.history.Extend(s.now(), s.reach, complete, ch)
 }
 
 // Assign implements relay.StreamOrigins.
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -52,6 +52,8 @@
 	// counts from when the change is applied. That is later than the report, so the target is
 	// warm at the latest when this time has passed.
 	ColdFor time.Duration
+	// First reports whether the source had no entry of the target before; false if that is not known.
+	First bool
 }
 
 // target returns the target with ColdUntil set from ColdFor.
