The age of a lost stream is unknown on routes without a timeout

Callers saw: nothing yet. On a route without a timeout, a node that had started lately took what a client said to wait for all that any client waits: the rest of an old stream counted as young, and could go on at a version that came since.

Cause: nothing but the clients seen since the start bounds how long they wait there.

--- a/internal/gateway/relay/version_test.go
+++ b/internal/gateway/relay/version_test.go
@@ -143,6 +143,12 @@
 			convey.So(f.lost.Service, convey.ShouldEqual, "s")
 			convey.So(f.lost.Named, convey.ShouldBeTrue)
 		})
+		convey.Convey("can be as old as any if its route has no timeout, since clients that wait longer may not have come yet", func() {
+			route.Timeout = 0
+			f.inferred = directory.VersionOf("v2")
+			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
+			convey.So(f.lost.Age, convey.ShouldEqual, 2*time.Minute)
+		})
 		convey.Convey("goes on at the version of the target that was answering it, before anything is inferred", func() {
 			f.run, f.inferred = *origin("s", "v2"), directory.VersionOf("v1")
 			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
