Streams taken up beside a source that does not answer are refused together

Callers saw: 503 late, or nothing within their time.

Change: those who wait share the failure of a call that began after they asked; a call outlives the client that made it.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -86,6 +86,9 @@
 	mu sync.Mutex
 	// confirmedAt is the start of the last call that confirmed the view.
 	confirmedAt time.Time
+	// unconfirmedAt is the start of the last call that failed to, with unconfirmed.
+	unconfirmedAt time.Time
+	unconfirmed   error
 	// gone is the newest revision of which the source has forgotten what followed, -1 for none, by the
 	// search that ended at searchedAt.
 	gone       int64
--- a/internal/gateway/sourcehistory.go
+++ b/internal/gateway/sourcehistory.go
@@ -110,7 +110,9 @@
 	return f.source.Watch(ctx, revision, 0, answered)
 }
 
-// confirm makes sure that the view has all that the source knew when it was called.
+// confirm makes sure that the view has all that the source knew when it was called. Those who ask while
+// a call is made share the next one, and its failure: beside a source that does not answer each would
+// wait for confirmTimeout after all before it.
 func (f *sourceFollower) confirm(ctx context.Context) error {
 	asked := f.now()
 	f.mu.Lock()
@@ -118,6 +120,21 @@
 	if f.confirmedAt.After(asked) {
 		return nil
 	}
+	if f.unconfirmedAt.After(asked) {
+		return f.unconfirmed
+	}
+	started := f.now()
+	err := f.readUntilConfirmed(ctx)
+	if err != nil {
+		f.unconfirmedAt, f.unconfirmed = started, err
+	}
+	return err
+}
+
+// readUntilConfirmed reads changes until the view has all of them. Another client's end does not end a
+// call that others wait for.
+func (f *sourceFollower) readUntilConfirmed(ctx context.Context) error {
+	ctx = context.WithoutCancel(ctx)
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	for range confirmTries {
--- a/internal/gateway/sourcehistory_test.go
+++ b/internal/gateway/sourcehistory_test.go
@@ -119,6 +119,23 @@
 			}
 			convey.So(source.callCount()-calls, convey.ShouldBeLessThan, 5)
 		})
+		convey.Convey("and its failure, instead of waiting for one another", func() {
+			source.takes, source.forgotten = 50*time.Millisecond, 99
+			done := make(chan error)
+			began := time.Now()
+			for range 40 {
+				go func() { done <- f.confirm(t.Context()) }()
+			}
+			for range 40 {
+				convey.So(<-done, convey.ShouldNotBeNil)
+			}
+			convey.So(time.Since(began), convey.ShouldBeLessThan, time.Second)
+		})
+		convey.Convey("and a client that left does not end the call of others", func() {
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			convey.So(f.confirm(ctx), convey.ShouldBeNil)
+		})
 	})
 }
 
