A silent stream has the time of its stages before it is abandoned

Callers saw streams end after all targets had stood still for 1.3 s, though the targets went on: the stages that the stream needed at another target were not done by the deadline.

Cause: the inputs of a stream are released at its first event, so that another target can only go on once all stages have run again. The attempt was abandoned after 1.2 s of silence all the same, and a stage that was then refused ended the stream.

Now the silent target has the planned time of the stages in addition, since nothing else could bring an event earlier.

--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay/rules"
 	"github.com/honeydyke/honeydyke/internal/wait"
@@ -81,15 +80,15 @@
 }
 
 // takeRetry takes a retry from the budget for an attempt that follows a silent one at the target, and
-// reports whether one can follow. It is called while the silent attempt is in progress; stream is as
-// in sender.takeRetry.
-func (d *delivery) takeRetry(target directory.Target, stream streamOrigin) bool {
+// reports whether one can follow. It is called while the silent attempt is in progress.
+func (d *delivery) takeRetry(a silentAttempt) bool {
 	if d.response.started.Load() {
-		stream.begin(target)
+		a.stream.begin(a.target)
 	}
 	r := rules.Replacement{
-		OtherTarget: d.chooser.anyOther(target, stream), NeedsStages: d.runner.needsStages(), Recomputes: d.runner.results.recomputes(),
+		OtherTarget: d.chooser.anyOther(a.target, a.stream), NeedsStages: d.runner.needsStages(), Recomputes: d.runner.results.recomputes(),
 		StagesTime: d.outcome.Planned, Left: d.times.ResponseDeadline.Sub(d.now()),
+		Silent: a.silent, Limit: a.limit,
 	}
 	if !rules.MayAbandon(r) {
 		return false
--- a/internal/gateway/relay/rules/timeout.go
+++ b/internal/gateway/relay/rules/timeout.go
@@ -55,16 +55,22 @@
 	StagesTime  time.Duration
 	// Left is the time to the response deadline.
 	Left time.Duration
+	// Silent is for how long the target has been silent, Limit the attempt's timeout.
+	Silent, Limit time.Duration
 }
 
 // MayAbandon decides whether an attempt that was silent for AttemptTimeout is abandoned: only if
 // another can follow it, apart from the retry budget, which package relay takes the retry from first.
-// Silence alone does not end a response, as a target that stands still for a moment goes on later. A
-// false positive ends a response that would have been completed; a false negative leaves a request
-// at a target that is stuck until its deadline.
+// Silence alone does not end a response, as a target that stands still for a moment goes on later. If
+// the stages have to run again, no other target can go on before they are done, so that the silent one
+// has their time more. A false positive ends a response that would have been completed; a false
+// negative leaves a request at a target that is stuck until its deadline.
 func MayAbandon(r Replacement) bool {
 	if !r.OtherTarget {
 		return false
 	}
-	return !r.NeedsStages || MayRecompute(r.Recomputes+1) && r.Left >= r.StagesTime+engineLead
+	if !r.NeedsStages {
+		return true
+	}
+	return MayRecompute(r.Recomputes+1) && r.Left >= r.StagesTime+engineLead && r.Silent >= r.Limit+r.StagesTime
 }
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -48,8 +48,8 @@
 	// trialSent is true once the request's trial has been sent.
 	trialSent bool
 	// takeRetry takes a retry for an attempt that follows a silent one at the target, and reports
-	// whether one can follow. stream is the request's stream at the begin of the silent attempt.
-	takeRetry func(target directory.Target, stream streamOrigin) bool
+	// whether one can follow.
+	takeRetry func(a silentAttempt) bool
 	// retryTaken is true if the retry of the next attempt was taken from the budget already.
 	retryTaken bool
 }
@@ -162,15 +162,26 @@
 	return hold, held
 }
 
+// silentAttempt is an attempt in progress whose target is silent.
+type silentAttempt struct {
+	target directory.Target
+	// stream is the request's stream at the begin of the attempt.
+	stream streamOrigin
+	// silent is for how long the target has been silent, limit the attempt's timeout.
+	silent, limit time.Duration
+}
+
 // attemptTimer ends an attempt that is silent for too long. It is nil for an attempt without a limit.
 type attemptTimer struct {
 	limit time.Duration
 	// abandon ends the attempt and returns true, or returns false if it has to go on.
-	abandon func() bool
+	abandon func(silent time.Duration) bool
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
+	// silent is for how long there was no sign of activity when the timer was last set.
+	silent time.Duration
 }
 
 // stop ends the timer. abandon is not called afterwards.
@@ -191,6 +202,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.silent = 0
 	t.timer.Reset(t.limit)
 }
 
@@ -198,7 +210,8 @@
 func (t *attemptTimer) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.stopped && !t.abandon() {
+	t.silent += t.limit
+	if !t.stopped && !t.abandon(t.silent) {
 		t.timer.Reset(t.limit)
 	}
 }
@@ -212,8 +225,8 @@
 		return nil
 	}
 	stream := s.assigned(s.streams)
-	t := &attemptTimer{limit: limit, abandon: func() bool {
-		if !s.takeRetry(target, stream) {
+	t := &attemptTimer{limit: limit, abandon: func(silent time.Duration) bool {
+		if !s.takeRetry(silentAttempt{target: target, stream: stream, silent: silent, limit: limit}) {
 			return false
 		}
 		cancel(errAttemptTimeout)
