relay: withhold answers whose status would promise not-run

A target's own answer with status 503, 429 or 408 (signed, without the proof of not-run) was forwarded to the client of a request that may run only once. To clients these statuses are the promise that the request has not run and never will, so that they send it again: it ran, was refused, and may run twice.

Cause: the status was judged as proof for the node's own next step only, not for what the client makes of it.

AfterResponse now withholds such an answer if the request may run only once: the client gets 502, which makes no claim. Requests that may run twice still get the target's answer, since the promise is about others.

Nothing shows that the replicas of the users answer so; the protocol names only 500 and 504 as their own.

--- a/internal/gateway/relay/answer.go
+++ b/internal/gateway/relay/answer.go
@@ -31,6 +31,8 @@
 	switch rules.AfterResponse(s.responseInput(reply, possibleRuns)).(type) {
 	case rules.TryAnotherTarget:
 		return verdict.New(verdict.Ran, verdict.ReasonTargetError, "the target answered with status %d", reply.Status)
+	case rules.Withhold:
+		return verdict.New(verdict.Ran, verdict.ReasonTargetError, "the target answered with status %d, which claims that the request has not run", reply.Status)
 	case rules.AbortStream:
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonTargetError, "the stream could not be resumed: status %d", reply.Status)
 	}
@@ -39,7 +41,7 @@
 
 func (s *sender) responseInput(reply *Reply, possibleRuns int) rules.Response {
 	return rules.Response{
-		Status: reply.Status, Succeeded: reply.Succeeded, Started: s.response.started.Load(),
+		Status: reply.Status, Succeeded: reply.Succeeded, ClaimsNotRun: reply.ClaimsNotRun, Started: s.response.started.Load(),
 		Retryable: s.route.Retryable(), PossibleRuns: possibleRuns, MaxAttempts: s.route.MaxAttempts,
 		Budget: s.budgets.remaining(s.service.Name), Left: s.times.ResponseDeadline.Sub(s.now()), Objective: s.route.Objective,
 	}
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -84,6 +84,9 @@
 	Status int
 	// Succeeded reports whether the status is a success.
 	Succeeded bool
+	// ClaimsNotRun reports whether clients take the status for a proof that the request has not
+	// run. The reply itself proves that it ran.
+	ClaimsNotRun bool
 	// Head is the header to forward, in the adapter's own representation.
 	Head any
 	// Body is the response body; io.EOF at its end proves that it is complete.
--- a/internal/gateway/relay/rules/answer.go
+++ b/internal/gateway/relay/rules/answer.go
@@ -20,6 +20,9 @@
 	// Status is the target's status, Succeeded whether it is a success.
 	Status    int
 	Succeeded bool
+	// ClaimsNotRun is true if the status tells clients that the request has not run. Responses that
+	// prove it are no responses here, so that this one ran.
+	ClaimsNotRun bool
 	// Started is true if the client already has a part of an earlier target's stream.
 	Started bool
 	// Retryable, PossibleRuns and MaxAttempts are as in Failure.
@@ -31,7 +34,7 @@
 	Left, Objective time.Duration
 }
 
-// ResponseDecision is Forward, TryAnotherTarget or AbortStream.
+// ResponseDecision is Forward, TryAnotherTarget, Withhold or AbortStream.
 type ResponseDecision interface{ isResponseDecision() }
 
 // Forward forwards the response to the client unchanged.
@@ -40,17 +43,23 @@
 // TryAnotherTarget treats the response as a failed attempt.
 type TryAnotherTarget struct{}
 
+// Withhold answers the client with a failure that makes no claim.
+type Withhold struct{}
+
 // AbortStream aborts a stream that has started and that no target resumes.
 type AbortStream struct{}
 
 func (Forward) isResponseDecision()          {}
 func (TryAnotherTarget) isResponseDecision() {}
+func (Withhold) isResponseDecision()         {}
 func (AbortStream) isResponseDecision()      {}
 
 // AfterResponse decides what happens to a whole response. A failure of the target itself is
 // retried at another target if the route, the budget and the remaining time allow it, in
 // this order. Otherwise the response is forwarded, unless the client already has events
-// of a stream: the response cannot follow them, so the stream is aborted. A wrong retry
+// of a stream: the response cannot follow them, so the stream is aborted. A response to a
+// request that may run only once is withheld if its status claims that the request has not
+// run: the client would run it again. A wrong retry
 // adds load to a failing service; a wrongly forwarded response returns an error that
 // another target would not have had.
 func AfterResponse(r Response) ResponseDecision {
@@ -59,6 +68,8 @@
 		return TryAnotherTarget{}
 	case r.Started:
 		return AbortStream{}
+	case r.ClaimsNotRun && !r.Retryable:
+		return Withhold{}
 	}
 	return Forward{}
 }
--- a/internal/gateway/relay/rules/answer_test.go
+++ b/internal/gateway/relay/rules/answer_test.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// TestClaimOfNotRun guards against a request that runs twice because its client was told by the
+// status of a target that ran it that it had not run.
+func TestClaimOfNotRun(t *testing.T) {
+	claim := Response{Status: 503, ClaimsNotRun: true, MaxAttempts: 1}
+	convey.Convey("A response that claims that its request did not run is withheld", t, func() {
+		shouldDecide(claim, Withhold{})
+	})
+	convey.Convey("It is forwarded if the request may run twice", t, func() {
+		claim.Retryable = true
+		shouldDecide(claim, Forward{})
+	})
+}
+
 func TestEventForwarded(t *testing.T) {
 	convey.Convey("A resumed stream skips the events that the client already has", t, func() {
 		for _, c := range []struct {
