The source's history no longer hides what a node observed while reading it

A client could be answered with a stream joined from two versions: a node that had just started named a version for a lost stream that had begun at another.

Cause: History.Extend dated every listed target as ready since the source's time to remember, and moved back the begin of the record, also for targets that became ready, and for gaps in the view, after the source had been asked. The search for the oldest revision takes some ten calls of up to a second; meanwhile requests that take streams up confirm the view, and members pass on theirs.

Extend is now told when the source was asked. All calls of the search begin after that, so that the source's answer covers what came before, and what was observed since stays as observed.

TestChangesWhileHistoryIsRead: with either of the two conditions taken out again it fails (another version than the one that began a stream is named).

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -76,9 +76,9 @@
 
 	// onListed is called once after the first snapshot.
 	onListed func(ctx context.Context)
-	// onHistory is called once after the start with what the source still knows of the time before,
-	// and whether that is all; nil if nothing happened before.
-	onHistory func(ch view.Changes, complete bool)
+	// onHistory is called once after the start with what the source still knew of the time before when
+	// it was asked, and whether that is all; nil if nothing happened before.
+	onHistory func(asked time.Time, ch view.Changes, complete bool)
 
 	// catchingUp is set while updates are fetched from a member.
 	catchingUp atomic.Bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -237,13 +237,13 @@
 
 // historyReader returns what records the source's history from before this process; nil if there is
 // none, or if nobody tells how far it reaches.
-func (g *Gateway) historyReader() func(ch view.Changes, complete bool) {
+func (g *Gateway) historyReader() func(asked time.Time, ch view.Changes, complete bool) {
 	if !restarted(g.cfg.Gateway) || g.cfg.Gateway.SourceHistoryMs == 0 {
 		return nil
 	}
 	g.streams.reach = time.Duration(g.cfg.Gateway.SourceHistoryMs) * time.Millisecond
 	g.streams.forgotten = g.follower.forgottenSince
-	return func(ch view.Changes, complete bool) { g.streams.extend(complete, ch) }
+	return func(asked time.Time, ch view.Changes, complete bool) { g.streams.extend(asked, complete, ch) }
 }
 
 // onSilence is called when an open connection to a member, a target or the source seems to be
--- a/internal/gateway/sourcehistory.go
+++ b/internal/gateway/sourcehistory.go
@@ -32,6 +32,7 @@
 	}
 	f.onHistory = nil
 	go f.onListed(ctx)
+	asked := f.now()
 	revision := f.views.load().Revision
 	if revision.Epoch() != 0 {
 		f.log.Info().Int64("revision", int64(revision)).Msg("source: restored before, the time before this process is not known")
@@ -43,7 +44,7 @@
 		return
 	}
 	f.log.Info().Int64("revision", int64(revision)).Int64("oldest", oldest).Int("changes", len(ch.List)).Msg("source: history read")
-	report(ch, oldest == 0)
+	report(asked, ch, oldest == 0)
 }
 
 // readHistory returns the changes after the oldest revision that the source still knows, and that
--- a/internal/gateway/sourcehistory_test.go
+++ b/internal/gateway/sourcehistory_test.go
@@ -53,7 +53,7 @@
 			var reported *view.Changes
 			complete := false
 			f.onListed = func(context.Context) {}
-			f.onHistory = func(ch view.Changes, all bool) { reported, complete = &ch, all }
+			f.onHistory = func(_ time.Time, ch view.Changes, all bool) { reported, complete = &ch, all }
 			convey.So(f.readSnapshot(t.Context()), convey.ShouldBeNil)
 			before := source.callCount()
 			f.reportHistory(t.Context())
--- a/internal/gateway/streamorigin/history.go
+++ b/internal/gateway/streamorigin/history.go
@@ -295,21 +295,23 @@
 	latest   time.Time
 }
 
-// Extend adds what the source still knows of the time before the first view: all changes within
-// reach before now, or all there were if complete.
-func (h *History) Extend(now time.Time, reach time.Duration, complete bool, ch view.Changes) {
+// Extend adds what the source still knows of the time before it was asked: all changes within
+// reach before now, or all there were if complete. What was observed after it was asked stays.
+func (h *History) Extend(now, asked time.Time, reach time.Duration, complete bool, ch view.Changes) {
 	since := now.Add(-reach)
 	if complete {
 		since = time.Time{}
 	}
-	if !since.Before(h.since) || len(ch.At) != len(ch.List) {
+	if !since.Before(h.since) || h.since.After(asked) || len(ch.At) != len(ch.List) {
 		return
 	}
 	h.since, h.complete = since, complete
 	for _, s := range h.services {
 		s.since = since
 		for _, l := range s.listed {
-			l.readySince = since
+			if !l.readySince.After(asked) {
+				l.readySince = since
+			}
 		}
 	}
 	for i, c := range ch.List {
--- a/internal/gateway/streamorigin/history_test.go
+++ b/internal/gateway/streamorigin/history_test.go
@@ -139,7 +139,7 @@
 		}
 		ch.List, ch.At = append(ch.List, c.Change), append(ch.At, view.NewRevision(0, int64(i+1)))
 	}
-	n.history.Extend(now, reach, !forgotten, ch)
+	n.history.Extend(now, now, reach, !forgotten, ch)
 }
 
 // forget tells the history what the source has forgotten at a time.
@@ -474,6 +474,59 @@
 	})
 }
 
+// TestChangesWhileHistoryIsRead guards against a history of the source that hides what a node observed
+// since it asked for it, so that another version is named than the one that began a stream.
+func TestChangesWhileHistoryIsRead(t *testing.T) {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	config := source{{at(0), view.CatalogChange{Catalog: streams(1, "s")}}}
+	joining := func(s float64, version string, ids ...string) (src source) {
+		for _, id := range ids {
+			src = append(src, dated{at(s), ready(id, version)})
+		}
+		return src
+	}
+	leaving := func(s float64, ids ...string) (src source) {
+		for _, id := range ids {
+			src = append(src, dated{at(s), view.TargetRemoval{ID: id}})
+		}
+		return src
+	}
+	older := slices.Concat(config, joining(0, "v1", "a", "b", "c"))
+	// listing returns a node that listed the targets and asked for the history at 60 s.
+	listing := func(src source) *node {
+		n := startNode(src, at(60), 0, true)
+		n.history = streamorigin.NewHistory(at(60))
+		n.history.Observe(at(60), view.New(), n.view, view.Changes{})
+		return n
+	}
+	shouldNameNoOther := func(n *node, begun float64) {
+		beginner := startNode(n.src, at(0), 0, true)
+		beginner.follow(at(begun))
+		n.history.Extend(at(61), at(60), reach, false, view.Changes{})
+		for k := range streamorigin.Key(200) {
+			if v, unknown := n.history.Infer(at(62), lost(k, 2*time.Second)); unknown == "" {
+				convey.So(v, convey.ShouldEqual, beginner.begin(at(begun), k))
+			}
+		}
+	}
+	convey.Convey("No other version is named if, while the history is read,", t, func() {
+		convey.Convey("targets of another version become ready", func() {
+			n := listing(slices.Concat(older, joining(60.5, "v2", "x", "y", "z")))
+			n.confirm(at(60.6))
+			shouldNameNoOther(n, 60)
+		})
+		convey.Convey("the node misses that targets of another version came and left", func() {
+			n := listing(slices.Concat(older, joining(60.1, "v2", "x", "y", "z"), leaving(60.5, "x", "y", "z")))
+			all := view.Changes{Revision: view.NewRevision(0, int64(len(n.src)))}
+			for _, c := range older {
+				all.List = append(all.List, c.Change)
+			}
+			n.apply(at(60.6), all, true)
+			shouldNameNoOther(n, 60.3)
+		})
+	})
+}
+
 // TestRuns guards against a run at targets of two versions that names one of them, and against runs that
 // are found for too long.
 func TestRuns(t *testing.T) {
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -81,12 +81,12 @@
 	s.history.Observe(now, old, next, ch)
 }
 
-// extend records what the source still knows of the time before this process, which is all there was
-// if complete.
-func (s *streamOrigins) extend(complete bool, ch view.Changes) {
+// extend records what the source still knew of the time before this process when it was asked, which
+// is all there was if complete.
+func (s *streamOrigins) extend(asked time.Time, complete bool, ch view.Changes) {
 	s.historyMu.Lock()
 	defer s.historyMu.Unlock()
-	s.history.Extend(s.now(), s.reach, complete, ch)
+	s.history.Extend(s.now(), asked, s.reach, complete, ch)
 }
 
 // Assign implements relay.StreamOrigins.
