An attempt that breaks before its silence limit takes one retry, not two

Callers saw streams end though their service had a retry left: an attempt whose connection broke less than 200 ms before the limit of its silence took two.

Cause: the timer of a silent attempt ran on while the node checks whether the target has crashed (up to 200 ms). When it expired there, it took a retry from the budget for an attempt that was over already, and the next attempt took another.

The timer now ends as soon as the attempt has.

--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -87,6 +87,8 @@
 	// ended are the targets that have crashed, checks counts the checks whether one has.
 	ended  map[string]bool
 	checks int
+	// checkDelay is how long such a check takes.
+	checkDelay time.Duration
 	// crowded is how many more times all targets are crowded when one is chosen.
 	crowded atomic.Int64
 	// isolated is done while the node reaches no target; nil for never.
@@ -199,6 +201,7 @@
 
 // HasEnded reports whether the test marked a target as crashed.
 func (f *fakePorts) HasEnded(_ context.Context, target directory.Target) bool {
+	time.Sleep(f.checkDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.checks++
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -200,6 +200,22 @@
 	})
 }
 
+// TestRetryOfBrokenAttempt guards against a second retry that is taken from the budget for one attempt,
+// when the limit of its silence passes after its connection broke.
+func TestRetryOfBrokenAttempt(t *testing.T) {
+	convey.Convey("An attempt that breaks just before its limit takes one retry", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			one := retrybudget.Policy{Window: 10 * time.Second, Extra: 1, MaxNodes: 1}
+			f, s := setupWithRetries(&catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 2}, true, 0, keepView, newTracker(), one)
+			f.replies = []fakeReply{lostConnection()}
+			f.failDelay, f.checkDelay = 1100*time.Millisecond, 200*time.Millisecond
+			if err := s.Serve(t.Context(), request(), &fakeClient{}); err != nil {
+				t.Fatalf("got %v after %d calls", err, len(f.calls))
+			}
+		})
+	})
+}
+
 func TestStop(t *testing.T) {
 	convey.Convey("A stopping node abandons requests without a response, and reports those that were sent as may have run", t, func() {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -81,6 +81,7 @@
 		s.response.onAnswer = sync.OnceFunc(s.recordPartsAnswered)
 		err = s.forwardReply(ctx, reply, timer, possibleRuns)
 	}
+	timer.stop()
 	if err != nil && !s.response.started.Load() {
 		s.reportPrefilled(false, 0)
 	}
