--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -398,7 +398,6 @@
 func (f *fakePorts) Unconfirmed(*directory.Directory) []string     { return f.unconfirmed }
 func (f *fakePorts) Take(directory.Incarnation) bool               { return true }
 func (f *fakePorts) Crowded(directory.Incarnation) bool            { return f.crowded.Load() >= 0 }
-func (f *fakePorts) HeldBack(target directory.Incarnation) bool    { return f.heldBack[target.ID] }
 func (f *fakePorts) PauseLeft(directory.Incarnation) time.Duration { return 0 }
 
 func (f *fakePorts) isolation() context.Context {
@@ -482,3 +481,20 @@
 	}
 	return b.String()
 }
+
+// HeldBack reports whether the test holds a target back.
+func (f *fakePorts) HeldBack(target directory.Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heldBack[target.ID]
+}
+
+// holdBack holds these targets back, and no others.
+func (f *fakePorts) holdBack(targets ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heldBack = map[string]bool{}
+	for _, id := range targets {
+		f.heldBack[id] = true
+	}
+}
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -175,7 +175,7 @@
 	convey.Convey("It stays where all others are held back", t, func() {
 		took, calls := serve(t, keepView, func(f *fakePorts) {
 			f.onSend = func() {
-				time.AfterFunc(time.Second, func() { f.heldBack = map[string]bool{"t0": true, "t1": true, "t2": true, "t3": true} })
+				time.AfterFunc(time.Second, func() { f.holdBack("t0", "t1", "t2", "t3") })
 			}
 		})
 		convey.So(took, convey.ShouldEqual, all)
@@ -185,8 +185,8 @@
 		took, calls := serve(t, keepView, func(f *fakePorts) {
 			f.onSend = func() {
 				f.onSend = nil
-				time.AfterFunc(time.Second, func() { f.heldBack = map[string]bool{"t0": true, "t1": true, "t2": true, "t3": true} })
-				time.AfterFunc(2*time.Second, func() { f.heldBack = nil })
+				time.AfterFunc(time.Second, func() { f.holdBack("t0", "t1", "t2", "t3") })
+				time.AfterFunc(2*time.Second, func() { f.holdBack() })
 			}
 		})
 		convey.So(took, convey.ShouldEqual, 2400*time.Millisecond)
