A silent stream goes on at a version that it is assigned to meanwhile

Callers waited until their deadline for a stream that had not begun, though a target could have answered: the versions had changed since it was sent.

Cause: whether another target can follow a silent attempt was judged by the version that the stream was assigned to when the attempt began. A stream without a first event is not bound to it: if the last targets of that version leave, it is assigned to another version, but the timer went on to look for the first.

The timer now asks for the version as of then, like the choice of the next target and the check before its first byte.

TestSilentStream, the new case, failed on the parent: 9.975 s where 1.2 s are due. The package passes with the race detector.

--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -85,6 +85,7 @@
 	if d.response.started.Load() {
 		a.stream.begin(a.target)
 	}
+	a.stream = d.assign(a.stream, d.sender.streams)
 	r := rules.Replacement{
 		OtherTarget: d.chooser.anyOther(a.target, a.stream), NeedsStages: d.runner.needsStages(), Recomputes: d.runner.results.recomputes(),
 		StagesTime: d.outcome.Planned, Left: d.times.ResponseDeadline.Sub(d.now()),
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -147,7 +147,11 @@
 }
 
 // Assign returns the version of the test.
-func (f *fakePorts) Assign(string, streamorigin.Key) directory.Version { return f.assigned }
+func (f *fakePorts) Assign(string, streamorigin.Key) directory.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.assigned
+}
 
 // FindRun finds the run of the test.
 func (f *fakePorts) FindRun(string) (streamorigin.Origin, bool) { return f.run, f.run.Service != "" }
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -192,6 +192,22 @@
 		convey.So(took, convey.ShouldEqual, 2400*time.Millisecond)
 		convey.So(calls, convey.ShouldEqual, 2)
 	})
+	convey.Convey("It goes on at another version that it is assigned to since, before its first event", t, func() {
+		assign := func(f *fakePorts, version string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.assigned = directory.VersionOf(version)
+		}
+		took, calls := serve(t, withVersions("v1", "v2", "v2", "v2"), func(f *fakePorts) {
+			assign(f, "v1")
+			f.onSend = func() {
+				f.onSend = nil
+				time.AfterFunc(time.Second, func() { assign(f, "v2") })
+			}
+		})
+		convey.So(took, convey.ShouldEqual, 1200*time.Millisecond)
+		convey.So(calls, convey.ShouldEqual, 2)
+	})
 	convey.Convey("It stays without a retry left", t, func() {
 		retries = retrybudget.Policy{Window: 10 * time.Second, MaxNodes: 1}
 		took, calls := serve(t, keepView, nothing)
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -225,7 +225,7 @@
 	if !limited {
 		return nil
 	}
-	stream := s.assigned(s.streams)
+	stream := s.stream
 	t := &attemptTimer{limit: limit, abandon: func(silent time.Duration) bool {
 		if !s.takeRetry(silentAttempt{target: target, stream: stream, silent: silent, limit: limit}) {
 			return false
--- a/internal/gateway/relay/streamorigin.go
+++ b/internal/gateway/relay/streamorigin.go
@@ -59,7 +59,11 @@
 // assigned returns the request's stream with the version at which it has to begin, by the targets as
 // they are now.
 func (r *resolvedRequest) assigned(streams StreamOrigins) streamOrigin {
-	stream := r.stream
+	return r.assign(r.stream, streams)
+}
+
+// assign returns a stream of the request as assigned does.
+func (r *resolvedRequest) assign(stream streamOrigin, streams StreamOrigins) streamOrigin {
 	if r.resumable() && !stream.begun {
 		stream.version = streams.Assign(r.service.Name, streamorigin.KeyOf(r.org.Name, r.req.ID))
 	}
