Targets of a lifted evacuation count as cold for streams from before a node's start

A client could be answered with a stream joined from two versions: a node that started after an evacuation was lifted named the version of its targets for a stream that had begun while they were cold.

Cause: nodes that saw the evacuation lifted assign no streams to its targets for their warm-up. A node that starts once the source has forgotten the lift counted them as ready for as long as the source remembers. The lift can have come just before that, and leaves no trace.

Such a node now counts targets as ready only from a warm-up later. It refuses more streams that are nearly as old as what the source remembers.

--- a/internal/gateway/streamorigin/history.go
+++ b/internal/gateway/streamorigin/history.go
@@ -51,6 +51,8 @@
 	since  time.Time
 	listed map[string]*listed
 	gone   []departed
+	// warmUp is the longest time that the service's targets were said to stay cold.
+	warmUp time.Duration
 	// counted is what streams are assigned to; nil if it has to be determined anew.
 	counted *counted
 }
@@ -119,6 +121,9 @@
 		h.observeCatalog(now, old.Catalog, next.Catalog)
 	}
 	for name, s := range h.services {
+		if service := next.Service(name); service != nil {
+			s.warmUp = max(s.warmUp, service.WarmUp.Duration)
+		}
 		s.observe(now, continues, old.Directory.Service(name), next.Directory.Service(name))
 	}
 	h.observeEntries(now, next, ch)
@@ -310,7 +315,8 @@
 		s.since = since
 		for _, l := range s.listed {
 			if !l.readySince.After(asked) {
-				l.readySince = since
+				// An evacuation that was lifted just before leaves no trace, and made its targets cold.
+				l.readySince = since.Add(s.warmUp)
 			}
 		}
 	}
--- a/internal/gateway/streamorigin/history_test.go
+++ b/internal/gateway/streamorigin/history_test.go
@@ -527,6 +527,50 @@
 	})
 }
 
+// TestEvacuationLiftedBeforeStart guards against targets that count as ready for a stream that began while
+// they were cold after an evacuation of which the source knows nothing any more.
+func TestEvacuationLiftedBeforeStart(t *testing.T) {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	in := func(dataCentre string, c view.TargetChange) view.TargetChange {
+		c.Target.DataCentre = dataCentre
+		return c
+	}
+	const lag = 2900 * time.Millisecond
+	route := &catalog.Route{Host: "h", Prefix: "/", Kind: catalog.Stream, Resumable: true, Split: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: 10 * time.Second}
+	evacuation := func(s float64, active bool, revision int64) dated {
+		return dated{at(s), view.EvacuationChange{Evacuation: view.Evacuation{DataCentre: "two", Active: active, Revision: view.NewRevision(0, revision)}}}
+	}
+	convey.Convey("No other version is named than the one that began a stream", t, func() {
+		for _, warmUp := range []time.Duration{3 * time.Second, 30 * time.Second} {
+			config, err := catalog.New(1, []*catalog.Route{route}, []*catalog.Service{{Name: "s", WarmUp: catalog.WarmUp{Duration: warmUp}}}, nil, catalog.Limits{})
+			convey.So(err, convey.ShouldBeNil)
+			targets := source{
+				{at(0), view.CatalogChange{Catalog: config}},
+				{at(0), in("one", ready("a", "v1"))},
+				{at(0), in("one", ready("b", "v1"))},
+				{at(0), in("two", ready("x", "v2"))},
+				{at(0), in("two", ready("y", "v2"))},
+			}
+			beginner := startNode(slices.Concat(targets, source{evacuation(40, true, 6), evacuation(60, false, 7)}), at(0), lag, true)
+			begun := at(60).Add(lag + warmUp - 100*time.Millisecond)
+			beginner.follow(begun)
+			for _, started := range []time.Duration{20100 * time.Millisecond, warmUp} {
+				taker := startNode(targets, at(60).Add(max(started, 20100*time.Millisecond)), 0, false)
+				for now := begun; now.Before(begun.Add(40 * time.Second)); now = now.Add(100 * time.Millisecond) {
+					if now.Before(at(60).Add(started)) {
+						continue
+					}
+					for k := range streamorigin.Key(20) {
+						if v, unknown := taker.history.Infer(now, lost(k, now.Sub(begun))); unknown == "" {
+							convey.So(v, convey.ShouldEqual, beginner.begin(begun, k))
+						}
+					}
+				}
+			}
+		}
+	})
+}
+
 // TestRuns guards against a run at targets of two versions that names one of them, and against runs that
 // are found for too long.
 func TestRuns(t *testing.T) {
