Tests, known red: versions named for lost streams beyond the bounds of sources and nodes

TestInferredVersion draws a source that remembers 20 s exactly, and nodes behind it by 2.9 s at most. No evidence was found by which a node that starts could date such changes.

--- a/internal/gateway/streamorigin/history_test.go
+++ b/internal/gateway/streamorigin/history_test.go
@@ -571,6 +571,58 @@
 	})
 }
 
+// shouldNameNoOther fails if a node names another version for a stream than another one begins it at.
+func shouldNameNoOther(t *testing.T, taker, beginner *node, begun, now time.Time) {
+	t.Helper()
+	others := 0
+	for k := range streamorigin.Key(200) {
+		if v, unknown := taker.history.Infer(now, lost(k, now.Sub(begun))); unknown == "" && v != beginner.begin(begun, k) {
+			others++
+		}
+	}
+	if others > 0 {
+		t.Errorf("%d of 200 streams: another version is named than the one they began at", others)
+	}
+}
+
+// release returns a source where v2 is released beside v1 at 50 s.
+func release() source {
+	src := source{{start, view.CatalogChange{Catalog: streams(1, "s")}}}
+	for _, id := range []string{"a", "b", "c"} {
+		src = append(src, dated{start, ready(id, "v1")})
+	}
+	for _, id := range []string{"x", "y", "z"} {
+		src = append(src, dated{start.Add(50 * time.Second), ready(id, "v2")})
+	}
+	return src
+}
+
+// TestSourceThatForgetsEarly guards against another version that is named for a stream than the one that
+// began it, after the source has forgotten changes sooner than its settings say.
+func TestSourceThatForgetsEarly(t *testing.T) {
+	src := release()
+	begun, started := start.Add(49*time.Second), start.Add(53*time.Second)
+	beginner := startNode(src, start, 0, true)
+	beginner.follow(begun)
+	taker := startNode(src, started, 0, true)
+	taker.history = streamorigin.NewHistory(started)
+	taker.history.Observe(started, view.New(), taker.view, view.Changes{})
+	taker.history.Extend(started, started, reach, false, view.Changes{})
+	shouldNameNoOther(t, taker, beginner, begun, started.Add(time.Second))
+}
+
+// TestNodeFarBehind guards against another version that is named for a stream than the one that began it,
+// at a node that was turned away by the source for some seconds.
+func TestNodeFarBehind(t *testing.T) {
+	src := release()
+	const behind = 8 * time.Second
+	begun := start.Add(50*time.Second + behind - 100*time.Millisecond)
+	beginner, taker := startNode(src, start, behind, true), startNode(src, start, 0, true)
+	beginner.follow(begun)
+	taker.follow(begun.Add(time.Second))
+	shouldNameNoOther(t, taker, beginner, begun, begun.Add(time.Second))
+}
+
 // TestRuns guards against a run at targets of two versions that names one of them, and against runs that
 // are found for too long.
 func TestRuns(t *testing.T) {
