A silent stream is not abandoned while its request is quarantined

Callers saw a stream end after 1.2 s of silence, with a retry taken from the budget, though no target could get it: its request was quarantined meanwhile.

Cause: whether another attempt can follow a silent one did not ask for the quarantine, which the check before the first byte of that attempt does. The same check is used by both now.

The new case of TestSilentStream failed on the parent: quarantined after 1.2 s, where the stream may go on until its deadline.

--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -91,7 +91,7 @@
 		StagesTime: d.outcome.Planned, Left: d.times.ResponseDeadline.Sub(d.now()),
 		Silent: a.silent, Limit: a.limit,
 	}
-	if !rules.MayAbandon(r) {
+	if _, held := d.sender.hold(); held || !rules.MayAbandon(r) {
 		return false
 	}
 	_, ok := d.budgets.spend(d.service.Name)
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
+	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
@@ -208,6 +210,26 @@
 		convey.So(took, convey.ShouldEqual, 1200*time.Millisecond)
 		convey.So(calls, convey.ShouldEqual, 2)
 	})
+	convey.Convey("It stays once its request is quarantined", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			q := newTracker()
+			f, s := setupWithRetries(&catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 2}, true, 0, keepView, q, manyRetries)
+			if err := s.Serve(t.Context(), request(), &fakeClient{}); err != nil {
+				t.Fatal(err)
+			}
+			f.calls, f.replies = nil, []fakeReply{{hangs: true}}
+			time.AfterFunc(time.Second, func() {
+				for i := range 5 {
+					q.RecordCrash(f.outcome.Digest, quarantine.Crash{Target: fmt.Sprint("other", i), SentAt: time.Now().Add(-time.Second), BrokenAt: time.Now(), Silent: true})
+				}
+			})
+			began := time.Now()
+			err := s.Serve(t.Context(), request(), &fakeClient{})
+			if time.Since(began) != all || err.Reason() != verdict.ReasonDeadline {
+				t.Errorf("got %v after %v", err, time.Since(began))
+			}
+		})
+	})
 	convey.Convey("It stays without a retry left", t, func() {
 		retries = retrybudget.Policy{Window: 10 * time.Second, MaxNodes: 1}
 		took, calls := serve(t, keepView, nothing)
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -157,6 +157,14 @@
 	}
 }
 
+// hold returns why the request or a part of its prompt is held, and whether one is.
+func (s *sender) hold() (quarantine.Hold, bool) {
+	if hold, held := s.quarantine.Held(s.digest); held {
+		return hold, true
+	}
+	return s.heldPart()
+}
+
 // heldPart returns why a part of the prompt is held, and whether one is.
 func (s *sender) heldPart() (quarantine.Hold, bool) {
 	_, hold, held := s.parts.HeldAmong(s.partDigests)
@@ -268,11 +276,7 @@
 	if !s.view().Directory.Usable(target.ID, now) || s.gate.HeldBack(target.Incarnation()) {
 		return verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the target, or its data centre, takes no new work")
 	}
-	hold, held := s.quarantine.Held(s.digest)
-	if !held {
-		hold, held = s.heldPart()
-	}
-	if held && !s.takeTrial() {
+	if hold, held := s.hold(); held && !s.takeTrial() {
 		return quarantinedError(hold, now)
 	}
 	return nil
