A whole response is not awaited until the deadline from a target that does not answer

Callers with a request that may be repeated waited until their deadline for a target that does not answer once no retry was left or all other targets had been tried; before silent streams were spared, such a request ended after 2.5 objectives. Cause: the question whether another attempt can follow was asked for all attempts. It is asked for streams, of which the client may have a part; the client of a whole response has nothing yet and may get it at another node.

--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -238,6 +238,23 @@
 	})
 }
 
+// TestSilentTarget guards against a whole response that is awaited until the deadline from a target that
+// does not answer, so that its client has no time left to ask another node.
+func TestSilentTarget(t *testing.T) {
+	convey.Convey("A request without a retry left ends after 2.5 objectives", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			route := &catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2}
+			f, s := setupWithRetries(route, false, 0, keepView, newTracker(), retrybudget.Policy{Window: 10 * time.Second, MaxNodes: 1})
+			f.replies = []fakeReply{{hangs: true}}
+			began := time.Now()
+			err := s.Serve(t.Context(), request(), &fakeClient{})
+			if took := time.Since(began); err == nil || took != route.Objective*5/2 || len(f.calls) != 1 {
+				t.Errorf("got %v after %v and %d calls", err, took, len(f.calls))
+			}
+		})
+	})
+}
+
 // TestRetryOfBrokenAttempt guards against a second retry that is taken from the budget for one attempt,
 // when the limit of its silence passes after its connection broke.
 func TestRetryOfBrokenAttempt(t *testing.T) {
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -87,7 +87,7 @@
 	}
 	if err != nil && errors.Is(context.Cause(ctx), errAttemptTimeout) {
 		err = err.WithReason(verdict.ReasonStalled)
-		s.retryTaken = true
+		s.retryTaken = s.route.Kind == catalog.Stream
 	}
 	attempt.Took = s.now().Sub(start)
 	attempt.Err = err
@@ -235,7 +235,8 @@
 	}
 	stream := s.stream
 	t := &attemptTimer{limit: limit, abandon: func(silent time.Duration) bool {
-		if !s.takeRetry(silentAttempt{target: target, stream: stream, silent: silent, limit: limit}) {
+		// The client of a whole response has nothing of it yet, and may get it elsewhere in the time left.
+		if s.route.Kind == catalog.Stream && !s.takeRetry(silentAttempt{target: target, stream: stream, silent: silent, limit: limit}) {
 			return false
 		}
 		cancel(errAttemptTimeout)
