--- a/internal/gateway/streamorigin/history_test.go
+++ b/internal/gateway/streamorigin/history_test.go
@@ -190,7 +190,10 @@
 // become cold and start again in place with another version. As targets do, one that drains stays so
 // until it left, and one with a version keeps having one: without a start in its entry, nodes that run
 // on would take it for the earlier process and keep what they know, and nodes that start would not.
-func drawSource(t *rapid.T) source {
+//
+// If rewritten, entries also change as if nothing held them to that: drains are taken back or written
+// again, and targets lose their version or drain at another one.
+func drawSource(t *rapid.T, rewritten bool) source {
 	src := source{{start, view.CatalogChange{Catalog: streams(1, "s")}}}
 	at := start
 	entries := map[string]view.TargetChange{}
@@ -200,11 +203,11 @@
 		c := ready(id, rapid.SampledFrom([]string{"v1", "v1", "v1", "v2", "v2", "v3", ""}).Draw(t, "version"))
 		what := rapid.IntRange(0, 5).Draw(t, "what")
 		old, known := entries[id]
-		if last, _ := src[len(src)-1].Change.(view.TargetChange); known && (last.Target.ID == id || what == 0 || !c.Target.Version.Known()) {
+		if last, _ := src[len(src)-1].Change.(view.TargetChange); known && !rewritten && (last.Target.ID == id || what == 0 || !c.Target.Version.Known()) {
 			c.Target.Version = old.Target.Version
 		}
 		switch {
-		case known && (what == 1 || old.Target.State == directory.Draining):
+		case known && (what == 1 || !rewritten && old.Target.State == directory.Draining):
 			delete(entries, id)
 			src = append(src, dated{at, view.TargetRemoval{ID: id}})
 			continue
@@ -222,9 +225,21 @@
 // TestInferredVersion guards against a lost stream for which another version is named than the one that
 // began it, whatever the targets did, for nodes that run on, that start again and that are behind.
 func TestInferredVersion(t *testing.T) {
+	shouldNameTheBeginner(t, false)
+}
+
+// TestRewrittenEntries guards against the same if the source's entries of a target are
+// written again without a new start of the target.
+func TestRewrittenEntries(t *testing.T) {
+	shouldNameTheBeginner(t, true)
+}
+
+// shouldNameTheBeginner checks that a lost stream has no other version than the one that began it.
+func shouldNameTheBeginner(t *testing.T, rewritten bool) {
+	t.Helper()
 	inferred := 0
 	rapid.Check(t, func(t *rapid.T) {
-		src := drawSource(t)
+		src := drawSource(t, rewritten)
 		seconds := func(name string, from, to int) time.Duration {
 			return time.Duration(rapid.IntRange(from*1000, to*1000).Draw(t, name)) * time.Millisecond
 		}
