A tunnel's end stays its end

Callers whose target closed inside the head of its answer, on the way through a member, waited for 2 s longer than those of a node with its own path.

Cause: the node's end of a tunnel returned io.EOF once, at the frame that ends the target's bytes. A reader of lines takes the bytes before that as a line and reads again; that read waited until the member closed the tunnel, tunnelCloseTimeout later. The time was lost to a retry, and to callers with little of it left.

Change: every later read returns io.EOF too.

Measured: TestEndOfATunnel fails without the change (the second read ends with its deadline of 1 s), passes with it.

--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -47,10 +47,16 @@
 	r *bufio.Reader
 	// left is how many bytes of the current frame are unread.
 	left int
+	// ended is set at the end of the target's connection. The member keeps its own open for a while.
+	ended bool
 }
 
-// Read implements net.Conn. It returns io.EOF only at the end of the target's connection.
+// Read implements net.Conn. It returns io.EOF only at the end of the target's connection, and every
+// time from then on.
 func (c *tunnelConn) Read(b []byte) (int, error) {
+	if c.ended {
+		return 0, io.EOF
+	}
 	if c.left == 0 {
 		var header [frameHeader]byte
 		if _, err := io.ReadFull(c.r, header[:]); err != nil {
@@ -58,6 +64,7 @@
 		}
 		length := binary.BigEndian.Uint32(header[:])
 		if length == 0 {
+			c.ended = true
 			return 0, io.EOF
 		}
 		if length > maxFrame {
--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -120,6 +120,20 @@
 	})
 }
 
+// TestEndOfATunnel guards against calls that wait until a member closes a tunnel whose target closed within
+// the head of an answer: a reader of lines asks again for what follows the end.
+func TestEndOfATunnel(t *testing.T) {
+	convey.Convey("The end of the target's connection stays its end while the member keeps the tunnel open", t, func() {
+		node, target := newTunnelMember(t).open(t)
+		_, err := io.WriteString(target, "HTTP/1.1 200 OK\r\nX-Part: ")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(target.Close(), convey.ShouldBeNil)
+		convey.So(node.SetReadDeadline(time.Now().Add(tunnelCloseTimeout/2)), convey.ShouldBeNil)
+		shouldRead(node, "HTTP/1.1 200 OK\r\nX-Part: ", nil)
+		shouldRead(node, "", nil)
+	})
+}
+
 // TestTunnelRefused guards against tunnels through members that are leaving or that do not
 // reach the target themselves: a call is passed on once at most.
 func TestTunnelRefused(t *testing.T) {
