Streams are assigned by the targets' latest entries, whatever a node keeps

Callers could read events of two versions in one text: after all nodes that knew had ended, another version was named for a lost stream.

Cause: within one process of a target, a node keeps a drain that its entry takes back, and a version that the entry no longer has. A node that starts since sees the latest entry alone. Each counted the targets as it kept them, so that they assigned and inferred by other lists.

Change: streams are assigned and inferred by the latest entry. Members pass them on as optional fields; without them an entry counts as what was sent. takenBack of the history goes, since readiness now is that of the entry. A node that keeps all targets of the assigned version draining refuses the stream at once, before its stages: begun elsewhere, it would be taken for one of the assigned version.

Without the fields between members TestEntriesFromMembers fails ("Expected: true, Actual: false"); without the refusal TestStreamTakenUp fails ("Expected: 0, Actual: 1" of refusing before any work).

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -56,9 +56,8 @@
 	Version Version
 	// State is the listed state, or Lapsed or Returned.
 	State State
-	// Evacuated is set if the target's data centre accepts no new work. The directory
-	// maintains it (Edit.Evacuate) and ignores the value that a caller sets.
-	Evacuated bool
+	// marks are what the directory maintains about the target.
+	marks marks
 	// StateUntil is the end of the Lapsed or Returned state, by this node's clock. It is
 	// zero in other states.
 	StateUntil time.Time
@@ -92,7 +91,7 @@
 func (d *Directory) buildIndex() *Directory {
 	d.services = make(map[string][]Target)
 	for id, t := range d.targets {
-		t.Evacuated = d.evacuated[t.DataCentre]
+		t.marks = t.marks.with(evacuated, d.evacuated[t.DataCentre])
 		d.targets[id] = t
 		d.services[t.Service] = append(d.services[t.Service], t)
 	}
@@ -151,7 +150,9 @@
 
 // Schedulable reports whether the target accepts new work while it is listed or lapsed: it
 // is neither Draining nor Returned, and its data centre is not evacuated.
-func (t Target) Schedulable() bool { return t.State != Draining && t.State != Returned && !t.Evacuated }
+func (t Target) Schedulable() bool {
+	return t.State != Draining && t.State != Returned && !t.marks.has(evacuated)
+}
 
 // Cold reports whether the target is still warming up at the given time.
 func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
--- a/internal/gateway/directory/edit.go
+++ b/internal/gateway/directory/edit.go
@@ -25,7 +25,8 @@
 // Draining, since a source that was restored from an older copy lists outdated states. The
 // later ColdUntil also wins if the known start was 0, as t may be the same process. If t
 // has no start, the known one is kept, and so is the software version of a known incarnation:
-// members of an earlier version forward targets without them.
+// members of an earlier version forward targets without them. What is kept against t's entry
+// is marked (Target.EntryReady, Target.EntryVersion).
 func (e *Edit) Put(t Target) {
 	if known, is := e.lookup(t.ID); is {
 		if t.StartMs == 0 {
@@ -33,11 +34,13 @@
 		}
 		if t.StartMs == known.StartMs && !t.Version.Known() {
 			t.Version = known.Version
+			t.marks = t.marks.with(versionLost, known.Version.Known())
 		}
 		if t.StartMs == known.StartMs || known.StartMs == 0 {
 			t.ColdUntil = later(t.ColdUntil, known.ColdUntil)
 		}
 		if t.StartMs == known.StartMs && t.State != Draining && (known.State == Draining || known.State == Returned) {
+			t.marks = t.marks.with(drainTakenBack, t.State == Ready && known.State == Draining)
 			t.State, t.StateUntil = known.State, known.StateUntil
 		}
 		if t.StartMs != known.StartMs {
--- a/internal/gateway/peermessages.go
+++ b/internal/gateway/peermessages.go
@@ -381,6 +381,7 @@
 	m := message.ViewTarget{
 		Id: t.ID, Service: t.Service, Address: t.Address, DataCentre: t.DataCentre, Slots: int(t.Slots), Born: int(t.StartMs),
 		Version: t.Version.String(), Draining: t.State == directory.Draining,
+		DrainTakenBack: t.DrainTakenBack(), VersionLost: t.VersionLost(),
 	}
 	switch t.State {
 	case directory.Lapsed:
@@ -414,5 +415,5 @@
 	if t.ColdMs > 0 {
 		target.ColdUntil = now.Add(millis(t.ColdMs))
 	}
-	return target
+	return target.WithEntry(t.DrainTakenBack, t.VersionLost)
 }
--- a/internal/gateway/peermessages_test.go
+++ b/internal/gateway/peermessages_test.go
@@ -140,3 +140,52 @@
 		})
 	})
 }
+
+// TestEntriesFromMembers guards against a node that learned of targets from a member and assigns streams
+// to others than the member, or than a node that read the targets' latest entries.
+func TestEntriesFromMembers(t *testing.T) {
+	now := time.Now()
+	v1 := directory.VersionOf("v1")
+	ready := directory.Target{ID: "t", Service: "s", Version: v1}
+	draining := directory.Target{ID: "t", Service: "s", Version: v1, State: directory.Draining}
+	cases := []struct {
+		why           string
+		first, latest directory.Target
+	}{
+		{"takes a drain back", draining, ready},
+		{"drains", ready, draining},
+		{"has no version any more", ready, directory.Target{ID: "t", Service: "s"}},
+		{"has neither", draining, directory.Target{ID: "t", Service: "s"}},
+		{"has another version", ready, directory.Target{ID: "t", Service: "s", Version: directory.VersionOf("v2")}},
+	}
+	listing := func(revision view.Revision, e directory.Target) view.Changes {
+		return view.Changes{Revision: revision, List: []view.Change{view.TargetChange{Target: e}}}
+	}
+	target := func(v *view.View) directory.Target {
+		got, _ := v.Directory.Target("t")
+		return got
+	}
+	convey.Convey("Given a member that keeps what it knew of a target whose entry", t, func() {
+		for _, c := range cases {
+			convey.Convey(c.why, func() {
+				before := view.New().WithSnapshot(now, listing(1, c.first), time.Time{})
+				member := before.WithChanges(now, listing(2, c.latest), time.Time{})
+				shouldAgree := func(got *view.View) {
+					read := target(view.New().WithSnapshot(now, listing(2, c.latest), time.Time{}))
+					convey.So(target(got).EntryReady(), convey.ShouldEqual, read.EntryReady())
+					convey.So(target(got).EntryVersion(), convey.ShouldEqual, read.EntryVersion())
+					convey.So(target(got), convey.ShouldResemble, target(member))
+				}
+				convey.Convey("the node that is sent its targets agrees with both", func() {
+					m := encodeTargets(now, member.Directory)[0]
+					shouldAgree(view.New().WithSnapshot(now, listing(2, decodeTarget(now, m)), time.Time{}))
+				})
+				convey.Convey("and so does one that is sent what changed", func() {
+					d, known := member.DeltaSince(1)
+					convey.So(known, convey.ShouldBeTrue)
+					shouldAgree(before.WithDelta(now, decodeDelta(now, "", encodeDelta(now, d, nil), nil)))
+				})
+			})
+		}
+	})
+}
--- a/internal/gateway/relay/streamorigin.go
+++ b/internal/gateway/relay/streamorigin.go
@@ -101,12 +101,30 @@
 	}
 }
 
+// refuseKeptDraining refuses a new stream if this node keeps all targets draining at which it has to
+// begin, although their entries say that they are ready. A node that started since may use them, and
+// would take the stream for one of theirs if it began elsewhere. Without this the request would run
+// its stages first.
+func (s *Server) refuseKeptDraining(r *resolvedRequest) *verdict.Error {
+	list := s.cfg.View().Directory.Service(r.service.Name)
+	if !slices.ContainsFunc(list, directory.Target.DrainTakenBack) {
+		return nil
+	}
+	stream := r.assigned(s.cfg.Streams)
+	kept := func(t directory.Target) bool { return t.DrainTakenBack() && t.EntryVersion() == stream.version }
+	if !stream.version.Known() || !slices.ContainsFunc(list, kept) || s.anyMayGet(r, stream) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "the stream has to begin at version %s, whose targets are draining for this node", stream.version).
+		WithRetryAfter(retryAfter(r.times.ResponseDeadline.Sub(s.cfg.Now())))
+}
+
 // resumeStream binds a request that takes a stream up to the service and the version of the
 // target that began it. It refuses the request if they are unknown, or if no target is left
-// that may continue the stream.
+// that may continue the stream. One that begins is refused as refuseKeptDraining says.
 func (s *Server) resumeStream(ctx context.Context, r *resolvedRequest, outcome *Outcome) *verdict.Error {
 	if !r.takesUp() {
-		return nil
+		return s.refuseKeptDraining(r)
 	}
 	key := streamorigin.KeyOf(r.org.Name, r.req.Resumes)
 	origin, found := s.cfg.Streams.Find(ctx, key)
@@ -130,7 +148,7 @@
 	}
 	r.toService(s.cfg.View().Catalog, origin.Service, outcome)
 	r.stream = streamOrigin{begun: true, version: origin.Version}
-	if !s.anyContinues(r) {
+	if !s.anyMayGet(r, r.stream) {
 		return s.refuseStream(r, verdict.ReasonVersionGone, "no target of version "+outcome.Software+" is left, which began the stream")
 	}
 	return nil
@@ -152,11 +170,11 @@
 	})
 }
 
-// anyContinues reports whether a usable target may continue the stream of a request.
-func (s *Server) anyContinues(r *resolvedRequest) bool {
+// anyMayGet reports whether a usable target may get a stream of a request.
+func (s *Server) anyMayGet(r *resolvedRequest, stream streamOrigin) bool {
 	now := s.cfg.Now()
 	return slices.ContainsFunc(s.cfg.View().Directory.Service(r.service.Name), func(t directory.Target) bool {
-		return t.Usable(now) && r.stream.mayGoTo(t)
+		return t.Usable(now) && stream.mayGoTo(t)
 	})
 }
 
--- a/internal/gateway/relay/version_test.go
+++ b/internal/gateway/relay/version_test.go
@@ -215,6 +215,38 @@
 			convey.So(f.calls, convey.ShouldHaveLength, 1)
 		})
 	})
+	convey.Convey("A stream that has to begin at a version of which entries take drains back", t, func() {
+		kept := func(ids ...string) func(*view.View) *view.View {
+			return func(v *view.View) *view.View {
+				next := *withVersions("v1", "v1", "v2", "v2")(v)
+				for _, id := range ids {
+					target, _ := next.Directory.Target(id)
+					target.State = directory.Draining
+					next.Directory = next.Directory.With(target.WithEntry(true, false))
+				}
+				return &next
+			}
+		}
+		serve := func(assigned string, ids ...string) (*fakePorts, *verdict.Error) {
+			route := resumableRoute()
+			route.Stages = []catalog.Stage{{Service: "one"}}
+			f, s := setupWithView(route, true, 0, kept(ids...))
+			f.assigned = directory.VersionOf(assigned)
+			return f, s.Serve(t.Context(), request(1), &fakeClient{})
+		}
+		convey.Convey("is refused at once, before its stages, if this node keeps all of them draining", func() {
+			f, err := serve("v2", "t2", "t3")
+			shouldRefuse(f, err, verdict.ReasonNoTarget)
+		})
+		convey.Convey("begins at another target of the version, or at another version that it is assigned to", func() {
+			f, err := serve("v2", "t2")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(f.calls[0].Target.ID, convey.ShouldEqual, "t3")
+			f, err = serve("v1", "t2", "t3")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(f.calls[0].Target.Version.String(), convey.ShouldEqual, "v1")
+		})
+	})
 	convey.Convey("A stream that may not be taken up is not told to members", t, func() {
 		f, s := setup(&catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, true)
 		convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
--- a/internal/gateway/streamorigin/history.go
+++ b/internal/gateway/streamorigin/history.go
@@ -54,7 +54,8 @@
 	counted *counted
 }
 
-// listed is a target that the view lists.
+// listed is a target that the view lists, by its latest entry: all nodes know that one, whatever
+// each keeps of earlier ones.
 type listed struct {
 	version directory.Version
 	// id is the hash of its identity.
@@ -69,9 +70,6 @@
 	// listedCold the end by its latest entry.
 	coldFor               time.Duration
 	coldUntil, listedCold time.Time
-	// takenBack is whether its entry says again that it is ready while this node keeps it draining.
-	// Nodes that started since use it.
-	takenBack bool
 }
 
 // departed is a target that was usable until a time.
@@ -141,14 +139,13 @@
 
 // observeEntry records one of the entries of a target between two views.
 func (s *targets) observeEntry(now time.Time, l *listed, t directory.Target, listsAll bool) {
-	if t.Version.Known() && t.Version != l.version {
-		s.gone = append(s.gone, departed{id: l.id, version: t.Version, until: now})
+	if v := t.EntryVersion(); v != l.version {
+		s.gone = append(s.gone, departed{id: l.id, version: v, until: now})
 		l.interrupt(now)
 	}
-	if !listsAll || t.State != directory.Ready {
+	if !listsAll || !t.EntryReady() {
 		l.interrupt(now)
 	}
-	l.takenBack = !l.ready && t.State == directory.Ready
 }
 
 // interrupt records that the target may not have been ready until now, nil for none.
@@ -225,13 +222,13 @@
 // put records a target as listed.
 func (s *targets) put(now time.Time, started bool, t directory.Target) {
 	l := s.listed[t.ID]
-	if l != nil && l.version != t.Version {
+	if l != nil && l.version != t.EntryVersion() {
 		s.depart(now, l)
 		l = nil
 	}
 	if l == nil {
 		// Before it was first seen the target may have been usable.
-		l = &listed{version: t.Version, id: xxhash.Sum64String(t.ID), usableUntil: now}
+		l = &listed{version: t.EntryVersion(), id: xxhash.Sum64String(t.ID), usableUntil: now}
 		s.listed[t.ID] = l
 	}
 	if !t.ColdUntil.IsZero() && !t.ColdUntil.Equal(l.listedCold) {
@@ -241,10 +238,11 @@
 			l.coldUntil = t.ColdUntil
 		}
 	}
-	if ready := t.State == directory.Ready && t.Schedulable(); ready != l.ready {
+	if ready := t.Assignable(); ready != l.ready {
 		l.ready, l.readySince = ready, now
 	}
-	if usable := t.Usable(now); usable != l.usable {
+	// Nodes that started since use a target that others keep draining.
+	if usable := t.Usable(now) || t.Assignable(); usable != l.usable {
 		l.usable, l.usableUntil = usable, now
 	}
 }
--- a/internal/gateway/streamorigin/infer.go
+++ b/internal/gateway/streamorigin/infer.go
@@ -83,7 +83,7 @@
 	}
 	counts := s.count(always)
 	for _, t := range s.listed {
-		if t.usable || t.takenBack || !t.usableUntil.Before(from) {
+		if t.usable || !t.usableUntil.Before(from) {
 			list = append(list, candidate{
 				version: t.version, rank: rank(l.Key, t.id), unversioned: !t.version.Known(),
 				always: always(t) && counts[t.version] >= minTargets,
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -1216,6 +1216,9 @@
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre,omitempty,omitzero"`
 
+	// Whether its entry says that it is ready, while the sender keeps it draining.
+	DrainTakenBack bool `json:"drainTakenBack,omitempty,omitzero"`
+
 	// Draining corresponds to the JSON schema field "draining".
 	Draining bool `json:"draining,omitempty,omitzero"`
 
@@ -1238,4 +1241,7 @@
 
 	// Version of its software; empty for unknown.
 	Version string `json:"version,omitempty,omitzero"`
+
+	// Whether its entry has no version any more, while the sender keeps the version.
+	VersionLost bool `json:"versionLost,omitempty,omitzero"`
 }
