Items of a stream that its client takes up are due at their deadline

Clients took streams up and got no event within the 8 s that they wait: a stage that was computed again, or waited for a second, was past due for the objective, and items that are past due go behind all that are not. While others kept arriving its turn never came.

The objective of such a stream was met, or missed, at an earlier node. Its items now are due at their deadline and have as many priority levels less as keep their place in the order. Members of earlier builds order them in the same way, since messages stay as they are.

--- a/internal/gateway/batching/load_test.go
+++ b/internal/gateway/batching/load_test.go
@@ -32,6 +32,8 @@
 	objective time.Duration
 	timeout   time.Duration
 	priority  int
+	// rest is whether the requests take up streams that began before.
+	rest bool
 }
 
 // loadResult counts what became of a route's requests.
@@ -145,6 +147,7 @@
 	p := batching.Plan{Request: id, Items: r.items, Due: req.due, Priority: r.priority, Bytes: r.bytes, Organisation: r.organisation}
 	wait := l.quote(l.now, p)
 	admission := rules.Admission{Estimated: wait + alone, Alone: alone, Left: r.objective, Objective: r.objective, Priority: r.priority}
+	admission.TakenUp, admission.ToDeadline = r.rest, r.timeout
 	admission.OverShare = l.overShare != nil && l.overShare(l.now, p)
 	if _, refused := rules.Admit(admission).(rules.Refused); refused {
 		result.refused++
@@ -154,12 +157,16 @@
 		return
 	}
 	l.handle(p)
+	times, priority := rules.StageTimes{Due: req.due, Deadline: l.now.Add(r.timeout)}, r.priority
+	if r.rest {
+		times.Due, priority = rules.RestDue(times, priority, batching.PriorityStep)
+	}
 	var items []batching.Item
 	for i := range r.items {
 		l.lastID++
 		item := batching.Item{
-			ID: batching.ItemID(l.lastID), Request: id, Index: i, Source: "s", Bytes: r.bytes, Due: req.due, Deadline: l.now.Add(r.timeout),
-			Priority: r.priority, WithdrawableUntil: l.now.Add(r.timeout - time.Duration(float64(r.objective)/0.72)),
+			ID: batching.ItemID(l.lastID), Request: id, Index: i, Source: "s", Bytes: r.bytes, Due: times.Due, Deadline: times.Deadline,
+			Priority: priority, WithdrawableUntil: l.now.Add(r.timeout - time.Duration(float64(r.objective)/0.72)),
 		}
 		l.requests[item.ID] = req
 		items = append(items, item)
--- a/internal/gateway/batching/order.go
+++ b/internal/gateway/batching/order.go
@@ -8,17 +8,17 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 )
 
-// priorityStep is how much later an item counts as due for each priority level below the
+// PriorityStep is how much later an item counts as due for each priority level below the
 // highest. It is shorter than a batch, so that less urgent items are postponed by one
 // batch; with a much longer step they would be put off for good. With none, urgent items
 // wait behind less urgent ones that are due a little earlier. Admission has a step of its
 // own, in relay.
-const priorityStep = 200 * time.Millisecond
+const PriorityStep = 200 * time.Millisecond
 
 // sortQueue puts the queue in the order in which items are taken into batches.
 //
 // Items that can still be ready when they are due come first, then those that are past
-// due. Within each part they are ordered by due time plus priorityStep per priority
+// due. Within each part they are ordered by due time plus PriorityStep per priority
 // level, and then by the order in which they were queued. The due time and priority of an
 // item do not change while it waits. Whether it is past due depends on the earliest time
 // at which an item that is sent now can be ready, by the durations in the catalog
@@ -52,7 +52,7 @@
 
 // sortKey is the due time adjusted for the priority, in nanoseconds since 1970.
 func (q *queuedItem) sortKey() int64 {
-	return q.Due.Add(time.Duration(q.Priority) * priorityStep).UnixNano()
+	return q.Due.Add(time.Duration(q.Priority) * PriorityStep).UnixNano()
 }
 
 // earliestEnd returns when an item that is sent now can be ready by the durations in the
--- a/internal/gateway/batching/position.go
+++ b/internal/gateway/batching/position.go
@@ -97,7 +97,7 @@
 
 // aheadOf returns how far a sort key lies ahead of a time.
 func aheadOf(now, due time.Time, priority int) time.Duration {
-	return due.Sub(now) + time.Duration(priority)*priorityStep
+	return due.Sub(now) + time.Duration(priority)*PriorityStep
 }
 
 // before returns the work that the order of batches (compareItems) puts before a plan. Work
@@ -105,9 +105,9 @@
 func (p *position) before(earliest time.Time, plan Plan) footprint {
 	var sum footprint
 	lastPastDue := earliest.UnixNano() - 1
-	key := plan.Due.Add(time.Duration(plan.Priority) * priorityStep)
+	key := plan.Due.Add(time.Duration(plan.Priority) * PriorityStep)
 	for priority, order := range p.byPriority {
-		upTo := key.Add(-time.Duration(priority) * priorityStep).UnixNano()
+		upTo := key.Add(-time.Duration(priority) * PriorityStep).UnixNano()
 		pastDue := order.upTo(lastPastDue)
 		switch {
 		case earliest.After(plan.Due):
--- a/internal/gateway/relay/rules/priority.go
+++ b/internal/gateway/relay/rules/priority.go
@@ -1,5 +1,7 @@
 package rules
 
+import "time"
+
 const (
 	// priorityLevels is the number of priorities that engines support, 0 to 9, as the
 	// platform's interface defines them.
@@ -31,3 +33,17 @@
 	p := organisation*routePriorityLevels + min(route, routePriorityLevels-1)
 	return min(max(p, 0), priorityLevels-1)
 }
+
+// RestDue returns the due time and priority of the items of a stream that its client takes up, from
+// those that they would have otherwise. step is how much later an item counts as due for each
+// priority level.
+//
+// They keep their place in the order of batches, but are due at their deadline. The stream met its
+// objective, or missed it, at an earlier node, so that the items are as useful after the objective as
+// before it. Items that are past due go behind all that are not: with the objective as their due time,
+// a stage that was computed again or waited for a second was never reached while others kept
+// arriving, and its client left. Too early a due time loses such streams; a later one does not exist.
+func RestDue(times StageTimes, priority int, step time.Duration) (due time.Time, atPriority int) {
+	later := max(times.Deadline.Sub(times.Due), 0) / step
+	return times.Due.Add(later * step), priority - int(later)
+}
--- a/internal/gateway/relay/rules/priority_test.go
+++ b/internal/gateway/relay/rules/priority_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 )
@@ -33,3 +34,33 @@
 		convey.So(StagePriority(0, true), convey.ShouldBeLessThan, StagePriority(1, true))
 	})
 }
+
+// TestRestDue guards against items of a stream that its client takes up that go behind all others
+// once the objective is over, and against some that lose their place among others before.
+func TestRestDue(t *testing.T) {
+	const step = 200 * time.Millisecond
+	place := func(due time.Time, priority int) time.Time { return due.Add(time.Duration(priority) * step) }
+	for _, c := range []struct {
+		what          string
+		due, deadline time.Duration
+	}{
+		{"with much time left", time.Second, 12 * time.Second},
+		{"whose objective is over", -3 * time.Second, 5 * time.Second},
+		{"with less than a step left", time.Second, 1100 * time.Millisecond},
+		{"with no time left", time.Second, time.Second},
+		{"with a deadline before the due time", time.Second, time.Millisecond},
+	} {
+		convey.Convey("An item of a stream "+c.what, t, func() {
+			times := StageTimes{Due: arrived.Add(c.due), Deadline: arrived.Add(c.deadline)}
+			due, priority := RestDue(times, -3, step)
+			convey.Convey("keeps its place in the order", func() {
+				convey.So(place(due, priority), convey.ShouldEqual, place(times.Due, -3))
+			})
+			convey.Convey("and is due within a step of its deadline, or when it was", func() {
+				convey.So(due, convey.ShouldHappenOnOrAfter, times.Due)
+				convey.So(due, convey.ShouldHappenOnOrAfter, times.Deadline.Add(-step))
+				convey.So(due.After(times.Deadline) && due.After(times.Due), convey.ShouldBeFalse)
+			})
+		})
+	}
+}
--- a/internal/gateway/relay/stages.go
+++ b/internal/gateway/relay/stages.go
@@ -189,6 +189,9 @@
 		Due: times.Due, Deadline: times.Deadline, Priority: runner.stagePriority(),
 		WithdrawableUntil: r.withdrawableUntil(i),
 	}
+	if runner.takesUp() {
+		g.Due, g.Priority = rules.RestDue(times, g.Priority, batching.PriorityStep)
+	}
 	if len(runner.stages[i].After) == 0 {
 		g.Source = runner.req.Source
 		g.DataCentre = r.engineDataCentre(i)
--- a/internal/gateway/relay/version_test.go
+++ b/internal/gateway/relay/version_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/catalog"
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
@@ -129,6 +130,16 @@
 			convey.So(f.calls[0].LastEvent, convey.ShouldEqual, "4")
 			convey.So(f.outcome.Software, convey.ShouldEqual, "v2")
 		})
+		convey.Convey("has items that are due by its deadline, and go before those of a stream that begins", func() {
+			f.origin = origin("s", "v2")
+			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
+			convey.So(s.Serve(t.Context(), request(1), &fakeClient{}), convey.ShouldBeNil)
+			rest, begins := f.groups[0], f.groups[1]
+			convey.So(rest.Deadline.Sub(rest.Due), convey.ShouldBeLessThan, batching.PriorityStep)
+			place := func(g relay.Group) time.Time { return g.Due.Add(time.Duration(g.Priority) * batching.PriorityStep) }
+			convey.So(place(rest), convey.ShouldHappenBefore, place(begins))
+			convey.So(begins.Deadline.Sub(begins.Due), convey.ShouldBeGreaterThan, batching.PriorityStep)
+		})
 		convey.Convey("is not told to members, who know where it began", func() {
 			f.origin = origin("s", "v2")
 			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
