A new stream that only its connection ends counts as cut without a byte

Callers got a 200 and a whole, empty stream from a target that sent the head of a stream with neither a length nor chunks, and closed.

Cause: the close was taken for the end of the stream. A target that ends while it reads the prompt leaves just that behind.

Change: such a stream has not ended if nothing of it came and the client has no event yet: the attempt fails as cut and may have run, so that another target serves it where the route allows, and else the caller gets a 502. A stream taken up after its last event may have nothing left, and ends as before. Whole answers may be empty, and stay as they are. Answers that only their connection ends are still passed on with a length or a last chunk; docs/decisions/0003-verdicts.md says why.

--- a/internal/delivery/answer.go
+++ b/internal/delivery/answer.go
@@ -123,17 +123,18 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// delimited says whether the answer's end can be distinguished from a lost connection.
-func (ex *exchange) delimited() bool {
-	if ex.resp.ContentLength >= 0 {
+// Delimited reports whether an answer's end can be distinguished from a lost connection. It cannot
+// if the answer has a body, and neither a length nor chunks.
+func Delimited(resp *http.Response) bool {
+	if resp.ContentLength >= 0 || resp.Body == http.NoBody {
 		return true
 	}
-	return len(ex.resp.TransferEncoding) > 0 && ex.resp.TransferEncoding[0] == "chunked"
+	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
 
 // readWhole returns the body of an answer once its end has come.
 func (ex *exchange) readWhole(ctx context.Context, pool *answers.Pool) ([]byte, error) {
-	if !ex.delimited() {
+	if !Delimited(ex.resp) {
 		return nil, ex.broken(verdict.ReasonCut, "the answer has no length; its end cannot be proved")
 	}
 	body, err := pool.Read(ex.resp.Body, wire.MaxAnswerBytes)
--- a/internal/gateway/relay/answer.go
+++ b/internal/gateway/relay/answer.go
@@ -111,6 +111,9 @@
 	events := newEventReader(reply.Body)
 	for {
 		ev, err := events.next()
+		if err == io.EOF && rules.EndsTooEarly(reply.Undelimited, events.total, r.lastEvent) {
+			return truncatedError(ctx, err)
+		}
 		if err == io.EOF {
 			// A stream without events consists of its header only.
 			return r.startStream(reply)
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -89,8 +89,10 @@
 	ClaimsNotRun bool
 	// Head is the header to forward, in the adapter's own representation.
 	Head any
-	// Body is the response body; io.EOF at its end proves that it is complete.
+	// Body is the response body; io.EOF at its end proves that it is complete, unless Undelimited.
 	Body io.ReadCloser
+	// Undelimited reports whether only the end of the connection ends the body.
+	Undelimited bool
 	// Load is the load that the target reported; nil for none.
 	Load *placement.Load
 	// Slowdown is how many times as long as usual work takes at the target now, as it
--- a/internal/gateway/relay/rules/answer.go
+++ b/internal/gateway/relay/rules/answer.go
@@ -95,3 +95,10 @@
 	m, err := strconv.ParseInt(last, 10, 64)
 	return err == nil && n <= m
 }
+
+// EndsTooEarly reports whether the end of a stream may be that of a target which ended before it
+// produced anything: only the end of the connection ends the stream, and it has no byte. A target may
+// have nothing left for a client that has a last event.
+func EndsTooEarly(undelimited bool, bytes int64, last string) bool {
+	return undelimited && bytes == 0 && last == ""
+}
--- a/internal/gateway/relay/rules/answer_test.go
+++ b/internal/gateway/relay/rules/answer_test.go
@@ -70,3 +70,24 @@
 		}
 	})
 }
+
+// TestEndsTooEarly guards against clients that get an empty stream as a whole one because its target ended
+// after its header, and against streams taken up after their last event that never end.
+func TestEndsTooEarly(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		undelimited bool
+		bytes       int64
+		last        string
+		want        bool
+	}{
+		{"a header and the end of the connection", true, 0, "", true},
+		{"a header and a length, or a last chunk", false, 0, "", false},
+		{"events and the end of the connection", true, 14, "", false},
+		{"nothing left after the last event", true, 0, "3", false},
+	} {
+		convey.Convey(c.name, t, func() {
+			convey.So(EndsTooEarly(c.undelimited, c.bytes, c.last), convey.ShouldEqual, c.want)
+		})
+	}
+}
