--- a/internal/gateway/relay/rules/priority.go
+++ b/internal/gateway/relay/rules/priority.go
@@ -42,8 +42,8 @@
 // objective, or missed it, at an earlier node, so that the items are as useful after the objective as
 // before it. Items that are past due go behind all that are not: with the objective as their due time,
 // a stage that was computed again or waited for a second was never reached while others kept
-// arriving, and its client left. Too early a due time loses such streams; a later one does not exist.
+// arriving, and its client left. Too early a due time loses such streams.
 func RestDue(times StageTimes, priority int, step time.Duration) (due time.Time, atPriority int) {
-	later := max(times.Deadline.Sub(times.Due), 0) / step
-	return times.Due.Add(later * step), priority - int(later)
+	levels := max(times.Deadline.Sub(times.Due), 0) / step
+	return times.Due.Add(levels * step), priority - int(levels)
 }
