Items of streams that are taken up wait for local targets up to their place only

With local targets that lack memory for its results, it could wait until its client left. It now waits only while that batch ends before the item's sort key too. For all other items the sort key is not before the due time.

TestLocalityOfUrgentItems fails without it (waits, where none is due).

--- a/internal/gateway/batching/locality.go
+++ b/internal/gateway/batching/locality.go
@@ -16,12 +16,13 @@
 // newLocality.
 //
 // Its inputs are an item's data centre, where its inputs are or its result will be used
-// (empty for any), and its due time; and for each target in that data centre (a local
-// target) whether it is usable and not backing off, when its running batch should end,
-// and how long a full batch should take at its estimated slowdown. A local target counts
-// if it is idle now or within maxLocalityWait, and a full batch from then on ends before
-// the item is due. A target whose batch is overdue or stuck does not count, as it is
-// unknown when it becomes idle.
+// (empty for any), its due time and its sort key; and for each target in that data centre
+// (a local target) whether it is usable and not backing off, when its running batch should
+// end, and how long a full batch should take at its estimated slowdown. A local target counts
+// if it is idle now or within maxLocalityWait, and a full batch from then on ends before the
+// item is due and, if its priority puts that earlier, before its sort key: items of streams
+// that clients take up are due at their deadline, but should not wait for that long. A target
+// whose batch is overdue or stuck does not count, as it is unknown when it becomes idle.
 //
 // Results that cross data centres take time and are among the largest costs of the system
 // (docs/MEASUREMENTS.md); a short wait costs less. See docs/decisions/0012-batches.md.
@@ -56,7 +57,7 @@
 		end = l.earliestLocalEnd(q.DataCentre)
 		l.localEnds[q.DataCentre] = end
 	}
-	return !end.IsZero() && end.Before(q.Due)
+	return !end.IsZero() && end.Before(q.Due) && end.UnixNano() < q.sortKey()
 }
 
 // earliestLocalEnd returns the earliest end of a full batch in a data centre; zero if no
--- a/internal/gateway/batching/locality_test.go
+++ b/internal/gateway/batching/locality_test.go
@@ -7,6 +7,21 @@
 	"github.com/smartystreets/goconvey/convey"
 )
 
+// TestLocalityOfUrgentItems guards against items of streams that clients take up that wait for a
+// target in their data centre until their deadline.
+func TestLocalityOfUrgentItems(t *testing.T) {
+	shouldWait := func(place time.Duration, want bool) {
+		const steps = 40
+		q := &queuedItem{Item: Item{DataCentre: "d0", Due: testNow.Add(place + steps*PriorityStep), Priority: -steps}}
+		loc := newLocality(testNow, testSpec(), poolOf(testTarget("f", "far"), testTarget("n", "d0")))
+		convey.So(loc.shouldWait(q, "far"), convey.ShouldEqual, want)
+	}
+	convey.Convey("An item that is due late and goes before others waits for a local target", t, func() {
+		convey.Convey("while a full batch there, of 320 ms, ends before its place in the order", func() { shouldWait(320*time.Millisecond+1, true) })
+		convey.Convey("and no longer", func() { shouldWait(320*time.Millisecond, false) })
+	})
+}
+
 func TestLocality(t *testing.T) {
 	// A full batch takes 320 ms.
 	const due = 2 * time.Second
