A refused call's connection is not closed under the next call

Callers saw: 502 for a request that may run once, at a sound target, while another request was refused there with 409 or 421.

Cause: the connection of such a refusal is given up, since a copy of it could be taken for the answer to the same call when that is sent again. The refusal has no body, so net/http has it back in its pool, and may have given it to another call, before the refusal is judged; closing it broke that call.

Change: a connection that carries another call by then is not closed, but carries none after it. A copy cannot be taken for that call's answer, which has another identity.

Evidence: TestSpoiltConnectionInUse.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -35,8 +35,8 @@
 	check func() error
 	// begun is true once a write of the armed request has begun.
 	begun bool
-	// sealed stops all later writes.
-	sealed bool
+	// sealed stops all later writes, retired those of calls that follow the present one.
+	sealed, retired bool
 
 	// plain is set if the connection is not encrypted, so that its bytes are those of answers.
 	plain bool
@@ -67,13 +67,26 @@
 }
 
 // Spoil keeps the connection from carrying another call; it is for answers that cannot be
-// trusted.
+// trusted. A call that it carries already goes on: an answer without a body is complete before its
+// caller has it, and the transport may have given the connection away by then.
 func (c Conn) Spoil() {
-	if c.conn != nil {
+	if c.conn != nil && !c.conn.retire(c.answer.Call) {
 		c.conn.spoil()
 	}
 }
 
+// retire has the connection carry no other call after the one that it was armed for since a call,
+// and reports whether there is one.
+func (c *guardedConn) retire(call int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls <= call {
+		return false
+	}
+	c.retired = true
+	return true
+}
+
 // First reports whether no earlier answer on the connection had this content, and remembers it.
 // The content must differ between all answers.
 func (c Conn) First(content string) bool {
@@ -109,7 +122,7 @@
 func (c *guardedConn) arm(check func() error, distinct bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sealed = c.sealed || c.unproven
+	c.sealed = c.sealed || c.retired || c.unproven
 	c.unproven = distinct
 	c.check = check
 	c.begun = false
--- a/internal/delivery/crossed_test.go
+++ b/internal/delivery/crossed_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,6 +48,57 @@
 	}
 }
 
+// TestSpoiltConnectionInUse guards against calls that fail because the call before them on their
+// connection was refused: the transport may give the connection to the next call before.
+func TestSpoiltConnectionInUse(t *testing.T) {
+	convey.Convey("A connection that is spoilt under the next call carries that one to its end, and no other", t, func() {
+		arrived, release := make(chan struct{}), make(chan struct{})
+		var ports sync.Map
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("Attempt-Id")
+			ports.Store(id, r.RemoteAddr)
+			w.Header().Set("Attempt-Id", id)
+			if id == "second" {
+				arrived <- struct{}{}
+				<-release
+			}
+		}))
+		defer s.Close()
+		c := delivery.New()
+		exchange := func(id string) (delivery.Conn, *verdict.Error) {
+			req, _ := http.NewRequest(http.MethodPost, s.URL, http.NoBody)
+			resp, conn, failure := c.Exchange(req, delivery.Sending{Identity: id, IdentityHeader: "Attempt-Id", Permit: func() error { return nil }})
+			if failure == nil {
+				_ = resp.Body.Close()
+			}
+			return conn, failure
+		}
+		conn, failure := exchange("first")
+		convey.So(failure, convey.ShouldBeNil)
+		second := make(chan *verdict.Error)
+		go func() {
+			_, failure := exchange("second")
+			second <- failure
+		}()
+		<-arrived
+		conn.Spoil()
+		release <- struct{}{}
+		convey.So(<-second, convey.ShouldBeNil)
+		// The transport tries another connection by itself where it can.
+		if _, failure = exchange("third"); failure != nil {
+			convey.So(failure.Verdict(), convey.ShouldEqual, verdict.NotRun)
+			_, failure = exchange("third")
+		}
+		convey.So(failure, convey.ShouldBeNil)
+		port := func(id string) any {
+			address, _ := ports.Load(id)
+			return address
+		}
+		convey.So(port("second"), convey.ShouldEqual, port("first"))
+		convey.So(port("third"), convey.ShouldNotEqual, port("first"))
+	})
+}
+
 func TestCrossedAnswerEndsItsConnection(t *testing.T) {
 	convey.Convey("A connection that brought another call's answer is closed, so that no call is lost to it", t, func() {
 		address, closed := crossingServer(t)
