Lost streams: members report how old their views are

A node that was turned away by the source began streams with a view that was 8 s old. A node that nobody had told of them allowed for 3 s, and named v2 for 105 of 200 streams that had begun at v1 (TestNodeFarBehind).

Each node records when its view last had all that the source knew: by an answer of the source, or by the direct answer of a member with the same or an earlier revision that tells its own age. It reports the age by gossip (viewAgeMs), a greater one of a moment ago for 5 s. A node that infers a version allows for the worst age that it or a member had since the stream can have begun. Members of an earlier version report none; for them 3 s are allowed for, as before.

TestNodeFarBehind keeps its assertion, the reported age is an input of it; without the change it printed 'streams: another version is named than the one they began at' for 105 of 200.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -187,6 +187,7 @@
 	ctx, answered, cancel := withAnswerTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	f.metrics.sourceCalls.Inc(1)
+	started := f.now()
 	ch, err := f.source.Snapshot(ctx, answered)
 	if err != nil {
 		return err
@@ -197,6 +198,9 @@
 	f.views.apply(ch, func(now time.Time, v *view.View) *view.View {
 		return v.WithSnapshot(now, ch, f.health.lastOutage())
 	})
+	if f.views.load().Revision >= ch.Revision {
+		f.health.age.confirm(f.now(), started)
+	}
 	return nil
 }
 
@@ -214,7 +218,7 @@
 	ctx, answered, cancel := withAnswerTimeout(ctx, wait+slack)
 	defer cancel()
 	f.metrics.sourceCalls.Inc(1)
-	after := f.views.load().Revision
+	started, after := f.now(), f.views.load().Revision
 	ch, err := f.source.Watch(ctx, after, wait, answered)
 	if err != nil && context.Cause(ctx) == errWatchRestarted {
 		return errWatchRestarted
@@ -222,7 +226,14 @@
 	if err != nil {
 		return err
 	}
-	f.applyChanges(ch, after)
+	if f.applyChanges(ch, after) {
+		confirmed := started
+		if len(ch.List) == 0 && f.now().Sub(started) >= wait {
+			// The source waited to the end for a change.
+			confirmed = started.Add(wait)
+		}
+		f.health.age.confirm(f.now(), confirmed)
+	}
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,9 @@
 	g.createIntake()
 	g.streams = newStreamOrigins(g.now, g.log, g.members, peers, g.metrics, streamHistoryOptions(g.cfg.Gateway)...)
 	g.streams.confirm = g.follower.confirm
+	g.streams.behind = func(since time.Time) time.Duration {
+		return max(g.members.worstViewAge(since), g.health.age.worst(g.now(), since))
+	}
 	g.views.onApplied = g.streams.observe
 	g.follower.onHistory, g.follower.onListed = g.historyReader(), g.readRuns
 	g.gossip = &gossiper{
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -10,6 +10,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/membership"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/retrybudget"
+	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/wait"
 )
@@ -66,17 +67,36 @@
 
 // publishStatus updates the status that this node reports.
 func (g *gossiper) publishStatus() {
-	v := g.views.load()
+	age, v := g.agedView()
 	// Read first: the budget takes the lock of the members, which setStatus holds.
 	spent := g.retriesSpent()
 	g.members.setStatus(func() membership.Status {
 		return membership.Status{
 			Serving: v.Catalog != nil && g.isolated().Err() == nil, Leaving: g.shutdown.begun(), ReachesSource: g.health.isReachable(g.now()),
 			Version: v.CatalogVersion(), Revision: int64(v.Revision), Spent: spent, Busy: g.busy(),
+			ViewAgeMs: ceilMs(age),
 		}
 	})
 }
 
+// agedView returns the view and its age to report; 0 without a configuration, as no stream begins
+// then. The age is read first: the view may be newer than it says, never older.
+func (g *gossiper) agedView() (age time.Duration, v *view.View) {
+	age, v = g.health.age.reported(g.now()), g.views.load()
+	if v.Catalog == nil {
+		age = 0
+	}
+	return age, v
+}
+
+// withView returns the report of this node with its present view and the age of that, which is up to a
+// round older in the status: the member that asked dates its own view by it.
+func (g *gossiper) withView(self message.GossipMember) message.GossipMember {
+	age, v := g.agedView()
+	self.Version, self.Revision, self.ViewAgeMs = int(v.CatalogVersion()), int(v.Revision), ceilMs(age)
+	return self
+}
+
 // run runs gossip rounds until ctx is done.
 func (g *gossiper) run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -124,12 +144,16 @@
 func (g *gossiper) exchange(ctx context.Context, member string) bool {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
+	sent, v := g.now(), g.views.load()
 	in, err := g.peers.exchangeGossip(ctx, member, g.withReports(g.members.report()), g.members.readsCompact(member))
 	if err != nil {
 		g.metrics.gossipUnanswered.Inc(1)
 		return false
 	}
 	g.members.mergeReply(member, in)
+	if len(in.Members) > 0 {
+		g.health.age.confirmByMember(g.now(), sent, in.Members[0], v.CatalogVersion(), int64(v.Revision))
+	}
 	g.backpressure.Merge(member, in.Limits)
 	g.mergeSuspects(ctx, member, in)
 	return true
@@ -138,6 +162,7 @@
 // reply merges a member's report and returns the answer to it.
 func (g *gossiper) reply(in message.Gossip) message.Gossip {
 	out := g.members.mergeAndReport(in)
+	out.Members[0] = g.withView(out.Members[0])
 	if len(in.Members) > 0 {
 		g.quarantine.Merge(in.Members[0].Address, in.Suspects)
 		g.parts.Merge(in.Members[0].Address, in.Parts)
--- a/internal/gateway/gossipcodec/gossipcodec.go
+++ b/internal/gateway/gossipcodec/gossipcodec.go
@@ -62,6 +62,7 @@
 	fieldMemberRetries protowire.Number = 8
 	fieldMemberFirsts  protowire.Number = 9
 	fieldMemberService protowire.Number = 10
+	fieldMemberViewAge protowire.Number = 11
 )
 
 // Bits of fieldMemberFlags, one for each boolean of message.GossipMember.
@@ -133,6 +134,7 @@
 			{fieldMemberRetries, m.Retries},
 			{fieldMemberFirsts, m.Firsts},
 			{fieldMemberService, m.Service},
+			{fieldMemberViewAge, m.ViewAgeMs},
 		} {
 			member = appendVarint(member, f.number, f.value)
 		}
@@ -230,6 +232,8 @@
 			m.Firsts = int(value)
 		case fieldMemberService:
 			m.Service = int(value)
+		case fieldMemberViewAge:
+			m.ViewAgeMs = int(value)
 		}
 		return nil
 	})
--- a/internal/gateway/gossipcodec/gossipcodec_test.go
+++ b/internal/gateway/gossipcodec/gossipcodec_test.go
@@ -38,7 +38,7 @@
 				Revision: number.Draw(t, "revision"), Capacity: number.Draw(t, "capacity"),
 				Leaving: rapid.Bool().Draw(t, "leaving"), Serving: rapid.Bool().Draw(t, "serving"),
 				Hears: rapid.Bool().Draw(t, "hears"), Compact: rapid.Bool().Draw(t, "compact"), Epochs: rapid.Bool().Draw(t, "epochs"),
-				Counts: rapid.Bool().Draw(t, "counts"), Assigns: rapid.Bool().Draw(t, "assigns"), Retries: number.Draw(t, "retries"), Firsts: number.Draw(t, "firsts"), Service: number.Draw(t, "service"),
+				Counts: rapid.Bool().Draw(t, "counts"), Assigns: rapid.Bool().Draw(t, "assigns"), Retries: number.Draw(t, "retries"), Firsts: number.Draw(t, "firsts"), Service: number.Draw(t, "service"), ViewAgeMs: number.Draw(t, "viewAge"),
 				Busy: rapid.Bool().Draw(t, "busy"),
 			})
 		}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -120,6 +120,13 @@
 	return m.roster.AllAssign(m.now(), maxOriginKeep)
 }
 
+// worstViewAge returns the greatest age of a view that a member reported since a time.
+func (m *members) worstViewAge(since time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.WorstViewAge(since)
+}
+
 // remoteCoordinator returns the other member that coordinates a service; empty if it is this
 // node, or if no member serves and each node does its own work.
 func (m *members) remoteCoordinator(service string) string {
--- a/internal/gateway/membership/roster.go
+++ b/internal/gateway/membership/roster.go
@@ -35,6 +35,8 @@
 	// unassigned is when a member that does not assign streams to versions was last heard of; zero
 	// for never.
 	unassigned time.Time
+	// ages holds the ages of views that members reported.
+	ages ViewAges
 }
 
 // rosterEntry is the state of one other member.
@@ -82,6 +84,9 @@
 	Spent retrybudget.Spent
 	// Busy is set if the member lately had more work than it can do.
 	Busy bool
+	// ViewAgeMs is for how long its view has not been confirmed by the source, in milliseconds; 0 if it
+	// has none.
+	ViewAgeMs int
 }
 
 // SetStatus sets the state that this member reports about itself.
@@ -93,6 +98,7 @@
 	r.self.Version = int(s.Version)
 	r.self.Revision = int(s.Revision)
 	r.self.Busy = s.Busy
+	r.self.ViewAgeMs = s.ViewAgeMs
 	r.self.Service, r.self.Retries, r.self.Firsts = s.Spent.Service, s.Spent.Retries, s.Spent.FirstAttempts
 }
 
@@ -143,6 +149,7 @@
 			e.history = historyAfter(now, old, r.retryWindow)
 		}
 		r.others[m.Address] = e
+		r.ages.Put(now, time.Duration(m.ViewAgeMs)*time.Millisecond)
 		if !m.Assigns {
 			r.unassigned = now
 		}
--- a/internal/gateway/sourcehealth.go
+++ b/internal/gateway/sourcehealth.go
@@ -21,6 +21,8 @@
 type sourceHealth struct {
 	// firstFailure is closed when a call to the source fails for the first time.
 	firstFailure chan struct{}
+	// age is that of the view.
+	age viewAge
 
 	mu sync.Mutex
 	// lastReached is when the source last answered; zero if never.
--- a/internal/gateway/sourcehistory.go
+++ b/internal/gateway/sourcehistory.go
@@ -146,6 +146,7 @@
 		}
 		if f.applyChanges(ch, after) {
 			f.confirmedAt = started
+			f.health.age.confirm(f.now(), started)
 			return nil
 		}
 	}
--- a/internal/gateway/streamorigin/history.go
+++ b/internal/gateway/streamorigin/history.go
@@ -15,7 +15,7 @@
 	// maxRemembered is how long a History remembers targets that are gone and routes that changed.
 	maxRemembered = 2 * time.Minute
 	// viewLag bounds how far the view of the node that began a stream may have been behind the
-	// source.
+	// source, unless a member reported more.
 	viewLag = 3 * time.Second
 	// minTargets is how many targets of a version a service must have for new streams to be assigned
 	// to that version. With one, all of its streams would depend on that target.
--- a/internal/gateway/streamorigin/history_test.go
+++ b/internal/gateway/streamorigin/history_test.go
@@ -587,11 +587,13 @@
 }
 
 // shouldNameNoOther fails if a node names another version for a stream than another one begins it at.
-func shouldNameNoOther(t *testing.T, taker, beginner *node, begun, now time.Time) {
+func shouldNameNoOther(t *testing.T, taker, beginner *node, begun, now time.Time, reported time.Duration) {
 	t.Helper()
 	others := 0
 	for k := range streamorigin.Key(200) {
-		if v, unknown := taker.history.Infer(now, lost(k, now.Sub(begun))); unknown == "" && v != beginner.begin(begun, k) {
+		l := lost(k, now.Sub(begun))
+		l.Behind = reported
+		if v, unknown := taker.history.Infer(now, l); unknown == "" && v != beginner.begin(begun, k) {
 			others++
 		}
 	}
@@ -623,11 +625,12 @@
 	taker.history = streamorigin.NewHistory(started)
 	taker.history.Observe(started, view.New(), taker.view, view.Changes{})
 	taker.history.Extend(started, started, reach, false, view.Changes{})
-	shouldNameNoOther(t, taker, beginner, begun, started.Add(time.Second))
+	shouldNameNoOther(t, taker, beginner, begun, started.Add(time.Second), 0)
 }
 
 // TestNodeFarBehind guards against another version that is named for a stream than the one that began it,
-// at a node that was turned away by the source for some seconds.
+// at a node that was turned away by the source for some seconds and reported it
+// (gateway.TestReportedViewAge).
 func TestNodeFarBehind(t *testing.T) {
 	src := release()
 	const behind = 8 * time.Second
@@ -635,7 +638,7 @@
 	beginner, taker := startNode(src, start, behind, true), startNode(src, start, 0, true)
 	beginner.follow(begun)
 	taker.follow(begun.Add(time.Second))
-	shouldNameNoOther(t, taker, beginner, begun, begun.Add(time.Second))
+	shouldNameNoOther(t, taker, beginner, begun, begun.Add(time.Second), behind)
 }
 
 // TestRuns guards against a run at targets of two versions that names one of them, and against runs that
--- a/internal/gateway/streamorigin/infer.go
+++ b/internal/gateway/streamorigin/infer.go
@@ -19,13 +19,16 @@
 	Service, Host, Path string
 	// Age is the longest time for which the stream can have lasted.
 	Age time.Duration
+	// Behind is how far the view of the node that began it may have been behind the source; viewLag is
+	// allowed for in any case.
+	Behind time.Duration
 	// Named is whether the client named the request that began it, so that Key is that request's, and
 	// Assigned whether all nodes assign new streams to versions.
 	Named, Assigned bool
 }
 
 // From returns from when on the node that began the stream can have looked at the targets.
-func (l Lost) From(now time.Time) time.Time { return now.Add(-l.Age - viewLag) }
+func (l Lost) From(now time.Time) time.Time { return now.Add(-l.Age - max(viewLag, l.Behind)) }
 
 // Rule: which version a lost stream began at.
 //
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -55,6 +55,9 @@
 	// when it was asked. The source remembers each change for reach.
 	forgotten func(ctx context.Context, last view.Revision) (view.Revision, time.Time, error)
 	reach     time.Duration
+	// behind returns how far the view of this node or of a member was behind the source at most since
+	// a time.
+	behind func(since time.Time) time.Duration
 
 	mu    sync.Mutex
 	table *streamorigin.Table
@@ -70,7 +73,7 @@
 	return &streamOrigins{
 		now: now, log: log, members: members, peers: peers, metrics: m, table: streamorigin.NewTable(),
 		late: newAvoidedMembers(now), earlier: newAvoidedMembers(now), history: streamorigin.NewHistory(now(), opts...), runs: streamorigin.NewRuns(),
-		confirm: func(context.Context) error { return nil },
+		confirm: func(context.Context) error { return nil }, behind: members.worstViewAge,
 	}
 }
 
@@ -103,6 +106,7 @@
 		return 0, "the targets may have changed unseen"
 	}
 	l.Assigned = s.members.allAssign()
+	l.Behind = s.behind(l.From(s.now())) + reportLag
 	v, unknown := s.infer(l)
 	if unknown == "" || !s.narrow(ctx, l) {
 		return v, unknown
--- /dev/null
+++ b/internal/gateway/viewage.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/honeydyke/honeydyke/internal/gateway/membership"
+	"github.com/honeydyke/honeydyke/internal/message"
+)
+
+const (
+	// maxConfirmedAge is the age up to which a view counts as confirmed. Streams that begin with it
+	// are within what streamorigin allows for (viewLag) without a report of this node.
+	maxConfirmedAge = 2 * time.Second
+	// reportedFor is how long a greater age is reported after it ended, since not every report
+	// reaches every member.
+	reportedFor = 5 * time.Second
+	// reportLag is how much a view may age between two reports.
+	reportLag = gossipInterval + gossipTimeout + triggerDelay
+)
+
+// ceilMs returns a duration in milliseconds, rounded up.
+func ceilMs(d time.Duration) int { return int((d + time.Millisecond - 1).Milliseconds()) }
+
+// viewAge records since when the view may be behind the source. The zero value is a view that was
+// never confirmed.
+type viewAge struct {
+	mu sync.Mutex
+	// confirmedAt is a time at which the view had all that the source knew; zero for never.
+	confirmedAt time.Time
+	past        membership.ViewAges
+}
+
+// confirm records that the view had all that the source knew at a time.
+func (a *viewAge) confirm(now, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !at.After(a.confirmedAt) {
+		return
+	}
+	if !a.confirmedAt.IsZero() {
+		a.past.Put(now, now.Sub(a.confirmedAt))
+	}
+	a.confirmedAt = at
+}
+
+// confirmByMember records what the direct answer of a member to a message that was sent at a time says:
+// a view that is not older than the member's was confirmed as lately as that.
+func (a *viewAge) confirmByMember(now, sent time.Time, m message.GossipMember, version, revision int64) {
+	if m.ViewAgeMs > 0 && int64(m.Version) <= version && int64(m.Revision) <= revision {
+		a.confirm(now, sent.Add(-time.Duration(m.ViewAgeMs)*time.Millisecond))
+	}
+}
+
+// current returns for how long the view has not been confirmed.
+func (a *viewAge) current(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.confirmedAt.IsZero() {
+		return maxOriginKeep
+	}
+	return now.Sub(a.confirmedAt)
+}
+
+// worst returns the greatest age of the view since a time.
+func (a *viewAge) worst(now, since time.Time) time.Duration {
+	age := a.current(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return max(age, a.past.Worst(since))
+}
+
+// reported returns the age to report to members: the present one, or a greater one of a moment ago with
+// which streams may have begun.
+func (a *viewAge) reported(now time.Time) time.Duration {
+	if worst := a.worst(now, now.Add(-reportedFor)); worst > maxConfirmedAge {
+		return worst
+	}
+	return a.current(now)
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -266,6 +266,10 @@
 
 	// Version of its configuration.
 	Version int `json:"version,omitempty,omitzero"`
+
+	// For how long the member's view has not been confirmed by the source, in
+	// milliseconds; 0 if it does not say, as members of an earlier version do not.
+	ViewAgeMs int `json:"viewAgeMs,omitempty,omitzero"`
 }
 
 // GroupWithdrawn says why a group of which nothing had run was refused: a group,
