Streams that begin at a node that hears from nobody are refused

A node that reaches neither the source nor members has a view of which nobody learns how old it is.

A node whose view is older than 2.8 s asks the source before a stream begins that may be resumed, unless the source failed or is left to the readers. Else four members are told that the stream is about to begin; one of them has to answer. Until the stream has begun, a node that finds this refuses it. If none answers, the request is refused (not-ready, not run), at once while the members that failed are passed over. A total outage of the source stops no streams, and neither does it at a node without members.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,7 @@
 	g.createIntake()
 	g.streams = newStreamOrigins(g.now, g.log, g.members, peers, g.metrics, streamHistoryOptions(g.cfg.Gateway)...)
 	g.streams.confirm = g.follower.confirm
+	g.streams.confirmed = g.follower.isConfirmed
 	g.streams.behind = func(since time.Time) time.Duration {
 		return max(g.members.worstViewAge(since), g.health.age.worst(g.now(), since))
 	}
--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -123,6 +123,8 @@
 	lent directory.Incarnation
 	// told is what Tell returns.
 	told chan struct{}
+	// unheard is whether streams may not begin.
+	unheard bool
 }
 
 // Tell records where a stream begins.
@@ -133,6 +135,11 @@
 	return f.told
 }
 
+// MayBegin reports what the test says.
+func (f *fakePorts) MayBegin(context.Context, string, streamorigin.Key, time.Duration) bool {
+	return !f.unheard
+}
+
 // Borrow lends what the test names.
 func (f *fakePorts) Borrow(context.Context, []directory.Incarnation) (directory.Incarnation, bool) {
 	return f.lent, f.lent.ID != ""
--- a/internal/gateway/relay/ports.go
+++ b/internal/gateway/relay/ports.go
@@ -320,6 +320,10 @@
 	// Tell records at which target a stream begins, for a time, and tells members. It does not
 	// block: told is closed once a member knows, or none can be told.
 	Tell(k streamorigin.Key, o streamorigin.Origin, keep time.Duration) (told <-chan struct{})
+	// MayBegin reports whether a stream may begin at this node. While its targets may have changed unseen
+	// for long, it waits for a short time until a member knows of the stream, so that no node works out
+	// its version by targets that this node did not see.
+	MayBegin(ctx context.Context, service string, k streamorigin.Key, keep time.Duration) bool
 	// Find returns where a stream began, by what this node or a member knows. It waits for
 	// members for a short time only.
 	Find(ctx context.Context, k streamorigin.Key) (streamorigin.Origin, bool)
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -162,6 +162,9 @@
 	if err := s.resumeStream(ctx, r, outcome); err != nil {
 		return err
 	}
+	if err := s.refuseUnheard(ctx, r); err != nil {
+		return err
+	}
 	defer func() { outcome.OverShare = r.overShare }()
 	admitted, err := s.admit(ctx, r)
 	if err != nil {
--- a/internal/gateway/relay/streamorigin.go
+++ b/internal/gateway/relay/streamorigin.go
@@ -82,8 +82,24 @@
 		return nil
 	}
 	origin := streamorigin.Origin{Service: s.service.Name, Version: target.Version, Attempt: len(s.outcome.Attempts)}
-	keep := max(s.req.Timeout, s.times.ResponseDeadline.Sub(s.now())) + originMargin
-	return s.streams.Tell(streamorigin.KeyOf(s.org.Name, s.req.ID), origin, keep)
+	return s.streams.Tell(streamorigin.KeyOf(s.org.Name, s.req.ID), origin, s.keepOrigin(s.now()))
+}
+
+// keepOrigin returns for how long the origin of the request's stream is kept.
+func (r *resolvedRequest) keepOrigin(now time.Time) time.Duration {
+	return max(r.req.Timeout, r.times.ResponseDeadline.Sub(now)) + originMargin
+}
+
+// refuseUnheard refuses a request that begins a stream if its client could not take the stream up at the
+// right version: this node hears neither from the source nor from members. Other nodes may.
+func (s *Server) refuseUnheard(ctx context.Context, r *resolvedRequest) *verdict.Error {
+	if !r.resumable() || r.stream.begun {
+		return nil
+	}
+	if s.cfg.Streams.MayBegin(ctx, r.service.Name, streamorigin.KeyOf(r.org.Name, r.req.ID), r.keepOrigin(s.cfg.Now())) {
+		return nil
+	}
+	return s.refuseStream(r, verdict.ReasonNotReady, "the targets may have changed unseen, and no member answers")
 }
 
 // awaitTold waits for toldTimeout until a member knows where the stream begins, so that the
--- a/internal/gateway/relay/version_test.go
+++ b/internal/gateway/relay/version_test.go
@@ -194,6 +194,12 @@
 			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
 			convey.So(f.origins, convey.ShouldResemble, []streamorigin.Origin{*origin("s", "v1"), {Service: "s", Version: directory.VersionOf("v1"), Attempt: 1}})
 		})
+		convey.Convey("is refused at once, not run, while this node hears from nobody; one that is taken up is not", func() {
+			f.unheard = true
+			shouldRefuse(f, s.Serve(t.Context(), request(), &fakeClient{}), verdict.ReasonNotReady)
+			f.origin = origin("s", "v1")
+			convey.So(takeUp(f, s, 1), convey.ShouldBeNil)
+		})
 		convey.Convey("begins a little later if no member answers", func() {
 			f.told = make(chan struct{})
 			convey.So(s.Serve(t.Context(), request(), &fakeClient{}), convey.ShouldBeNil)
--- a/internal/gateway/sourcehistory.go
+++ b/internal/gateway/sourcehistory.go
@@ -132,6 +132,22 @@
 	return err
 }
 
+// isConfirmed reports whether the view was confirmed lately. A node that watches the source asks it, unless
+// it failed: a process that stood still has an old view until its watch begins anew.
+func (f *sourceFollower) isConfirmed(ctx context.Context) bool {
+	if f.health.age.current(f.now()) <= maxConfirmedAge {
+		return true
+	}
+	if f.health.isDown() || f.members.followsReaders() {
+		return false
+	}
+	err := f.confirm(ctx)
+	if err != nil {
+		f.log.Info().Err(err).Msg("source: confirming the view for a new stream failed")
+	}
+	return err == nil
+}
+
 // readUntilConfirmed reads changes until the view has all of them. Another client's end does not end a
 // call that others wait for.
 func (f *sourceFollower) readUntilConfirmed(ctx context.Context) error {
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -58,6 +58,8 @@
 	// behind returns how far the view of this node or of a member was behind the source at most since
 	// a time.
 	behind func(since time.Time) time.Duration
+	// confirmed reports whether the view was confirmed lately.
+	confirmed func(ctx context.Context) bool
 
 	mu    sync.Mutex
 	table *streamorigin.Table
@@ -74,6 +76,7 @@
 		now: now, log: log, members: members, peers: peers, metrics: m, table: streamorigin.NewTable(),
 		late: newAvoidedMembers(now), earlier: newAvoidedMembers(now), history: streamorigin.NewHistory(now(), opts...), runs: streamorigin.NewRuns(),
 		confirm: func(context.Context) error { return nil }, behind: members.worstViewAge,
+		confirmed: func(context.Context) bool { return true },
 	}
 }
 
@@ -196,6 +199,30 @@
 	return told
 }
 
+// unbegunAttempt is the attempt of a stream that has begun nowhere yet, before all others.
+const unbegunAttempt = -1
+
+// MayBegin implements relay.StreamOrigins.
+func (s *streamOrigins) MayBegin(ctx context.Context, service string, k streamorigin.Key, keep time.Duration) bool {
+	if s.confirmed(ctx) || s.members.peakSize() <= 1 {
+		return true
+	}
+	// Until it has begun, its version is not known: a node that finds it refuses it.
+	o := streamorigin.Origin{Service: service, Attempt: unbegunAttempt}
+	told := make(chan bool, originTellTries)
+	members := s.candidates(k, originTellTries)
+	for _, member := range members {
+		go func() { told <- s.tell(member, k, o, keep) }()
+	}
+	for range members {
+		if <-told {
+			return true
+		}
+	}
+	s.log.Info().Int("members", len(members)).Msg("streams: a new stream is refused, as neither source nor members answer")
+	return false
+}
+
 // tellMembers tells originCopies of some members, in their order, and closes told when the first
 // one knows or none can be told.
 func (s *streamOrigins) tellMembers(members []string, k streamorigin.Key, o streamorigin.Origin, keep time.Duration, told chan struct{}) {
--- a/internal/gateway/viewage.go
+++ b/internal/gateway/viewage.go
@@ -10,8 +10,9 @@
 
 const (
 	// maxConfirmedAge is the age up to which a view counts as confirmed. Streams that begin with it
-	// are within what streamorigin allows for (viewLag) without a report of this node.
-	maxConfirmedAge = 2 * time.Second
+	// are within what streamorigin allows for without a report of this node (viewLag, 3 s), with 0.2 s
+	// until they are sent.
+	maxConfirmedAge = 2800 * time.Millisecond
 	// reportedFor is how long a greater age is reported after it ended, since not every report
 	// reaches every member.
 	reportedFor = 5 * time.Second
--- a/internal/gateway/viewage_test.go
+++ b/internal/gateway/viewage_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -121,3 +122,57 @@
 		})
 	})
 }
+
+// TestStreamsOfAnUnheardNode guards against a stream of a node that hears from nobody, whose version other
+// nodes then work out by targets that it never saw, and against streams that end while only the source is away.
+func TestStreamsOfAnUnheardNode(t *testing.T) {
+	unconfirmed := func(context.Context) bool { return false }
+	k := keys(1)[0]
+	convey.Convey("Given a node whose view is not confirmed", t, func() {
+		members := newOriginMembers(t, 5)
+		node, others := members[0], members[1:]
+		node.confirmed = unconfirmed
+		convey.Convey("a stream may begin once a member knows of it, at no version yet", func() {
+			others[0].silent.Store(true)
+			convey.So(node.MayBegin(t.Context(), "s", k, time.Minute), convey.ShouldBeTrue)
+			o, found := others[1].Find(t.Context(), k)
+			convey.So(found, convey.ShouldBeTrue)
+			convey.So(o.Version.Known(), convey.ShouldBeFalse)
+			convey.Convey("and is found at the version at which it begins then", func() {
+				<-node.Tell(k, began, time.Minute)
+				shouldKeep(t, members, []streamorigin.Key{k}, originCopies)
+				shouldFind(t, others[1:], []streamorigin.Key{k})
+			})
+		})
+		convey.Convey("it may not while no member answers, and the next one is refused at once", func() {
+			for _, m := range others {
+				m.silent.Store(true)
+			}
+			convey.So(node.MayBegin(t.Context(), "s", k, time.Minute), convey.ShouldBeFalse)
+			began := time.Now()
+			convey.So(node.MayBegin(t.Context(), "s", k, time.Minute), convey.ShouldBeFalse)
+			convey.So(time.Since(began), convey.ShouldBeLessThan, originTimeout/2)
+		})
+	})
+	convey.Convey("A node without members begins streams while the source is away", t, func() {
+		m := newOriginMembers(t, 1)[0]
+		m.confirmed = unconfirmed
+		convey.So(m.MayBegin(t.Context(), "s", k, time.Minute), convey.ShouldBeTrue)
+	})
+	convey.Convey("A node that stood still asks the source before a stream begins, and does not if the source failed", t, func() {
+		now := time.Now()
+		f, source := newHistoryFollower(1)
+		f.members, f.now = newMembers(time.Now, "self", 1, nil, 0), func() time.Time { return now }
+		convey.So(f.readSnapshot(t.Context()), convey.ShouldBeNil)
+		convey.So(f.isConfirmed(t.Context()), convey.ShouldBeTrue)
+		now = now.Add(8 * time.Second)
+		before := source.callCount()
+		f.health.markFailed(now)
+		convey.So(f.isConfirmed(t.Context()), convey.ShouldBeFalse)
+		convey.So(source.callCount(), convey.ShouldEqual, before)
+		f.health.markReached(now)
+		convey.So(f.isConfirmed(t.Context()), convey.ShouldBeTrue)
+		convey.So(source.callCount(), convey.ShouldEqual, before+1)
+		convey.So(f.health.age.current(now), convey.ShouldEqual, 0)
+	})
+}
