A node that starts does not report a view of two minutes

While the first view comes into force the node has a configuration, and its view counts as never confirmed. A gossip round in between would have reported the longest age, and members would have refused lost streams of that time. It reports none until the first confirmation; streams begin there by then only once the source or a member answered. Found by reading; TestViewAge checks the report.

--- a/internal/gateway/viewage.go
+++ b/internal/gateway/viewage.go
@@ -63,6 +63,13 @@
 	return now.Sub(a.confirmedAt)
 }
 
+// everConfirmed reports whether the view was ever confirmed.
+func (a *viewAge) everConfirmed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.confirmedAt.IsZero()
+}
+
 // worst returns the greatest age of the view since a time.
 func (a *viewAge) worst(now, since time.Time) time.Duration {
 	age := a.current(now)
@@ -72,8 +79,12 @@
 }
 
 // reported returns the age to report to members: the present one, or a greater one of a moment ago with
-// which streams may have begun.
+// which streams may have begun. It is 0 before the first confirmation: a node that starts may report
+// while its first view comes into force, and begins streams only once members know of them (MayBegin).
 func (a *viewAge) reported(now time.Time) time.Duration {
+	if !a.everConfirmed() {
+		return 0
+	}
 	if worst := a.worst(now, now.Add(-reportedFor)); worst > maxConfirmedAge {
 		return worst
 	}
--- a/internal/gateway/viewage_test.go
+++ b/internal/gateway/viewage_test.go
@@ -93,6 +93,7 @@
 		f, _ := newHistoryFollower(1)
 		age := &f.health.age
 		convey.So(age.current(f.now()), convey.ShouldEqual, maxOriginKeep)
+		convey.So(age.reported(f.now()), convey.ShouldEqual, 0)
 		convey.So(f.readSnapshot(t.Context()), convey.ShouldBeNil)
 		later := f.now().Add(8 * time.Second)
 		convey.Convey("its view is confirmed by an answer, and ages from then on", func() {
