A call that is given up as its answer comes does not count as not run

Callers could see: a request that may run once ran, was refused as not run, and ran again.

Cause: net/http puts the connection of an answer without a body back before the caller has the answer. If the call is given up in between, and another call has the connection by then but has written nothing, the verdict was read from that one: no write had begun, so "not run".

Change: a connection that carries a later call was given away, which the transport does only once the call was answered: the earlier one may have run. The later one is not sealed, and is the last one on the connection.

--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -76,7 +76,7 @@
 	reason := verdict.ReasonDial
 	if conn := a.conn.Load(); conn != nil {
 		reason = verdict.ReasonConnection
-		if conn.seal() {
+		if conn.seal(int(a.call.Load())) {
 			v = verdict.MayHaveRun
 		}
 	}
--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -158,18 +158,25 @@
 // up before the end of a header.
 func (c *guardedConn) headTooLong() bool { return c.read.Load() >= wire.MaxHeaderBytes }
 
-// seal stops all later writes for good and says whether any write of the armed
-// request has begun.
-func (c *guardedConn) seal() (begun bool) {
+// seal stops all later writes of a call and of those after it for good, and says whether any write
+// of the call has begun. A later call that the connection carries goes on as the last one: the
+// transport gives a connection away only once its call was answered.
+func (c *guardedConn) seal(call int) (begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.calls > call {
+		c.retired = true
+		return true
+	}
 	c.sealed = true
 	return c.begun
 }
 
-// spoil seals the connection and closes it, so that the transport forgets it.
+// spoil stops all later writes and closes the connection, so that the transport forgets it.
 func (c *guardedConn) spoil() {
-	c.seal()
+	c.mu.Lock()
+	c.sealed = true
+	c.mu.Unlock()
 	_ = c.Conn.Close() // the connection is given up; its error changes nothing
 }
 
