A connection is not closed under a call that gets it at the same moment

Callers saw: 502 for a request that may run once, as its connection was closed because the answer before it was a refusal.

Cause: whether the connection carries another call, and that it may carry none, were settled one after the other. The transport could give it to a call in between, whose first write then began before the close. The limit of answers that a connection remembers closed it without asking.

Change: both are settled under one lock, for that limit too. A call either writes nothing on the connection, which proves that it did not run, or keeps it.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -70,23 +70,11 @@
 // trusted. A call that it carries already goes on: an answer without a body is complete before its
 // caller has it, and the transport may have given the connection away by then.
 func (c Conn) Spoil() {
-	if c.conn != nil && !c.conn.retire(c.answer.Call) {
-		c.conn.spoil()
+	if c.conn != nil {
+		c.conn.giveUp(c.answer.Call)
 	}
 }
 
-// retire has the connection carry no other call after the one that it was armed for since a call,
-// and reports whether there is one.
-func (c *guardedConn) retire(call int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.calls <= call {
-		return false
-	}
-	c.retired = true
-	return true
-}
-
 // First reports whether no earlier answer on the connection had this content, and remembers it.
 // The content must differ between all answers.
 func (c Conn) First(content string) bool {
@@ -96,7 +84,7 @@
 	c.conn.identify(c.answer.Call, content)
 	first, full := c.conn.first(xxhash.Sum64String(content))
 	if full {
-		c.conn.spoil()
+		c.conn.giveUp(c.answer.Call)
 	}
 	return first
 }
@@ -164,20 +152,38 @@
 func (c *guardedConn) seal(call int) (begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.calls > call {
-		c.retired = true
+	if c.retire(call) {
 		return true
 	}
-	c.sealed = true
 	return c.begun
 }
 
-// spoil stops all later writes and closes the connection, so that the transport forgets it.
+// retire seals the connection for a call, or has it carry none after the one that it carries since,
+// and reports whether there is one. The caller must hold the lock.
+func (c *guardedConn) retire(call int) (inUse bool) {
+	inUse = c.calls > call
+	c.retired = c.retired || inUse
+	c.sealed = c.sealed || !inUse
+	return inUse
+}
+
+// giveUp seals the connection for a call and, unless it carries a later one, closes it, so that the
+// transport forgets it.
+func (c *guardedConn) giveUp(call int) {
+	c.mu.Lock()
+	inUse := c.retire(call)
+	c.mu.Unlock()
+	if !inUse {
+		_ = c.Conn.Close() // the connection is given up; its error changes nothing
+	}
+}
+
+// spoil stops all later writes and closes the connection, also under a later call.
 func (c *guardedConn) spoil() {
 	c.mu.Lock()
 	c.sealed = true
 	c.mu.Unlock()
-	_ = c.Conn.Close() // the connection is given up; its error changes nothing
+	_ = c.Conn.Close() // as in giveUp
 }
 
 // Write implements net.Conn. The window that remains lies between the end of
--- a/internal/delivery/conn_test.go
+++ b/internal/delivery/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -51,3 +52,30 @@
 		})
 	})
 }
+
+// TestSpoilBesideTheNextCall guards against a connection that is closed under a call which the transport
+// gives it to at the same moment.
+func TestSpoilBesideTheNextCall(t *testing.T) {
+	convey.Convey("A call either writes nothing on a spoilt connection or keeps it", t, func() {
+		broken := 0
+		for range 100_000 {
+			sink := &sinkConn{}
+			conn := &guardedConn{Conn: sink}
+			var call, next attempt
+			call.take(conn, permit, false)
+			answered := call.answered(http.StatusConflict, "id")
+			var begun error
+			var both sync.WaitGroup
+			both.Go(func() {
+				next.take(conn, permit, false)
+				_, begun = conn.Write([]byte("next"))
+			})
+			both.Go(answered.Spoil)
+			both.Wait()
+			if begun == nil && sink.closed.Load() {
+				broken++
+			}
+		}
+		convey.So(broken, convey.ShouldEqual, 0)
+	})
+}
