A member of an earlier version confirms a view as of 3 s ago

While nodes of the build before run beside new ones, followers whose readers are of that build were confirmed by nobody: those members report no age. Each stream that may be taken up asked four members first, and the ages of minutes that the new nodes reported made lost streams unknown for as long as the rollout took. A direct answer of such a member counts as 3 s old now, which is what it assumes itself. Found by reading; TestViewAge has the case (8 s before).

--- a/internal/gateway/viewage.go
+++ b/internal/gateway/viewage.go
@@ -16,6 +16,9 @@
 	// reportedFor is how long a greater age is reported after it ended, since not every report
 	// reaches every member.
 	reportedFor = 5 * time.Second
+	// unreportedAge is the age of the view of a member of an earlier version, which reports none: such
+	// members assume it of each other (viewLag in streamorigin).
+	unreportedAge = 3 * time.Second
 	// reportLag is how much a view may age between two reports.
 	reportLag = gossipInterval + gossipTimeout + triggerDelay
 )
@@ -48,8 +51,14 @@
 // confirmByMember records what the direct answer of a member to a message that was sent at a time says:
 // a view that is not older than the member's was confirmed as lately as that.
 func (a *viewAge) confirmByMember(now, sent time.Time, m message.GossipMember, version, revision int64) {
-	if m.ViewAgeMs > 0 && int64(m.Version) <= version && int64(m.Revision) <= revision {
+	if int64(m.Version) > version || int64(m.Revision) > revision {
+		return
+	}
+	switch {
+	case m.ViewAgeMs > 0:
 		a.confirm(now, sent.Add(-time.Duration(m.ViewAgeMs)*time.Millisecond))
+	case m.Version > 0:
+		a.confirm(now, sent.Add(-unreportedAge))
 	}
 }
 
--- a/internal/gateway/viewage_test.go
+++ b/internal/gateway/viewage_test.go
@@ -105,7 +105,7 @@
 			convey.So(age.reported(later), convey.ShouldBeGreaterThan, 7*time.Second)
 			convey.So(age.reported(later.Add(reportedFor+time.Millisecond)), convey.ShouldBeLessThan, 6*time.Second)
 		})
-		convey.Convey("a member confirms it that has the same revision or an older one, and tells its age", func() {
+		convey.Convey("a member confirms it that has the same revision or an older one, as lately as it tells, or as members do that tell no age", func() {
 			for _, c := range []struct {
 				member message.GossipMember
 				age    time.Duration
@@ -114,6 +114,8 @@
 				{message.GossipMember{Revision: 3, ViewAgeMs: 1000}, 8 * time.Second},
 				{message.GossipMember{Revision: 2, Version: 2, ViewAgeMs: 1000}, 8 * time.Second},
 				{message.GossipMember{Revision: 2}, 8 * time.Second},
+				{message.GossipMember{Revision: 2, Version: 1}, unreportedAge},
+				{message.GossipMember{Revision: 3, Version: 1}, 8 * time.Second},
 			} {
 				a := &viewAge{}
 				a.confirm(later, later.Add(-8*time.Second))
