A pause of a node refuses no streams while its members live

During an outage of the source a new stream that may be taken up begins once one of four members knows of it. A pause of the node itself longer than 250 ms let all four time out, so that they were passed over for a second; in a fleet of five or fewer every such stream was refused for that second. Members that were late are told if there are no others, so that a refusal takes 250 ms until the roster drops them, 2.5 s after they were last heard of, and comes at once from then on. TestStreamsOfAnUnheardNode holds that a stream begins as soon as a member answers again (failed before: Expected: true, Actual: false), in place of the refusal at once while members count as alive.

--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -211,6 +211,10 @@
 	o := streamorigin.Origin{Service: service, Attempt: unbegunAttempt}
 	told := make(chan bool, originTellTries)
 	members := s.candidates(k, originTellTries)
+	if len(members) == 0 {
+		// All were late: a pause of this node says nothing of them.
+		members = s.otherCandidates(k, originTellTries, nil)
+	}
 	for _, member := range members {
 		go func() { told <- s.tell(member, k, o, keep) }()
 	}
