--- a/internal/delivery/crossed_test.go
+++ b/internal/delivery/crossed_test.go
@@ -55,9 +55,9 @@
 		arrived, release := make(chan struct{}), make(chan struct{})
 		var ports sync.Map
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			id := r.Header.Get("Attempt-Id")
+			id := r.Header.Get("Call-Id")
 			ports.Store(id, r.RemoteAddr)
-			w.Header().Set("Attempt-Id", id)
+			w.Header().Set("Call-Id", id)
 			if id == "second" {
 				arrived <- struct{}{}
 				<-release
@@ -67,7 +67,7 @@
 		c := delivery.New()
 		exchange := func(id string) (delivery.Conn, *verdict.Error) {
 			req, _ := http.NewRequest(http.MethodPost, s.URL, http.NoBody)
-			resp, conn, failure := c.Exchange(req, delivery.Sending{Identity: id, IdentityHeader: "Attempt-Id", Permit: func() error { return nil }})
+			resp, conn, failure := c.Exchange(req, delivery.Sending{Identity: id, IdentityHeader: "Call-Id", Permit: func() error { return nil }})
 			if failure == nil {
 				_ = resp.Body.Close()
 			}
