--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(s *scene) (broken bool, seen string, err error){
 	"diamond": playDiamond,
 	"slashes": playSlashes,
+	"storm":   playStorm,
 }
 
 func main() {
