review: case 6, long requests in a burst take more memory than the machine has

Cause: bodies of requests are read whole before anything is decided and kept until the request ends, and nothing bounds all of them together (platform/callers.go). Nothing of the system is changed.

--- a/review/standin2/clients.go
+++ b/review/standin2/clients.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +20,9 @@
 	err    error
 	took   time.Duration
 	retry  string
+	// kept is whether the connection had carried an earlier request, closed whether it was closed without an
+	// answer, or before its end.
+	kept, closed bool
 }
 
 // client sends requests as the pages say.
@@ -59,7 +65,8 @@
 	http := *c.http
 	http.Timeout = q.deadline
 	a := answer{}
-	resp, err := http.Do(req)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.kept = info.Reused }}
+	resp, err := http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
 		a.status, a.retry = resp.StatusCode, resp.Header.Get("Retry-After")
 		var body []byte
@@ -67,7 +74,9 @@
 		a.body = string(body)
 		_ = resp.Body.Close()
 	}
+	var timeout net.Error
 	a.err, a.took = err, time.Since(begun)
+	a.closed = err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
 	c.rec.line("client: request %s to %s%s at %s: status %d, %d bytes, error %v, after %d ms", id, q.host, q.path, n.name, a.status, len(a.body), err, a.took.Milliseconds())
 	return id, a
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 
 // cases returns whether the rule was broken, with what was seen.
 var cases = map[string]func(s *scene) (broken bool, seen string, err error){
+	"bodies":  playBodies,
 	"diamond": playDiamond,
 	"slashes": playSlashes,
 	"storm":   playStorm,
--- a/review/standin2/replicas.go
+++ b/review/standin2/replicas.go
@@ -53,6 +53,8 @@
 	// stage is set for replicas that run pieces.
 	stage  *stageSpec
 	server *http.Server
+	// work is how long a plain request takes; 0 for an engine's.
+	work time.Duration
 	// turn holds a call for each that may work at once, waiting one for each that may wait.
 	turn    chan struct{}
 	waiting chan struct{}
@@ -104,6 +106,43 @@
 	return r
 }
 
+// startPlain starts a replica that works on plain requests, so many at once, while others wait.
+func (p *pool) startPlain(service, zone string, slots, queue int, work time.Duration) *replica {
+	r := p.start(service, zone, slots, nil)
+	r.work, r.turn, r.waiting = work, make(chan struct{}, slots), make(chan struct{}, slots+queue)
+	return r
+}
+
+// plain works on a plain request when its turn comes.
+func (r *replica) plain(rw http.ResponseWriter, req *http.Request) {
+	select {
+	case r.waiting <- struct{}{}:
+		defer func() { <-r.waiting }()
+	default:
+		rw.Header().Set(w("notRun"), "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case r.turn <- struct{}{}:
+		defer func() { <-r.turn }()
+	case <-req.Context().Done():
+		return
+	}
+	r.pool.rec.line("replica %s of %s runs request %s", r.id, r.service, req.Header.Get(w("attempt")))
+	r.pool.prompts(r, req, nil)
+	select {
+	case <-time.After(r.work):
+	case <-r.dead:
+		return
+	case <-req.Context().Done():
+		return
+	}
+	rw.Header().Set(w("signature"), "s."+r.id)
+	rw.Header().Set(w("load"), fmt.Sprintf("%d,%d,%d", len(r.turn), len(r.waiting)-len(r.turn), cap(r.turn)))
+	writeText(rw, []byte(`{"done":true}`))
+}
+
 // list writes the replica's entry.
 func (r *replica) list(state string, slots int) {
 	r.pool.store.put(w("serverKeys")+r.id, map[string]any{
@@ -296,6 +335,10 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
+	if r.work > 0 {
+		r.plain(rw, req)
+		return
+	}
 	var handles []string
 	if text := req.Header.Get(w("handles")); text != "" {
 		handles = strings.Split(text, ",")
