--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,10 +20,11 @@
 
 // cases returns whether the rule was broken, with what was seen.
 var cases = map[string]func(s *scene) (broken bool, seen string, err error){
-	"bodies":  playBodies,
-	"diamond": playDiamond,
-	"slashes": playSlashes,
-	"storm":   playStorm,
+	"appended": playAppended,
+	"bodies":   playBodies,
+	"diamond":  playDiamond,
+	"slashes":  playSlashes,
+	"storm":    playStorm,
 }
 
 func main() {
