--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // scene is what a case needs.
@@ -50,6 +52,16 @@
 	if os.Getenv("KEEP") == "" {
 		defer os.RemoveAll(dir)
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ended
+		rec.line("the case was ended")
+		rec.close()
+		_ = os.RemoveAll(dir)
+		// The nodes end with this process.
+		os.Exit(2)
+	}()
 	broken, seen, err := c(&scene{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0"})
 	code, verdict := 0, "the rule held"
 	switch {
