A result that is computed again is kept until its last reader has it

Callers could see: a whole answer (200) that was made from a part of its stages' results.

Cause: the readers of a result were counted down, once each. For a result that is computed again the count stood at zero, so that the first stage that read it, computed again itself, released it before its other reader came; the call was then sent with what was left.

Change: a result is needed while a stage that reads it has yet to read its inputs, for the first time or again since its own results were lost, or the request itself does. A report that inputs were read belongs to an attempt, and has no effect once a later one has begun.

--- a/internal/gateway/relay/fakes_test.go
+++ b/internal/gateway/relay/fakes_test.go
@@ -70,6 +70,8 @@
 	lateOnceAsked time.Duration
 	// lateBacklog is the backlog of each service that is answered late; nil for none.
 	lateBacklog chan time.Duration
+	// runGroup runs groups in place of the fake; nil for the fake.
+	runGroup func(ctx context.Context, g relay.Group, inputsRead func()) ([]batching.Result, *verdict.Error)
 	// groupsWait is what groups wait for; nil for nothing.
 	groupsWait chan struct{}
 	// unconfirmed lists the targets whose limit has to be confirmed.
@@ -236,7 +238,10 @@
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("reset") }
 
-func (f *fakePorts) Run(ctx context.Context, service string, g relay.Group, _ func()) ([]batching.Result, *verdict.Error) {
+func (f *fakePorts) Run(ctx context.Context, service string, g relay.Group, inputsRead func()) ([]batching.Result, *verdict.Error) {
+	if f.runGroup != nil {
+		return f.runGroup(ctx, g, inputsRead)
+	}
 	if f.groupsWait != nil {
 		select {
 		case <-f.groupsWait:
--- a/internal/gateway/relay/results.go
+++ b/internal/gateway/relay/results.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
@@ -15,12 +16,12 @@
 
 	mu      sync.Mutex
 	results [][]batching.Result
-	// readers counts the readers of each stage's results that still need them: later stages
-	// and the request itself.
-	readers []int
-	// read tells which stages have read their inputs.
-	read []bool
-	done []bool
+	// mustRead tells which stages have yet to read their inputs: for the first time, or again
+	// since their own results were lost.
+	mustRead []bool
+	// attempts counts how often each stage began to be computed.
+	attempts []int
+	done     []bool
 	// inputState is the state of the request's own inputs.
 	inputState inputState
 }
@@ -42,32 +43,68 @@
 
 func newStageResults(runner *stageRunner) *stageResults {
 	n := len(runner.stages)
-	r := &stageResults{runner: runner, results: make([][]batching.Result, n), readers: make([]int, n), read: make([]bool, n), done: make([]bool, n)}
-	for _, s := range runner.stages {
-		for _, a := range s.After {
-			r.readers[a]++
-		}
+	r := &stageResults{
+		runner: runner, results: make([][]batching.Result, n),
+		mustRead: make([]bool, n), attempts: make([]int, n), done: make([]bool, n),
 	}
-	for _, last := range runner.route.LastStages() {
-		r.readers[last]++
+	for i := range r.mustRead {
+		r.mustRead[i] = true
 	}
 	return r
 }
 
+// beginAttempt records that a stage begins to be computed, and returns the number of the attempt.
+func (r *stageResults) beginAttempt(i int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mustRead[i] = true
+	r.attempts[i]++
+	return r.attempts[i]
+}
+
 // inputsRead records that a stage has read its inputs, and releases those that have no
-// other reader. A result that is released too early is recomputed.
-func (r *stageResults) inputsRead(i int) {
+// other reader. A result that is released too early is recomputed. A report of an attempt that
+// was followed by another one has no effect.
+func (r *stageResults) inputsRead(i, attempt int) {
 	r.mu.Lock()
-	known := r.read[i]
-	r.read[i] = true
+	current := r.attempts[i] == attempt
+	if current {
+		r.mustRead[i] = false
+	}
 	r.mu.Unlock()
+	if !current {
+		return
+	}
 	for _, a := range r.runner.stages[i].After {
-		if known {
-			r.releaseUnused(a)
-			continue
+		r.releaseUnused(a)
+	}
+}
+
+// readers counts the readers that still need a stage's results: later stages and the request
+// itself. r.mu is held.
+func (r *stageResults) readers(i int) int {
+	n := 0
+	for k, s := range r.runner.stages {
+		if r.mustRead[k] && slices.Contains(s.After, i) {
+			n++
 		}
-		r.readerDone(a)
 	}
+	if r.inputState == inputsHeld && slices.Contains(r.runner.route.LastStages(), i) {
+		n++
+	}
+	return n
+}
+
+// lose drops the results of a stage, which are missing at their targets. The stage keeps its own
+// inputs until it is computed again.
+func (r *stageResults) lose(i int) {
+	if r.runner.stages[i].Items == 0 {
+		return
+	}
+	r.mu.Lock()
+	r.mustRead[i] = true
+	r.mu.Unlock()
+	r.set(i, nil)
 }
 
 // countRecompute counts a recompute of results, and returns an error if there were too
@@ -118,21 +155,13 @@
 // releaseUnused releases the results of a stage if they have no more readers.
 func (r *stageResults) releaseUnused(i int) {
 	r.mu.Lock()
-	unused := rules.ReleaseResults(r.readers[i])
+	unused := rules.ReleaseResults(r.readers(i))
 	r.mu.Unlock()
 	if unused {
 		r.set(i, nil)
 	}
 }
 
-// readerDone records that one of the readers of a stage's results has read them.
-func (r *stageResults) readerDone(i int) {
-	r.mu.Lock()
-	r.readers[i]--
-	r.mu.Unlock()
-	r.releaseUnused(i)
-}
-
 func (r *stageResults) release(i int, results []batching.Result) {
 	if len(results) > 0 {
 		r.runner.batcher.Release(r.runner.route.Stages[i].Service, results)
@@ -185,7 +214,7 @@
 		return
 	}
 	for _, last := range r.runner.route.LastStages() {
-		r.readerDone(last)
+		r.releaseUnused(last)
 	}
 }
 
--- a/internal/gateway/relay/stages.go
+++ b/internal/gateway/relay/stages.go
@@ -111,8 +111,9 @@
 	}
 	r.mu.Lock()
 	r.done[i] = true
+	attempt := r.attempts[i]
 	r.mu.Unlock()
-	r.inputsRead(i)
+	r.inputsRead(i, attempt)
 	return nil
 }
 
@@ -120,10 +121,11 @@
 // stages that it comes from are recomputed first.
 func (r *stageResults) compute(ctx context.Context, i int) *verdict.Error {
 	for {
+		attempt := r.beginAttempt(i)
 		if err := r.computeInputs(ctx, i); err != nil {
 			return err
 		}
-		err := r.runItems(ctx, i)
+		err := r.runItems(ctx, i, attempt)
 		if err == nil || err.Reason() != verdict.ReasonInputGone {
 			return err
 		}
@@ -131,16 +133,16 @@
 			return err
 		}
 		for _, a := range r.runner.stages[i].After {
-			r.set(a, nil)
+			r.lose(a)
 		}
 	}
 }
 
-// runItems runs a stage's items and stores their results.
-func (r *stageResults) runItems(ctx context.Context, i int) *verdict.Error {
+// runItems runs a stage's items in an attempt, and stores their results.
+func (r *stageResults) runItems(ctx context.Context, i, attempt int) *verdict.Error {
 	runner := r.runner
 	service, begun := runner.route.Stages[i].Service, runner.now()
-	results, err := runner.batcher.Run(ctx, service, r.group(i), func() { r.inputsRead(i) })
+	results, err := runner.batcher.Run(ctx, service, r.group(i), func() { r.inputsRead(i, attempt) })
 	took := runner.now().Sub(begun)
 	if err != nil {
 		runner.reportDecision(StageFailed{Stage: i, Service: service, Items: runner.stages[i].Items, Took: took, Err: err})
@@ -148,6 +150,7 @@
 	}
 	runner.reportDecision(StageDone{Stage: i, Service: service, Items: len(results), Took: took, Targets: targetsOf(results)})
 	r.set(i, results)
+	r.inputsRead(i, attempt)
 	return nil
 }
 
@@ -171,10 +174,6 @@
 		if err := r.compute(ctx, a); err != nil {
 			return err
 		}
-		// The inputs of a recomputed result have no other use.
-		for _, b := range r.runner.stages[a].After {
-			r.releaseUnused(b)
-		}
 	}
 	return nil
 }
