No call is sent with a part of its inputs

Callers could see: an answer made from a part of its stages' results, whatever left the rest out.

Cause: the inputs of a stage, and those of the request itself, were named by what was held at that moment. A stage without results was left out in silence.

Change: the inputs of a call are collected at once, and it is sent only if each stage that it reads has a result for each item. What is missing counts as gone, so that it is computed again within the bound there is. A group that comes back with fewer results than items ends its request as not run.

--- a/internal/gateway/relay/results.go
+++ b/internal/gateway/relay/results.go
@@ -107,6 +107,33 @@
 	r.set(i, nil)
 }
 
+// stageInputs are the results that one attempt of a stage reads.
+type stageInputs struct {
+	handles []string
+	// bytes is their size in each data centre, for each item that reads them.
+	bytes map[string]int64
+}
+
+// collect returns all results of some stages. It returns false if any is not held.
+func (r *stageResults) collect(stages []int) (stageInputs, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	in := stageInputs{bytes: map[string]int64{}}
+	complete := true
+	for _, a := range stages {
+		items := r.runner.stages[a].Items
+		if items == 0 {
+			continue
+		}
+		complete = complete && rules.AllInputs(items, len(r.results[a]))
+		for _, result := range r.results[a] {
+			in.handles = append(in.handles, result.Handle)
+			in.bytes[result.DataCentre] += r.runner.route.Stages[a].ResultBytes
+		}
+	}
+	return in, complete
+}
+
 // countRecompute counts a recompute of results, and returns an error if there were too
 // many.
 func (r *stageResults) countRecompute() *verdict.Error {
@@ -114,11 +141,15 @@
 	defer r.mu.Unlock()
 	r.runner.recomputes++
 	if !rules.MayRecompute(r.runner.recomputes) {
-		return verdict.New(verdict.NotRun, verdict.ReasonInputGone, "stage results were lost too often")
+		return errLostTooOften()
 	}
 	return nil
 }
 
+func errLostTooOften() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonInputGone, "stage results were lost too often")
+}
+
 // recomputes returns how often results were recomputed.
 func (r *stageResults) recomputes() int {
 	r.mu.Lock()
@@ -175,30 +206,17 @@
 	}
 }
 
-// inputHandles returns the handles of the request's own inputs.
-func (r *stageResults) inputHandles() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var handles []string
-	for _, last := range r.runner.route.LastStages() {
-		for _, result := range r.results[last] {
-			handles = append(handles, result.Handle)
-		}
-	}
-	return handles
+// inputHandles returns the handles of the request's own inputs. It returns false if any is not
+// held.
+func (r *stageResults) inputHandles() ([]string, bool) {
+	in, complete := r.collect(r.runner.route.LastStages())
+	return in.handles, complete
 }
 
 // inputBytes returns the size of the request's inputs in each data centre.
 func (r *stageResults) inputBytes() map[string]int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	sizes := make(map[string]int64)
-	for _, last := range r.runner.route.LastStages() {
-		for _, result := range r.results[last] {
-			sizes[result.DataCentre] += r.runner.route.Stages[last].ResultBytes
-		}
-	}
-	return sizes
+	in, _ := r.collect(r.runner.route.LastStages())
+	return in.bytes
 }
 
 // releaseInputs releases the inputs if they are still held. state is their new state: the
--- a/internal/gateway/relay/rules/results.go
+++ b/internal/gateway/relay/rules/results.go
@@ -20,6 +20,11 @@
 // are missing at their targets.
 func NeedsInput(items int, held bool) bool { return items > 0 && !held }
 
+// AllInputs reports whether results are held of all items of a stage. A call that reads the stage
+// is sent only then: a target computes what it is given, and nothing in its response tells that a
+// part was missing.
+func AllInputs(items, held int) bool { return items == held }
+
 // MayRecompute reports whether a request's results may be recomputed; recomputes counts
 // how often they were, this time included. Otherwise the request ends as not run.
 func MayRecompute(recomputes int) bool { return recomputes <= maxRecomputes }
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -256,12 +256,24 @@
 	}
 	if s.service.Engine {
 		c.Priority = s.priority()
-		c.Inputs = s.runner.results.inputHandles()
+		c.Inputs, c.Permit = s.inputs(c.Permit)
 		c.CopyFrom = target.copyFrom
 	}
 	return c
 }
 
+// inputs returns the handles of the request's inputs, and the permit of a call with them: none if
+// some are not held any more, since an early release may have come between.
+func (s *sender) inputs(permit func() error) ([]string, func() error) {
+	handles, complete := s.runner.results.inputHandles()
+	if complete {
+		return handles, permit
+	}
+	return nil, func() error {
+		return verdict.New(verdict.NotRun, verdict.ReasonInputGone, "an input of the request is no longer held")
+	}
+}
+
 // permit is called just before the first byte is written, and returns an error if the
 // request must not be sent: by then the target may have started to leave, the deadline may
 // have passed while the process was paused, or targets may have crashed on the same
--- a/internal/gateway/relay/stageinputs_test.go
+++ b/internal/gateway/relay/stageinputs_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
 	_ "github.com/honeydyke/honeydyke/internal/fixedseed"
@@ -279,6 +280,26 @@
 	return sets
 }
 
+// TestInputsReleasedAsAttemptEnds guards against a request that is sent with a part of its inputs,
+// since they are released early while its next attempt begins.
+func TestInputsReleasedAsAttemptEnds(t *testing.T) {
+	for range 300 {
+		synctest.Test(t, func(t *testing.T) {
+			// The inputs are released when the attempt at the silent engine times out, after 1.2 s.
+			f, s := setupWithBandwidth(graphRoute(nil, nil), true, 3*8000/1.16)
+			f.replies = []fakeReply{{hangs: true}}
+			if err := s.Serve(t.Context(), request(1, 1), &fakeClient{}); err != nil {
+				t.Error(err)
+			}
+			for _, c := range f.calls {
+				if len(c.Inputs) != 2 {
+					t.Errorf("sent with inputs %v", c.Inputs)
+				}
+			}
+		})
+	}
+}
+
 // TestInputsOfRandomStages checks what each group and the request is given against the stages
 // that it reads, over graphs of up to six stages with crashes at random steps.
 func TestInputsOfRandomStages(t *testing.T) {
@@ -315,3 +336,39 @@
 		}
 	})
 }
+
+// TestResultsThatAreNotAll guards against a call with a part of its inputs, whatever the reason: a
+// service that returns fewer results than it was asked for ends the request instead.
+func TestResultsThatAreNotAll(t *testing.T) {
+	for _, short := range []int{0, 1, 2} {
+		convey.Convey(fmt.Sprintf("If stage %d returns a result too few, nothing that reads it is sent", short), t, func() {
+			f, s := setup(chainRoute(), true)
+			readers := 0
+			f.runGroup = func(_ context.Context, g relay.Group, _ func()) ([]batching.Result, *verdict.Error) {
+				if g.Stage > short {
+					readers++
+				}
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				list := make([]batching.Result, g.Count)
+				for k := range list {
+					f.handles++
+					list[k] = batching.Result{Handle: fmt.Sprint(f.handles), Target: "t", DataCentre: "d"}
+				}
+				if g.Stage == short {
+					list = list[1:]
+				}
+				for _, r := range list {
+					f.held[r.Handle] = true
+				}
+				return list, nil
+			}
+			err := s.Serve(t.Context(), request(2, 4, 2), &fakeClient{})
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(err.Verdict(), convey.ShouldEqual, verdict.NotRun)
+			convey.So(readers, convey.ShouldEqual, 0)
+			convey.So(f.calls, convey.ShouldBeEmpty)
+			convey.So(f.held, convey.ShouldBeEmpty)
+		})
+	}
+}
--- a/internal/gateway/relay/stages.go
+++ b/internal/gateway/relay/stages.go
@@ -122,10 +122,11 @@
 func (r *stageResults) compute(ctx context.Context, i int) *verdict.Error {
 	for {
 		attempt := r.beginAttempt(i)
-		if err := r.computeInputs(ctx, i); err != nil {
+		inputs, err := r.computeInputs(ctx, i)
+		if err != nil {
 			return err
 		}
-		err := r.runItems(ctx, i, attempt)
+		err = r.runItems(ctx, i, attempt, inputs)
 		if err == nil || err.Reason() != verdict.ReasonInputGone {
 			return err
 		}
@@ -139,11 +140,15 @@
 }
 
 // runItems runs a stage's items in an attempt, and stores their results.
-func (r *stageResults) runItems(ctx context.Context, i, attempt int) *verdict.Error {
+func (r *stageResults) runItems(ctx context.Context, i, attempt int, inputs stageInputs) *verdict.Error {
 	runner := r.runner
 	service, begun := runner.route.Stages[i].Service, runner.now()
-	results, err := runner.batcher.Run(ctx, service, r.group(i), func() { r.inputsRead(i, attempt) })
+	results, err := runner.batcher.Run(ctx, service, r.group(i, inputs), func() { r.inputsRead(i, attempt) })
 	took := runner.now().Sub(begun)
+	if err == nil && !rules.AllInputs(runner.stages[i].Items, len(results)) {
+		r.release(i, results)
+		err = verdict.New(verdict.NotRun, verdict.ReasonInternal, "stage %d has %d results of %d", i, len(results), runner.stages[i].Items)
+	}
 	if err != nil {
 		runner.reportDecision(StageFailed{Stage: i, Service: service, Items: runner.stages[i].Items, Took: took, Err: err})
 		return err
@@ -165,21 +170,33 @@
 	return targets
 }
 
-// computeInputs computes the results that a stage needs and that are not held.
-func (r *stageResults) computeInputs(ctx context.Context, i int) *verdict.Error {
-	for _, a := range r.runner.stages[i].After {
-		if !rules.NeedsInput(r.runner.stages[a].Items, r.held(a)) {
-			continue
+// computeInputs returns the results that a stage reads, and computes those that are not held. If
+// another reader finds some missing meanwhile, it starts over, as often as results may be lost.
+func (r *stageResults) computeInputs(ctx context.Context, i int) (stageInputs, *verdict.Error) {
+	after := r.runner.stages[i].After
+	for losses := 0; rules.MayRecompute(losses); losses++ {
+		for _, a := range after {
+			if err := r.computeMissing(ctx, a); err != nil {
+				return stageInputs{}, err
+			}
 		}
-		if err := r.compute(ctx, a); err != nil {
-			return err
+		if inputs, complete := r.collect(after); complete {
+			return inputs, nil
 		}
 	}
-	return nil
+	return stageInputs{}, errLostTooOften()
+}
+
+// computeMissing computes the results of a stage if they are not held.
+func (r *stageResults) computeMissing(ctx context.Context, i int) *verdict.Error {
+	if !rules.NeedsInput(r.runner.stages[i].Items, r.held(i)) {
+		return nil
+	}
+	return r.compute(ctx, i)
 }
 
 // group returns the items of a stage with their times, inputs and preferred data centre.
-func (r *stageResults) group(i int) Group {
+func (r *stageResults) group(i int, inputs stageInputs) Group {
 	runner := r.runner
 	times := runner.times.Stage(runner.stages.Following(i))
 	g := Group{
@@ -197,14 +214,10 @@
 		return g
 	}
 	g.ReadTime = rules.InputsReadTime(rules.LongestTransfer(r.transfers(runner.stages[i].After)))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	sizes := make(map[string]int64)
-	for _, a := range runner.stages[i].After {
-		for _, result := range r.results[a] {
-			g.Inputs = append(g.Inputs, result.Handle)
-			sizes[result.DataCentre] += runner.route.Stages[a].ResultBytes * int64(g.Count)
-		}
+	g.Inputs = inputs.handles
+	sizes := make(map[string]int64, len(inputs.bytes))
+	for dc, bytes := range inputs.bytes {
+		sizes[dc] = bytes * int64(g.Count)
 	}
 	g.DataCentre = rules.PreferredDataCentre(sizes)
 	return g
