Stages that lose the same input compute it once

Callers could see: a request refused ("stage results were lost too often") after a single crash of a target, on routes where several stages read one result.

Cause: each reader that found a lost result missing dropped it, including what had been computed again for the reader before it, and each counted as a loss; two are allowed.

Change: a loss is of the attempt whose results were read. Readers that find the same one missing later wait for the new results and take them. A result is computed by one reader at a time.

--- a/internal/gateway/relay/results.go
+++ b/internal/gateway/relay/results.go
@@ -19,9 +19,11 @@
 	// mustRead tells which stages have yet to read their inputs: for the first time, or again
 	// since their own results were lost.
 	mustRead []bool
-	// attempts counts how often each stage began to be computed.
+	// attempts counts how often each stage began to be computed or lost its results.
 	attempts []int
-	done     []bool
+	// computing is full while a stage's results are computed for a reader that found them missing.
+	computing []chan struct{}
+	done      []bool
 	// inputState is the state of the request's own inputs.
 	inputState inputState
 }
@@ -45,10 +47,10 @@
 	n := len(runner.stages)
 	r := &stageResults{
 		runner: runner, results: make([][]batching.Result, n),
-		mustRead: make([]bool, n), attempts: make([]int, n), done: make([]bool, n),
+		mustRead: make([]bool, n), attempts: make([]int, n), computing: make([]chan struct{}, n), done: make([]bool, n),
 	}
 	for i := range r.mustRead {
-		r.mustRead[i] = true
+		r.mustRead[i], r.computing[i] = true, make(chan struct{}, 1)
 	}
 	return r
 }
@@ -95,21 +97,41 @@
 	return n
 }
 
-// lose drops the results of a stage, which are missing at their targets. The stage keeps its own
-// inputs until it is computed again.
-func (r *stageResults) lose(i int) {
-	if r.runner.stages[i].Items == 0 {
-		return
-	}
+// lose drops the results that an attempt read, which are missing at their targets, and reports
+// whether they were still the latest ones: another reader may have found them missing before. The
+// stage keeps its own inputs until it is computed again.
+func (r *stageResults) lose(i, attempt int) bool {
 	r.mu.Lock()
-	r.mustRead[i] = true
+	latest := r.attempts[i] == attempt
+	if latest {
+		r.attempts[i]++
+		r.mustRead[i] = true
+	}
 	r.mu.Unlock()
-	r.set(i, nil)
+	if latest {
+		r.set(i, nil)
+	}
+	return latest
+}
+
+// loseInputs drops the results that an attempt of a stage read. It returns an error if results were
+// lost too often.
+func (r *stageResults) loseInputs(inputs stageInputs) *verdict.Error {
+	lost := false
+	for a, attempt := range inputs.attempts {
+		lost = r.lose(a, attempt) || lost
+	}
+	if !lost {
+		return nil
+	}
+	return r.countRecompute()
 }
 
 // stageInputs are the results that one attempt of a stage reads.
 type stageInputs struct {
 	handles []string
+	// attempts has the attempt that made the results of each stage with items.
+	attempts map[int]int
 	// bytes is their size in each data centre, for each item that reads them.
 	bytes map[string]int64
 }
@@ -118,7 +140,7 @@
 func (r *stageResults) collect(stages []int) (stageInputs, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	in := stageInputs{bytes: map[string]int64{}}
+	in := stageInputs{attempts: map[int]int{}, bytes: map[string]int64{}}
 	complete := true
 	for _, a := range stages {
 		items := r.runner.stages[a].Items
@@ -126,6 +148,7 @@
 			continue
 		}
 		complete = complete && rules.AllInputs(items, len(r.results[a]))
+		in.attempts[a] = r.attempts[a]
 		for _, result := range r.results[a] {
 			in.handles = append(in.handles, result.Handle)
 			in.bytes[result.DataCentre] += r.runner.route.Stages[a].ResultBytes
--- a/internal/gateway/relay/stageinputs_test.go
+++ b/internal/gateway/relay/stageinputs_test.go
@@ -280,6 +280,27 @@
 	return sets
 }
 
+// TestReadersThatLoseTheSameInputs guards against readers that take recomputed results away from
+// each other: the second one found the lost results missing as well, and released those that had
+// been made again for the first.
+func TestReadersThatLoseTheSameInputs(t *testing.T) {
+	siblings := graphRoute(nil, []int{0}, []int{0}, []int{0})
+	for _, apart := range []time.Duration{0, time.Millisecond, 2 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			// All three read what the target of stage 0 lost.
+			w, err := serveStagesWith(siblings, []int{2, 1, 1, 1}, []crash{{}, {stages: []int{0}, before: true}}, nil, func(g relay.Group) {
+				time.Sleep(apart * time.Duration(g.Stage))
+			})
+			if fault := w.fault(err); fault != "" || err != nil {
+				t.Errorf("%v apart: %s, %v", apart, fault, err)
+			}
+			if w.runsOf[0] != 2 {
+				t.Errorf("%v apart: stage 0 ran %d times", apart, w.runsOf[0])
+			}
+		})
+	}
+}
+
 // TestInputsReleasedAsAttemptEnds guards against a request that is sent with a part of its inputs,
 // since they are released early while its next attempt begins.
 func TestInputsReleasedAsAttemptEnds(t *testing.T) {
--- a/internal/gateway/relay/stages.go
+++ b/internal/gateway/relay/stages.go
@@ -130,12 +130,9 @@
 		if err == nil || err.Reason() != verdict.ReasonInputGone {
 			return err
 		}
-		if err := r.countRecompute(); err != nil {
+		if err := r.loseInputs(inputs); err != nil {
 			return err
 		}
-		for _, a := range r.runner.stages[i].After {
-			r.lose(a)
-		}
 	}
 }
 
@@ -187,8 +184,15 @@
 	return stageInputs{}, errLostTooOften()
 }
 
-// computeMissing computes the results of a stage if they are not held.
+// computeMissing computes the results of a stage if they are not held. Readers that need the same
+// results wait for each other.
 func (r *stageResults) computeMissing(ctx context.Context, i int) *verdict.Error {
+	select {
+	case r.computing[i] <- struct{}{}:
+		defer func() { <-r.computing[i] }()
+	case <-ctx.Done():
+		return verdict.New(verdict.NotRun, contextReason(ctx), "the results of stage %d were not awaited", i)
+	}
 	if !rules.NeedsInput(r.runner.stages[i].Items, r.held(i)) {
 		return nil
 	}
