A stage that is listed twice in after gives its results once

Callers could see: an answer of a stage that got each of its inputs twice, on a route whose configuration lists a stage twice among those that another one needs. No configuration seen does.

Cause: the list was taken as it came, and inputs are collected along it.

Change: the catalog keeps each stage once, in the order given.

Evidence: TestStageListedTwice fails without the change ([1 0 1] instead of [1 0]).

--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -249,6 +249,7 @@
 				return errors.Errorf("route %q: stage %d depends on stage %d, which does not precede it", r.Name, i, a)
 			}
 		}
+		r.Stages[i].After = distinct(s.After)
 	}
 	host := strings.ToLower(r.Host)
 	c.routes[host] = append(c.routes[host], r)
@@ -263,6 +264,17 @@
 	return nil
 }
 
+// distinct returns a list without repeats, in its order.
+func distinct(list []int) []int {
+	var out []int
+	for _, n := range list {
+		if !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 func (c *Catalog) addObjective(service string, objective time.Duration) {
 	if objective <= 0 {
 		return
--- a/internal/gateway/catalog/catalog_test.go
+++ b/internal/gateway/catalog/catalog_test.go
@@ -67,6 +67,18 @@
 	})
 }
 
+// TestStageListedTwice guards against a stage that is given each of its inputs twice, since the
+// configuration lists the stage that makes them twice.
+func TestStageListedTwice(t *testing.T) {
+	convey.Convey("A stage depends on another one once", t, func() {
+		r := route("r", "/a/")
+		r.Stages = []catalog.Stage{{Service: "x"}, {Service: "x"}, {Service: "x", After: []int{1, 0, 1}}}
+		c, err := catalog.New(1, []*catalog.Route{r}, nil, nil, catalog.Limits{})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(c.Route("host.example", "/a/").Stages[2].After, convey.ShouldResemble, []int{1, 0})
+	})
+}
+
 // TestRouteKinds checks which kinds of requests may run more than once.
 func TestRouteKinds(t *testing.T) {
 	cases := []struct {
