An answer that ends with its connection is whole only if its request was written whole

Callers could see: a part of an answer as the whole, with a Content-Length, when a target answered a long upload at once without a length and reset the connection while the upload was still being written.

Cause: a reset is reported once, to a write or a read, whichever comes first. The write of the upload took it, net/http had returned the head by then and dropped the error, and the read that followed ended as after an orderly close. Or the target closed while what was sent was still on its way: then its end is orderly, and the reset comes after it.

Change: where connections are owned, such an end counts only if the request was written whole, no write failed, one in progress is over (250 ms at most), and all that was sent is acknowledged. Otherwise the answer was cut, and the request may have run.

TestEndBeforeAllArrived fails without its part.

--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -23,17 +23,19 @@
 }
 
 // take arms the connection that the transport gave to the call.
-func (a *attempt) take(conn *guardedConn, check func() error, distinct bool) {
+func (a *attempt) take(conn *guardedConn, with arming) {
 	if conn == nil {
 		return
 	}
-	call := conn.arm(func() error {
+	check := with.check
+	with.check = func() error {
 		err := check()
 		if err != nil {
 			a.refusal.Store(verdict.From(err))
 		}
 		return err
-	}, distinct)
+	}
+	call := conn.arm(with)
 	a.call.Store(int64(call))
 	a.conn.Store(conn)
 }
--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/tcpconn"
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
@@ -38,7 +39,12 @@
 	// sealed stops all later writes, retired those of calls that follow the present one.
 	sealed, retired bool
 
-	// plain is set if the connection is not encrypted, so that its bytes are those of answers.
+	// upload tells how much of the armed request was written, writes what became of all writes.
+	upload upload
+	writes tcpconn.Writes
+
+	// plain is set if the connection is not encrypted, so that its bytes are those of requests and
+	// answers.
 	plain bool
 	// read counts the bytes read since the connection was armed.
 	read atomic.Int64
@@ -103,17 +109,26 @@
 	return !earlier, len(c.brought) >= maxBrought
 }
 
-// arm prepares the connection for one request; check runs just before the
-// first byte is written, and the byte is not written when it fails. distinct is as in Sending. A
-// connection whose last answer may turn out to be a copy carries nothing more. It returns the
-// number of the call on the connection, from 1.
-func (c *guardedConn) arm(check func() error, distinct bool) int {
+// arming is how a connection is prepared for one request.
+type arming struct {
+	// check runs just before the first byte is written, and the byte is not written when it fails.
+	check func() error
+	// distinct is as in Sending.
+	distinct bool
+	// body is the length of the request's body in bytes; -1 if unknown.
+	body int64
+}
+
+// arm prepares the connection for one request. A connection whose last answer may turn out to be a
+// copy carries nothing more. It returns the number of the call on the connection, from 1.
+func (c *guardedConn) arm(a arming) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = c.sealed || c.retired || c.unproven
-	c.unproven = distinct
-	c.check = check
+	c.unproven = a.distinct
+	c.check = a.check
 	c.begun = false
+	c.upload = upload{begun: c.writes.Bytes(), body: a.body}
 	c.read.Store(0)
 	c.calls++
 	return c.calls
@@ -129,7 +144,7 @@
 		c.foreign.Store(true)
 		return 0, errNoAnswer
 	}
-	return n, err
+	return n, c.endOfAnswer(err, before+int64(n) > 0)
 }
 
 // startsAnswer reports whether an answer may have these bytes, which follow the first before ones.
@@ -189,27 +204,27 @@
 // Write implements net.Conn. The window that remains lies between the end of
 // the check and the system call below.
 func (c *guardedConn) Write(b []byte) (int, error) {
-	if err := c.beginWrite(); err != nil {
+	if err := c.beginWrite(b); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	return c.writes.Write(c.Conn, b)
 }
 
 // beginWrite lets a write begin, or returns why it may not.
-func (c *guardedConn) beginWrite() error {
+func (c *guardedConn) beginWrite(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
 		return errSealed
 	}
-	if c.begun || c.check == nil {
-		return nil
-	}
-	if err := c.check(); err != nil {
-		c.sealed = true
-		return err
+	if !c.begun && c.check != nil {
+		if err := c.check(); err != nil {
+			c.sealed = true
+			return err
+		}
+		c.begun = true
 	}
-	c.begun = true
+	c.upload.scan(b)
 	return nil
 }
 
--- a/internal/delivery/conn_test.go
+++ b/internal/delivery/conn_test.go
@@ -36,17 +36,17 @@
 	convey.Convey("A call that is given up after its connection carries the next one may have run", t, func() {
 		conn := &guardedConn{Conn: &sinkConn{}}
 		var call, next attempt
-		call.take(conn, permit, false)
+		call.take(conn, arming{check: permit})
 		_, err := conn.Write([]byte("call"))
 		convey.So(err, convey.ShouldBeNil)
-		next.take(conn, permit, false)
+		next.take(conn, arming{check: permit})
 		req, _ := http.NewRequest(http.MethodPost, "http://host", http.NoBody)
 		convey.So(call.failure(req, errors.New("given up")).Verdict(), convey.ShouldEqual, verdict.MayHaveRun)
 		convey.Convey("and the next one goes on, as the last", func() {
 			_, err := conn.Write([]byte("next"))
 			convey.So(err, convey.ShouldBeNil)
 			var third attempt
-			third.take(conn, permit, false)
+			third.take(conn, arming{check: permit})
 			_, err = conn.Write([]byte("third"))
 			convey.So(err, convey.ShouldEqual, errSealed)
 		})
@@ -62,12 +62,12 @@
 			sink := &sinkConn{}
 			conn := &guardedConn{Conn: sink}
 			var call, next attempt
-			call.take(conn, permit, false)
+			call.take(conn, arming{check: permit})
 			answered := call.answered(http.StatusConflict, "id")
 			var begun error
 			var both sync.WaitGroup
 			both.Go(func() {
-				next.take(conn, permit, false)
+				next.take(conn, arming{check: permit})
 				_, begun = conn.Write([]byte("next"))
 			})
 			both.Go(answered.Spoil)
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -242,7 +242,9 @@
 
 // exchangeBy is Exchange by one HTTP client. It records in sent what became of the request.
 func exchangeBy(client *http.Client, req *http.Request, s Sending, sent *attempt) (*http.Response, Conn, *verdict.Error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { sent.take(guardOf(info.Conn), s.Permit, s.Distinct) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		sent.take(guardOf(info.Conn), arming{check: s.Permit, distinct: s.Distinct, body: req.ContentLength})
+	}}
 	ctx := httptrace.WithClientTrace(req.Context(), trace)
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
@@ -263,7 +265,7 @@
 func (c *Client) send(ctx context.Context, call Call) (*exchange, error) {
 	var sent attempt
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		sent.take(guardOf(info.Conn), func() error { return c.checkPermit(call) }, false)
+		sent.take(guardOf(info.Conn), arming{check: func() error { return c.checkPermit(call) }, body: int64(len(call.Body))})
 	}}
 	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
--- a/internal/tcpconn/limit_linux.go
+++ b/internal/tcpconn/limit_linux.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -63,9 +64,13 @@
 	return c, nil
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF only if the other end has got all that was sent: one
+// that closes before that resets the connection, and what it sent may be a part.
 func (c *limitedConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	if errors.Is(err, io.EOF) && queued(c.raw, unix.TIOCOUTQ) > 0 {
+		err = ErrUnread
+	}
 	return n, c.explain(err)
 }
 
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -45,6 +45,9 @@
 // ErrSilent is the error of calls on a connection that fell silent while new ones came up.
 var ErrSilent = errors.New("the connection fell silent")
 
+// ErrUnread is the error of a connection that ended before its other end had got all that was sent.
+var ErrUnread = errors.New("the connection ended before all that was sent had arrived")
+
 // Dialer makes such connections.
 type Dialer struct {
 	dialer net.Dialer
--- a/internal/tcpconn/tcpconn_test.go
+++ b/internal/tcpconn/tcpconn_test.go
@@ -3,6 +3,7 @@
 package tcpconn
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -108,3 +109,48 @@
 		unanswered++
 	}
 }
+
+// TestEndBeforeAllArrived guards against the end of a connection that looks orderly although the other
+// end closed before it had got what was sent: what it sent may be a part of an answer.
+func TestEndBeforeAllArrived(t *testing.T) {
+	open := func() (near, far net.Conn) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		defer ln.Close()
+		near, err = NewDialer(time.Second).DialContext(t.Context(), "tcp", ln.Addr().String())
+		convey.So(err, convey.ShouldBeNil)
+		far, err = ln.Accept()
+		convey.So(err, convey.ShouldBeNil)
+		for _, c := range []net.Conn{near, far} {
+			convey.So(c.SetDeadline(time.Now().Add(5*time.Second)), convey.ShouldBeNil)
+			t.Cleanup(func() { _ = c.Close() })
+		}
+		return near, far
+	}
+	convey.Convey("If the other end closes", t, func() {
+		near, far := open()
+		convey.Convey("while there is more than it has room for, the end is an error", func() {
+			go func() { _, _ = near.Write(make([]byte, 64<<20)) }()
+			// Nothing is read until there is no room any more.
+			time.Sleep(100 * time.Millisecond)
+			_, err := io.WriteString(far, "part")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(far.(*net.TCPConn).CloseWrite(), convey.ShouldBeNil)
+			got, err := io.ReadAll(near)
+			convey.So(string(got), convey.ShouldEqual, "part")
+			convey.So(err, convey.ShouldEqual, ErrUnread)
+		})
+		convey.Convey("after it has read all, the end is one", func() {
+			_, err := io.WriteString(near, "request")
+			convey.So(err, convey.ShouldBeNil)
+			_, err = io.ReadFull(far, make([]byte, len("request")))
+			convey.So(err, convey.ShouldBeNil)
+			_, err = io.WriteString(far, "whole")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(far.Close(), convey.ShouldBeNil)
+			got, err := io.ReadAll(near)
+			convey.So(string(got), convey.ShouldEqual, "whole")
+			convey.So(err, convey.ShouldBeNil)
+		})
+	})
+}
