A tunnel ends in order only if its target had got all that was sent

Cause: the member's write to the target takes the reset, its read ends cleanly, and it sends the last frame. Or the target closes while a part of the request is still on its way through the member.

Change: after a write that failed the member breaks the tunnel off. It tells after the last frame how many bytes it wrote to the target, if the node asks for that by a header, and the node compares them with what it sent. Nodes and members of earlier versions neither ask nor answer.

TestTunnelOnTheWire held the request of a node byte by byte as that of all versions; it now holds the new one, the answers of members of this version and of an earlier one, and what a member answers to nodes of both. A name was added to the contract's list.

--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -6,8 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/honeydyke/honeydyke/internal/tcpconn"
 )
 
 // A tunnel is a connection to a target through another member. The node that needs it asks the
@@ -17,6 +20,10 @@
 // bytes. A frame of length 0 is the end of the target's connection. A tunnel that ends without it
 // was broken off, so that an answer without a length never seems complete.
 //
+// A node that asks for it by wire.HeaderTunnelCount, and whose member answers with the same, gets
+// 8 bytes more after the last frame: how many bytes the member wrote to the target, in network
+// order. If the node has sent more, the target closed before it got them.
+//
 // One tunnel carries one call. A member that leaves takes no new tunnels and waits for those
 // in use.
 const (
@@ -26,6 +33,8 @@
 	// frameHeader is the size of a frame's length, maxFrame the most bytes in a frame.
 	frameHeader = 4
 	maxFrame    = 16 << 10
+	// countBytes is the size of the count after the last frame.
+	countBytes = 8
 )
 
 // Answers to a request for a tunnel besides 101. A member of an earlier version answers 404.
@@ -47,15 +56,27 @@
 	r *bufio.Reader
 	// left is how many bytes of the current frame are unread.
 	left int
-	// ended is set at the end of the target's connection. The member keeps its own open for a while.
-	ended bool
+	// counts is whether the member counts what it writes to the target.
+	counts bool
+	writes tcpconn.Writes
+	// end is the error at the end of the target's connection; nil before. The member keeps its own
+	// open for a while.
+	end atomic.Pointer[error]
+}
+
+// Write implements net.Conn.
+func (c *tunnelConn) Write(b []byte) (int, error) {
+	if c.end.Load() != nil {
+		return 0, net.ErrClosed
+	}
+	return c.writes.Write(c.Conn, b)
 }
 
-// Read implements net.Conn. It returns io.EOF only at the end of the target's connection, and every
-// time from then on.
+// Read implements net.Conn. It returns io.EOF only at the end of the target's connection, if the
+// target had got all that was sent, and every time from then on.
 func (c *tunnelConn) Read(b []byte) (int, error) {
-	if c.ended {
-		return 0, io.EOF
+	if end := c.end.Load(); end != nil {
+		return 0, *end
 	}
 	if c.left == 0 {
 		var header [frameHeader]byte
@@ -64,8 +85,9 @@
 		}
 		length := binary.BigEndian.Uint32(header[:])
 		if length == 0 {
-			c.ended = true
-			return 0, io.EOF
+			err := c.readEnd()
+			c.end.Store(&err)
+			return 0, err
 		}
 		if length > maxFrame {
 			return 0, errors.Errorf("tunnel frame of %d bytes", length)
@@ -77,6 +99,23 @@
 	return n, brokenOff(err)
 }
 
+// readEnd reads what follows the last frame, and returns the error of the end: io.EOF if the target
+// had got all that was sent, as far as the member counts it.
+func (c *tunnelConn) readEnd() error {
+	if !c.counts {
+		return io.EOF
+	}
+	var count [countBytes]byte
+	if _, err := io.ReadFull(c.r, count[:]); err != nil {
+		return brokenOff(err)
+	}
+	sent, ok := c.writes.Settle()
+	if !ok || uint64(sent) != binary.BigEndian.Uint64(count[:]) {
+		return tcpconn.ErrUnread
+	}
+	return io.EOF
+}
+
 // brokenOff returns the error of a tunnel that ended within or before a frame.
 func brokenOff(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -281,36 +284,128 @@
 // the request, the answer and the frames are held byte by byte.
 func TestTunnelOnTheWire(t *testing.T) {
 	const (
-		request = "GET /peer/v1/tunnel?target=t-1 HTTP/1.1\r\nHost: member\r\nUser-Agent: Go-http-client/1.1\r\nConnection: Upgrade\r\nUpgrade: honeydyke-tunnel\r\n\r\n"
-		answer  = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: honeydyke-tunnel\r\n\r\n"
+		request  = "GET /peer/v1/tunnel?target=t-1 HTTP/1.1\r\nHost: member\r\nUser-Agent: Go-http-client/1.1\r\nConnection: Upgrade\r\n"
+		counting = "Honeydyke-Tunnel-Count: 1\r\n"
+		upgrade  = "Upgrade: honeydyke-tunnel\r\n"
+		answer   = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n" + upgrade
+		frames   = "\x00\x00\x00\x02ok\x00\x00\x00\x00"
+		count    = "\x00\x00\x00\x00\x00\x00\x00\x00"
 	)
-	convey.Convey("A node asks for a tunnel as every version does", t, func() {
-		node, member := net.Pipe()
-		asked := make(chan string, 1)
-		go func() {
-			buf := make([]byte, len(request))
-			_, _ = io.ReadFull(member, buf)
-			asked <- string(buf)
-			_, _ = io.WriteString(member, answer+"\x00\x00\x00\x02ok\x00\x00\x00\x00")
-		}()
-		r, status, err := requestTunnel(node, "member", tunnelTarget)
-		convey.So(err, convey.ShouldBeNil)
-		convey.So(<-asked, convey.ShouldEqual, request)
-		convey.So(status, convey.ShouldEqual, http.StatusSwitchingProtocols)
-		shouldRead(&tunnelConn{Conn: node, r: r}, "ok", nil)
+	convey.Convey("A node asks for a tunnel as every version understands", t, func() {
+		const want = request + counting + upgrade + "\r\n"
+		for from, c := range map[string]struct{ answer, frames string }{
+			"of an earlier version": {answer + "\r\n", frames},
+			"of this version":       {answer + counting + "\r\n", frames + count},
+		} {
+			convey.Convey("and reads the frames of a member "+from, func() {
+				node, member := net.Pipe()
+				asked := make(chan string, 1)
+				go func() {
+					buf := make([]byte, len(want))
+					_, _ = io.ReadFull(member, buf)
+					asked <- string(buf)
+					_, _ = io.WriteString(member, c.answer+c.frames)
+				}()
+				r, resp, err := requestTunnel(node, "member", tunnelTarget)
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(<-asked, convey.ShouldEqual, want)
+				convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusSwitchingProtocols)
+				conn := &tunnelConn{Conn: node, r: r, counts: countsTunnel(resp.Header)}
+				shouldRead(conn, "ok", nil)
+				shouldRead(conn, "", nil)
+			})
+		}
 	})
-	convey.Convey("A member answers as every version does", t, func() {
-		m := newTunnelMember(t)
-		node, err := net.Dial("tcp", m.address())
+	for from, c := range map[string]struct{ request, want string }{
+		"of an earlier version": {request + upgrade + "\r\n", answer + "\r\n" + frames},
+		"of this version":       {request + counting + upgrade + "\r\n", answer + counting + "\r\n" + frames + count},
+	} {
+		convey.Convey("A member answers a node "+from+" as that expects", t, func() {
+			m := newTunnelMember(t)
+			node, err := net.Dial("tcp", m.address())
+			convey.So(err, convey.ShouldBeNil)
+			defer node.Close()
+			_, err = io.WriteString(node, c.request)
+			convey.So(err, convey.ShouldBeNil)
+			target, err := m.targets.Accept()
+			convey.So(err, convey.ShouldBeNil)
+			_, err = io.WriteString(target, "ok")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(target.Close(), convey.ShouldBeNil)
+			shouldRead(node, c.want, nil)
+		})
+	}
+}
+
+// cutTarget is a connection to a target that answers early and then resets it; the reset is reported to
+// a write alone.
+type cutTarget struct {
+	net.Conn
+	answer io.Reader
+	failed chan struct{}
+}
+
+func (c *cutTarget) Write([]byte) (int, error) {
+	defer close(c.failed)
+	return 0, syscall.ECONNRESET
+}
+
+func (c *cutTarget) Read(b []byte) (int, error) {
+	if n, _ := c.answer.Read(b); n > 0 {
+		return n, nil
+	}
+	<-c.failed
+	return 0, io.EOF
+}
+
+func (c *cutTarget) Close() error { return nil }
+
+// TestTunnelOfACutUpload guards against a part of an answer that seems whole at the other end of a
+// tunnel: its target closed before it had got the request, of which only the member's write, or nobody,
+// was told.
+func TestTunnelOfACutUpload(t *testing.T) {
+	// join joins the ends of a tunnel at a member, which reads what the node sends from fromNode, and
+	// returns the end at the node.
+	join := func(target net.Conn, counts bool, fromNode func(member net.Conn) io.Reader) *tunnelConn {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		convey.So(err, convey.ShouldBeNil)
-		defer node.Close()
-		_, err = io.WriteString(node, request)
+		defer ln.Close()
+		node, err := net.Dial("tcp", ln.Addr().String())
 		convey.So(err, convey.ShouldBeNil)
-		target, err := m.targets.Accept()
+		member, err := ln.Accept()
 		convey.So(err, convey.ShouldBeNil)
-		_, err = io.WriteString(target, "ok")
+		go joinTunnel(member, fromNode(member), target, counts)
+		t.Cleanup(func() { _, _ = node.Close(), member.Close() })
+		convey.So(node.SetDeadline(time.Now().Add(5*time.Second)), convey.ShouldBeNil)
+		return &tunnelConn{Conn: node, r: bufio.NewReader(node), counts: counts}
+	}
+	for _, counts := range []bool{false, true} {
+		convey.Convey(fmt.Sprintf("A write that failed at the member breaks the tunnel off, counts: %v", counts), t, func() {
+			node := join(&cutTarget{answer: strings.NewReader("part"), failed: make(chan struct{})}, counts, func(m net.Conn) io.Reader { return m })
+			_, err := io.WriteString(node, "request")
+			convey.So(err, convey.ShouldBeNil)
+			got, err := io.ReadAll(node)
+			convey.So(string(got), convey.ShouldEqual, "part")
+			convey.So(err, convey.ShouldNotBeNil)
+		})
+	}
+	convey.Convey("So does a target that closes before it has got what is on its way through the member", t, func() {
+		near, far := net.Pipe()
+		held, release := io.Pipe()
+		defer release.Close()
+		node := join(near, true, func(net.Conn) io.Reader { return held })
+		_, err := io.WriteString(node, "request")
 		convey.So(err, convey.ShouldBeNil)
-		convey.So(target.Close(), convey.ShouldBeNil)
-		shouldRead(node, answer+"\x00\x00\x00\x02ok\x00\x00\x00\x00", nil)
+		go func() {
+			_, _ = io.WriteString(far, "part")
+			_ = far.Close()
+		}()
+		got, err := io.ReadAll(node)
+		convey.So(string(got), convey.ShouldEqual, "part")
+		convey.So(err, convey.ShouldEqual, tcpconn.ErrUnread)
+		convey.Convey("and nothing more is written to it", func() {
+			_, err := io.WriteString(node, "more")
+			convey.So(err, convey.ShouldNotBeNil)
+		})
 	})
 }
--- a/internal/gateway/tunnelclient.go
+++ b/internal/gateway/tunnelclient.go
@@ -186,35 +186,37 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	r, status, err := requestTunnel(conn, member, target)
+	r, resp, err := requestTunnel(conn, member, target)
 	if err != nil {
 		_ = conn.Close()
 		return nil, errMemberSilent
 	}
-	if err := tunnelError(status); err != nil {
+	if err := tunnelError(resp.StatusCode); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return &tunnelConn{Conn: conn, r: r}, nil
+	return &tunnelConn{Conn: conn, r: r, counts: countsTunnel(resp.Header)}, nil
 }
 
-// requestTunnel sends the request for a tunnel and returns the status of the answer, with the
-// reader of what follows it.
-func requestTunnel(conn net.Conn, member, target string) (*bufio.Reader, int, error) {
+// countsTunnel reports whether a request for a tunnel, or the answer to one, has the header that
+// asks for a count after the last frame.
+func countsTunnel(h http.Header) bool { return h.Get(wire.HeaderTunnelCount) != "" }
+
+// requestTunnel sends the request for a tunnel and returns the head of the answer, with the reader of
+// what follows it.
+func requestTunnel(conn net.Conn, member, target string) (*bufio.Reader, *http.Response, error) {
 	query := url.Values{paramTarget: {target}}.Encode()
 	req, err := http.NewRequest(http.MethodGet, "http://"+member+wire.PathTunnel+"?"+query, nil)
 	if err != nil {
-		return nil, 0, err
+		return nil, nil, err
 	}
 	req.Header.Set("Connection", "Upgrade")
 	req.Header.Set("Upgrade", upgradeTunnel)
+	req.Header.Set(wire.HeaderTunnelCount, "1")
 	if err := req.Write(conn); err != nil {
-		return nil, 0, err
+		return nil, nil, err
 	}
 	r := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(r, req)
-	if err != nil {
-		return nil, 0, err
-	}
-	return r, resp.StatusCode, nil
+	return r, resp, err
 }
--- a/internal/gateway/tunnelserver.go
+++ b/internal/gateway/tunnelserver.go
@@ -15,6 +15,7 @@
 
 	"github.com/honeydyke/honeydyke/internal/delivery"
 	"github.com/honeydyke/honeydyke/internal/tcpconn"
+	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
 const (
@@ -62,11 +63,12 @@
 	}
 	defer node.Close()
 	s.metrics.recordTunnel()
-	if err := acceptTunnel(node); err != nil {
+	counts := countsTunnel(r.Header)
+	if err := acceptTunnel(node, counts); err != nil {
 		s.log.Debug().Err(err).Msg("paths: accepting a tunnel failed")
 		return
 	}
-	joinTunnel(node, buffered, target)
+	joinTunnel(node, buffered, target, counts)
 }
 
 // connect connects to the target that a request names, or returns the status of the answer.
@@ -91,8 +93,9 @@
 	return nil, statusTargetSilent
 }
 
-// acceptTunnel answers the request for a tunnel on a connection that was taken over.
-func acceptTunnel(node net.Conn) error {
+// acceptTunnel answers the request for a tunnel, which may ask for a count, on a connection that was
+// taken over.
+func acceptTunnel(node net.Conn, counts bool) error {
 	// The deadlines of the server do not apply to a tunnel.
 	if err := node.SetDeadline(time.Time{}); err != nil {
 		return err
@@ -102,21 +105,27 @@
 			return err
 		}
 	}
-	_, err := io.WriteString(node, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+upgradeTunnel+"\r\n\r\n")
+	head := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeTunnel + "\r\n"
+	if counts {
+		head += wire.HeaderTunnelCount + ": 1\r\n"
+	}
+	_, err := io.WriteString(node, head+"\r\n")
 	return err
 }
 
 // joinTunnel passes bytes between a node and a target until one of them closes. An error of
-// either ends both: the node sees that the tunnel was broken off.
-func joinTunnel(node net.Conn, fromNode io.Reader, target net.Conn) {
+// either ends both: the node sees that the tunnel was broken off. counts is whether the node asked
+// for a count.
+func joinTunnel(node net.Conn, fromNode io.Reader, target net.Conn, counts bool) {
 	done := make(chan struct{})
+	var sent tcpconn.Writes
 	go func() {
 		defer close(done)
-		_, _ = io.Copy(target, fromNode)
+		_, _ = io.Copy(writerFunc(func(b []byte) (int, error) { return sent.Write(target, b) }), struct{ io.Reader }{fromNode})
 		// The node wants nothing more, so that the target can stop working.
 		_ = target.Close()
 	}()
-	if writeFrames(node, target) != nil {
+	if writeTarget(node, target, &sent, counts) != nil {
 		_ = node.Close()
 	} else {
 		// Closing at once could reset the connection before the node has read everything.
@@ -125,6 +134,30 @@
 	<-done
 }
 
+// writerFunc implements io.Writer.
+type writerFunc func(b []byte) (int, error)
+
+func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
+
+// writeTarget writes what a target sends as frames and, at the end of its connection, the last frame,
+// with the count of what was sent to it if the node asked for that. It fails if the target did not
+// take all that was sent.
+func writeTarget(w io.Writer, target io.Reader, sent *tcpconn.Writes, counts bool) error {
+	if err := writeFrames(w, target); err != nil {
+		return err
+	}
+	count, ok := sent.Settle()
+	if !ok {
+		return tcpconn.ErrUnread
+	}
+	end := make([]byte, frameHeader, frameHeader+countBytes)
+	if counts {
+		end = binary.BigEndian.AppendUint64(end, uint64(count))
+	}
+	_, err := w.Write(end)
+	return err
+}
+
 // writeFrames writes what a target sends as frames, up to the end of its connection.
 func writeFrames(w io.Writer, target io.Reader) error {
 	buf := make([]byte, frameHeader+maxFrame)
@@ -137,8 +170,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			_, err = w.Write(make([]byte, frameHeader))
-			return err
+			return nil
 		}
 		if err != nil {
 			return err
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -27,6 +27,8 @@
 	HeaderPriority = "Honeydyke-Priority"
 	// HeaderIdempotency carries a key that a target may check.
 	HeaderIdempotency = "Idempotency-Key"
+	// HeaderTunnelCount asks a gateway for the count of what it wrote through a tunnel.
+	HeaderTunnelCount = "Honeydyke-Tunnel-Count"
 )
 
 // Paths of targets.
