An answer whose head is none counts as no answer

Callers could see: an answer with a field whose name holds a blank, passed on as a success, with a body that one reader frames otherwise than another (Content-Length : 3); statuses 600 and 999; and a request refused as not run that had run, when a head with the status 000 or 099 carried the mark of not-run.

Cause: net/http takes such heads, and nothing here said what a head has to be; the mark was looked for before the status.

Change: internal/answerhead says it, at one place, and is part of the transport of every client whose answers come from other processes. A call with such an answer may have run, and its connection carries nothing more.

--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answerhead"
 	"github.com/honeydyke/honeydyke/internal/wire"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -22,6 +24,13 @@
 	refusal atomic.Pointer[verdict.Error]
 }
 
+// trace returns a context for the call, whose connection is armed when the transport gives it one.
+func (a *attempt) trace(ctx context.Context, with arming) context.Context {
+	return httptrace.WithClientTrace(ctx, answerhead.Trace(httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { a.take(guardOf(info.Conn), with) },
+	}))
+}
+
 // take arms the connection that the transport gave to the call.
 func (a *attempt) take(conn *guardedConn, with arming) {
 	if conn == nil {
@@ -88,7 +97,12 @@
 	if ctx := req.Context(); ctx.Err() != nil {
 		reason = reasonOfContext(ctx)
 	} else if conn := a.conn.Load(); conn != nil && v == verdict.MayHaveRun {
+		var invalid *answerhead.InvalidError
 		switch {
+		case errors.As(err, &invalid):
+			// The transport may have kept the connection.
+			conn.giveUp(int(a.call.Load()))
+			reason = verdict.ReasonTargetError
 		case conn.foreign.Load():
 			reason = verdict.ReasonTargetError
 		case conn.headTooLong():
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -24,13 +24,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answerhead"
 	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/message"
 	"github.com/honeydyke/honeydyke/internal/tcpconn"
@@ -155,7 +155,7 @@
 		MaxResponseHeaderBytes: wire.MaxHeaderBytes,
 	}
 	return &http.Client{
-		Transport:     transport,
+		Transport:     answerhead.Transport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -242,10 +242,7 @@
 
 // exchangeBy is Exchange by one HTTP client. It records in sent what became of the request.
 func exchangeBy(client *http.Client, req *http.Request, s Sending, sent *attempt) (*http.Response, Conn, *verdict.Error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		sent.take(guardOf(info.Conn), arming{check: s.Permit, distinct: s.Distinct, body: req.ContentLength})
-	}}
-	ctx := httptrace.WithClientTrace(req.Context(), trace)
+	ctx := sent.trace(req.Context(), arming{check: s.Permit, distinct: s.Distinct, body: req.ContentLength})
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
 		return nil, Conn{}, sent.unanswered().WithEvidence(sent.failure(req, err))
@@ -264,10 +261,8 @@
 // left open.
 func (c *Client) send(ctx context.Context, call Call) (*exchange, error) {
 	var sent attempt
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		sent.take(guardOf(info.Conn), arming{check: func() error { return c.checkPermit(call) }, body: int64(len(call.Body))})
-	}}
-	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	ctx = sent.trace(ctx, arming{check: func() error { return c.checkPermit(call) }, body: int64(len(call.Body))})
+	req, err := c.newRequest(ctx, call)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the call could not be built").WithCause(err)
 	}
--- a/internal/gateway/peerclient.go
+++ b/internal/gateway/peerclient.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answerhead"
 	"github.com/honeydyke/honeydyke/internal/gateway/batching"
 	"github.com/honeydyke/honeydyke/internal/gateway/gossipcodec"
 	"github.com/honeydyke/honeydyke/internal/gateway/placement"
@@ -50,10 +51,10 @@
 func newPeerClient(now func() time.Time) *peerClient {
 	c := &peerClient{now: now, onSilence: func(string) {}}
 	dialer := tcpconn.NewDialer(peerDialTimeout, tcpconn.OnSilence(func(member string) { c.onSilence(member) }))
-	c.client = &http.Client{Transport: &http.Transport{
+	c.client = &http.Client{Transport: answerhead.Transport(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdleConns,
 		IdleConnTimeout: peerIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeaderBytes,
-	}}
+	})}
 	return c
 }
 
--- a/internal/gateway/tunnelclient.go
+++ b/internal/gateway/tunnelclient.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answerhead"
 	"github.com/honeydyke/honeydyke/internal/tcpconn"
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
@@ -218,5 +219,8 @@
 	}
 	r := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(r, req)
+	if err == nil {
+		err = answerhead.Check(resp)
+	}
 	return r, resp, err
 }
--- a/internal/native/node/controlclient.go
+++ b/internal/native/node/controlclient.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/honeydyke/honeydyke/internal/answerhead"
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
@@ -25,14 +26,14 @@
 // redirects, since none of the servers that it calls sends any.
 func newControlClient(traffic *controlTraffic, cfg *tls.Config) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: answerhead.Transport(&http.Transport{
 			DialContext:         traffic.dial,
 			TLSClientConfig:     cfg,
 			MaxIdleConnsPerHost: controlIdlePerHost,
 			IdleConnTimeout:     controlIdleTimeout,
 
 			MaxResponseHeaderBytes: wire.MaxHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
