Interim heads are bounded together again

Change: the trace counts the bytes of all interim heads of a request against the bound of one head.

Evidence: the test passes (13 s), with those of heads that are none.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -12,7 +12,10 @@
 	"net/http/httptrace"
 	"net/textproto"
 
+	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
 const (
@@ -75,9 +78,32 @@
 	return nil
 }
 
-// Trace adds a check of interim heads to the trace of a request.
+// errTooLong ends a request whose interim heads have more bytes than one head may have.
+var errTooLong = errors.New("the interim heads of the answer are too long")
+
+const (
+	// interimBytes is what an interim head has beside its fields, and lineBytes what a field has beside
+	// its name and value.
+	interimBytes = len("HTTP/1.1 100\r\n\r\n")
+	lineBytes    = len(":\r\n")
+)
+
+// Trace adds a check of interim heads to the trace of a request. With such a trace the transport bounds
+// each of them alone, so that their sum is bounded here.
 func Trace(t httptrace.ClientTrace) *httptrace.ClientTrace {
-	t.Got1xxResponse = func(_ int, h textproto.MIMEHeader) error { return CheckFields(h) }
+	left := wire.MaxHeaderBytes
+	t.Got1xxResponse = func(_ int, h textproto.MIMEHeader) error {
+		left -= interimBytes
+		for name, values := range h {
+			for _, v := range values {
+				left -= len(name) + len(v) + lineBytes
+			}
+		}
+		if left < 0 {
+			return errTooLong
+		}
+		return CheckFields(h)
+	}
 	return &t
 }
 
