A request reaches its target with the path and query that its caller sent

Cause: net/url writes some targets otherwise than they were read, and paths were put into it unchecked.

Change: internal/requesttarget reads the target of a request line and writes it as it was. What cannot be written so is refused with 400 before anything is chosen, at both interfaces: other forms, and a path with two slashes at its begin and bytes that net/url would escape.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -94,5 +94,7 @@
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		// An answer of the server's own to "OPTIONS *" would look like one of a target.
+		DisableGeneralOptionsHandler: true,
 	}
 }
--- a/internal/native/node/servers.go
+++ b/internal/native/node/servers.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/honeydyke/honeydyke/internal/requesttarget"
 	"github.com/honeydyke/honeydyke/internal/wire"
 	"github.com/honeydyke/honeydyke/pkg/settings"
 )
@@ -90,7 +91,7 @@
 // handle sets what answers the calls. Callers may speak HTTP/2, also without TLS;
 // peers and operators speak HTTP/1.1.
 func (s *servers) handle(callers, peers, admin http.Handler) {
-	s.callers.http = s.newServer(callers)
+	s.callers.http = s.newServer(requesttarget.Require(callers))
 	s.callers.http.Protocols.SetHTTP2(true)
 	s.callers.http.Protocols.SetUnencryptedHTTP2(true)
 	s.peers.http = s.newServer(peers)
@@ -107,6 +108,8 @@
 		IdleTimeout:       serverIdleTimeout,
 		MaxHeaderBytes:    wire.MaxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return s.calls },
+
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
