--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -118,12 +118,24 @@
 			full = true
 		case errors.Is(err, errWatchRestarted):
 		default:
+			full = full || f.isUnreadable(err)
 			f.recordFailure(started, err)
 			_ = wait.For(ctx, f.drawRetryPause())
 		}
 	}
 }
 
+// isUnreadable reports whether a watch has to be followed by a snapshot, since its answer could not be
+// read.
+func (f *sourceFollower) isUnreadable(err error) bool {
+	var unreadable UnreadableError
+	if !errors.As(err, &unreadable) {
+		return false
+	}
+	f.log.Warn().Err(err).Int64("revision", int64(f.views.load().Revision)).Msg("source: an answer could not be read, reading a snapshot")
+	return true
+}
+
 // recordSuccess records that the source has answered.
 func (f *sourceFollower) recordSuccess() {
 	if f.health.markReached(f.now()) {
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -174,3 +174,36 @@
 	}
 	return holds()
 }
+
+// unreadableSource answers watches so that they cannot be read, and lists.
+type unreadableSource struct {
+	*fakeSource
+	watches, lists int
+}
+
+func (s *unreadableSource) Watch(_ context.Context, _ view.Revision, _ time.Duration, answered func()) (view.Changes, error) {
+	s.watches++
+	answered()
+	return view.Changes{}, UnreadableError{Cause: io.ErrUnexpectedEOF}
+}
+
+func (s *unreadableSource) Snapshot(ctx context.Context, answered func()) (view.Changes, error) {
+	s.lists++
+	return s.fakeSource.Snapshot(ctx, answered)
+}
+
+// TestUnreadableWatchLeadsToAList guards against a node that asks for the same changes again and again
+// although their answer cannot be read, and goes on by an old configuration.
+func TestUnreadableWatchLeadsToAList(t *testing.T) {
+	convey.Convey("After a watch that cannot be read the node reads a list", t, func() {
+		f, history := newHistoryFollower(1)
+		source := &unreadableSource{fakeSource: history.fakeSource}
+		f.source, f.members = source, newMembers(time.Now, "self", 1, nil, 0)
+		f.onListed, f.onHistory = func(context.Context) {}, nil
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		f.run(ctx)
+		convey.So(source.watches, convey.ShouldBeGreaterThan, 1)
+		convey.So(source.lists, convey.ShouldBeBetweenOrEqual, source.watches, source.watches+1)
+	})
+}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -21,11 +21,27 @@
 // restored from an older copy. A snapshot must be read.
 var ErrHistoryGone = errors.New("the source's history no longer covers the revision")
 
+// UnreadableError means that an answer of the source came and could not be read. The same call would
+// bring the same again.
+type UnreadableError struct {
+	// Cause is the error of reading.
+	Cause error
+}
+
+// Error implements error.
+func (e UnreadableError) Error() string {
+	return "the source's answer could not be read: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e UnreadableError) Unwrap() error { return e.Cause }
+
 // Source publishes the configuration and the targets. Each call invokes answered when the
 // header of the answer arrives: transferring an answer may take far longer than the time
 // allowed to a source that does not answer.
 type Source interface {
-	// Snapshot reads the complete state.
+	// Snapshot reads the complete state. The error of an answer that could not be read is an
+	// UnreadableError, here and of Watch.
 	Snapshot(ctx context.Context, answered func()) (view.Changes, error)
 	// Watch waits up to wait for changes after a revision. It returns ErrHistoryGone if the
 	// source no longer knows all of them.
