The bodies of requests have one budget for a process

Cause: bodies are read whole before anything is decided, and nothing bounded them together.

Change: internal/requestbodies. A body is admitted by its announced length before it is read, and refused as not run with a time to come back where it does not fit; small ones find room beside long ones, slow callers count with what came.

Not done: the native interface.

--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -99,6 +99,13 @@
 	return p
 }
 
+// State returns how many bytes the answers that are being read take, and how many they may.
+func (p *Pool) State() (used, limit int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used, p.limit
+}
+
 // reading is an answer that is being read. The pool's lock guards its fields.
 type reading struct {
 	body  io.Closer
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -7,10 +7,12 @@
 	"slices"
 	"time"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/gateway/backpressure"
 	"github.com/honeydyke/honeydyke/internal/gateway/quarantine"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/requestbodies"
 	"github.com/honeydyke/honeydyke/internal/wire"
 )
 
@@ -35,6 +37,8 @@
 	backpressure *backpressure.Tracker
 	speeds       *targetSpeeds
 	paths        *targetPaths
+	bodies       *requestbodies.Budget
+	answers      *answers.Pool
 }
 
 func (s *adminServer) handler() http.Handler {
@@ -73,7 +77,7 @@
 		Targets: encodeTargets(s.now(), v.Directory), Services: []message.BatchState{}, Members: s.members.list(),
 		Evacuations: describeEvacuations(s.now(), v.Evacuations), Held: s.quarantine.HeldRequests(), HeldParts: s.parts.HeldRequests(),
 		Limits: s.backpressure.Limits(), Holds: s.backpressure.Holds(), Speeds: s.speeds.list(ctx),
-		Unreachable: s.paths.unreachable(),
+		Unreachable: s.paths.unreachable(), Memory: s.memory(),
 	}
 	batches := s.coordinators.states(ctx)
 	for _, service := range slices.Sorted(maps.Keys(batches)) {
@@ -82,6 +86,16 @@
 	return state
 }
 
+// memory returns what the bodies of requests and the answers take.
+func (s *adminServer) memory() *message.MemoryBudgets {
+	bodies := s.bodies.State()
+	used, limit := s.answers.State()
+	return &message.MemoryBudgets{
+		RequestBytes: int(bodies.Held), RequestLimit: int(bodies.Most), Requests: bodies.Bodies, Reading: bodies.Reading,
+		AnswerBytes: int(used), AnswerLimit: int(limit),
+	}
+}
+
 // describeEvacuations returns the evacuations with what is not sent to members: when this
 // node learned of each and from whom.
 func describeEvacuations(now time.Time, evacuations view.Evacuations) []message.ViewEvacuation {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
+	"github.com/honeydyke/honeydyke/internal/requestbodies"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -22,6 +28,9 @@
 	relay    *relay.Server
 	// movesCallers reports whether callers should connect to other members.
 	movesCallers func() bool
+	bodies       *requestbodies.Budget
+	metrics      *metrics
+	log          zerolog.Logger
 	// inFlight counts the requests without a final answer.
 	inFlight atomic.Int64
 }
@@ -51,5 +60,24 @@
 	return defaultMaxBodyBytes
 }
 
+// noRoomRetryAfter is how long a client waits whose body found no room: about as long as a request
+// holds its body. As much again is drawn at random, so that those refused together do not return
+// together.
+const noRoomRetryAfter = 500 * time.Millisecond
+
+// ReadBody implements Relay.
+func (c *callerServer) ReadBody(request string, body io.ReadCloser, announced int64) (*requestbodies.Body, error) {
+	d, err := c.bodies.Read(body, announced)
+	var refused *requestbodies.RefusedError
+	if !errors.As(err, &refused) {
+		return d, err
+	}
+	c.metrics.bodiesRefused.Inc(1)
+	c.log.Warn().Str("request", request).Int64("bytes", refused.Bytes).Int64("held", refused.Held).Int64("most", refused.Most).Bool("begun", refused.Begun).
+		Msg("request: refused, the bodies of requests take the memory that they may")
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonOverload, "%s", refused.Error()).
+		WithRetryAfter(noRoomRetryAfter + rand.N(noRoomRetryAfter))
+}
+
 // ClosesConnections implements Relay.
 func (c *callerServer) ClosesConnections() bool { return c.shutdown.begun() || c.movesCallers() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/targetspeed"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
 	"github.com/honeydyke/honeydyke/internal/message"
+	"github.com/honeydyke/honeydyke/internal/requestbodies"
 	"github.com/honeydyke/honeydyke/internal/tcpconn"
 	"github.com/honeydyke/honeydyke/pkg/settings"
 )
@@ -63,18 +64,21 @@
 	parts        *quarantine.Tracker
 	backpressure *backpressure.Tracker
 	relay        *relay.Server
-	callers      *callerServer
-	admin        *adminServer
-	metrics      *metrics
-	speeds       *targetSpeeds
-	paths        *targetPaths
-	tunnels      *tunnelServer
-	streams      *streamOrigins
-	loans        *sendLoans
-	dialTarget   dialFunc
-	peers        *peerClient
-	delay        *ownDelay
-	intake       *callerIntake
+	// answers bounds the answers that are being read, bodies those of requests that are held.
+	answers    *answers.Pool
+	bodies     *requestbodies.Budget
+	callers    *callerServer
+	admin      *adminServer
+	metrics    *metrics
+	speeds     *targetSpeeds
+	paths      *targetPaths
+	tunnels    *tunnelServer
+	streams    *streamOrigins
+	loans      *sendLoans
+	dialTarget dialFunc
+	peers      *peerClient
+	delay      *ownDelay
+	intake     *callerIntake
 
 	listeners *listeners
 	servers   servers
@@ -130,8 +134,9 @@
 	peers.onSilence = g.onSilence
 	g.paths = newTargetPaths(g.now, g.log, g.metrics, g.dialTarget, newTunnelClient(g.now, g.members), g.views)
 	g.ports.Targets.UsePaths(g.paths)
-	pool := g.newAnswerPool()
-	g.ports.Targets.UseAnswers(pool)
+	g.answers = g.newAnswerPool()
+	g.ports.Targets.UseAnswers(g.answers)
+	g.bodies = requestbodies.New(requestbodies.BudgetBytes(int64(g.cfg.Gateway.MemoryMb)<<20), g.now)
 	g.follower = &sourceFollower{
 		source: g.ports.Source, views: g.views, members: g.members, health: g.health, peers: peers,
 		metrics: g.metrics, log: g.log, now: g.now,
@@ -183,7 +188,7 @@
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries.WithEarlier(started, g.members.earlierSpent), NodeCount: g.members.size,
 		TargetSample: targetSample(g.cfg.Gateway.TargetSpeed),
 		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Parts: g.parts, Streams: g.streams, Gate: g.backpressure.RequestGate(), Lender: g.loans, Isolated: g.paths.isolated,
-		Overload: g.intake.overload, Answers: pool,
+		Overload: g.intake.overload, Answers: g.answers,
 	})
 	g.speeds = &targetSpeeds{log: g.log, sources: func(ctx context.Context) map[string][]targetspeed.View {
 		return map[string][]targetspeed.View{
@@ -264,12 +269,15 @@
 
 // createServers creates the parts that serve callers, members and operators.
 func (g *Gateway) createServers() {
-	g.callers = &callerServer{now: g.now, views: g.views, shutdown: g.shutdown, relay: g.relay, movesCallers: g.intake.movesCallers}
-	g.delay = &ownDelay{now: g.now, log: g.log, metrics: g.metrics, inFlight: g.callers.inFlight.Load, observed: g.intake.observe}
+	g.callers = &callerServer{now: g.now, views: g.views, shutdown: g.shutdown, relay: g.relay, movesCallers: g.intake.movesCallers, bodies: g.bodies, metrics: g.metrics, log: g.log}
+	g.delay = &ownDelay{now: g.now, log: g.log, metrics: g.metrics, inFlight: g.callers.inFlight.Load, observed: func(delay time.Duration) {
+		g.intake.observe(delay)
+		g.metrics.recordMemory(g.bodies, g.answers)
+	}}
 	g.admin = &adminServer{
 		now: g.now, dataCentre: g.cfg.DataCentre, views: g.views, health: g.health, members: g.members,
 		shutdown: g.shutdown, callers: g.callers, speeds: g.speeds, coordinators: g.coordinators, metrics: g.metrics, quarantine: g.quarantine, parts: g.parts, backpressure: g.backpressure,
-		paths: g.paths,
+		paths: g.paths, bodies: g.bodies, answers: g.answers,
 	}
 	g.tunnels = &tunnelServer{log: g.log, views: g.views, paths: g.paths, shutdown: g.shutdown, metrics: g.metrics}
 	peers := &peerServer{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,8 +7,10 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/honeydyke/honeydyke/internal/answers"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/internal/requestbodies"
 	"github.com/honeydyke/honeydyke/internal/telemetry"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
@@ -69,6 +71,10 @@
 	// bytes than are read, and answersGivenUp those of them that ended because all answers together
 	// had.
 	longAnswers, answersGivenUp tally.Counter
+	// bodiesRefused counts the requests whose bodies found no room, and requestBytes and answerBytes are
+	// what the bodies of requests, and the answers that are being read, take.
+	bodiesRefused             tally.Counter
+	requestBytes, answerBytes tally.Gauge
 }
 
 func newMetrics() *metrics {
@@ -89,6 +95,7 @@
 		callerConnections: scope.Counter("caller_connections"), callerBytes: scope.Counter("caller_bytes"),
 		turnedAway:  scope.Counter("caller_connections_turned_away"),
 		longAnswers: scope.Counter("answers_too_long"), answersGivenUp: scope.Counter("answers_given_up"),
+		bodiesRefused: scope.Counter("request_bodies_refused"), requestBytes: scope.Gauge("request_body_bytes"), answerBytes: scope.Gauge("answer_bytes"),
 	}
 }
 
@@ -115,6 +122,13 @@
 	}
 }
 
+// recordMemory records what the bodies of requests and the answers that are being read take.
+func (m *metrics) recordMemory(bodies *requestbodies.Budget, answers *answers.Pool) {
+	used, _ := answers.State()
+	m.requestBytes.Update(float64(bodies.State().Held))
+	m.answerBytes.Update(float64(used))
+}
+
 // recordFailedCall counts a failed call to a target whose answer was too long.
 func (m *metrics) recordFailedCall(err *verdict.Error) {
 	if err != nil && err.Reason() == verdict.ReasonTooLarge {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/honeydyke/honeydyke/internal/gateway/directory"
 	"github.com/honeydyke/honeydyke/internal/gateway/relay"
 	"github.com/honeydyke/honeydyke/internal/gateway/view"
+	"github.com/honeydyke/honeydyke/internal/requestbodies"
 	"github.com/honeydyke/honeydyke/pkg/verdict"
 )
 
@@ -108,6 +110,10 @@
 	Serve(ctx context.Context, req *relay.Request, out relay.Responder) *verdict.Error
 	// BodyLimit returns the maximum size of a request body in bytes.
 	BodyLimit() int64
+	// ReadBody reads the body of a request, of which announced bytes are to come, -1 for unknown. The
+	// caller releases it when the request has ended. The error is a *verdict.Error if this node has no
+	// room for the body, else the reader's.
+	ReadBody(request string, body io.ReadCloser, announced int64) (*requestbodies.Body, error)
 	// ClosesConnections reports whether connections are closed after the answer: the node is
 	// leaving, or has more work than it can do while others have room.
 	ClosesConnections() bool
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -146,6 +146,9 @@
 	// Members corresponds to the JSON schema field "members".
 	Members []GossipMember `json:"members"`
 
+	// What the bodies of requests and the answers that are being read take.
+	Memory *MemoryBudgets `json:"memory,omitempty,omitzero"`
+
 	// Peer address.
 	Node string `json:"node"`
 
@@ -446,6 +449,27 @@
 	Waiting int `json:"waiting"`
 }
 
+// MemoryBudgets is what a node holds of requests and answers, and may.
+type MemoryBudgets struct {
+	// What the answers that are being read take.
+	AnswerBytes int `json:"answerBytes"`
+
+	// AnswerLimit corresponds to the JSON schema field "answerLimit".
+	AnswerLimit int `json:"answerLimit"`
+
+	// Bodies of these that are being read.
+	Reading int `json:"reading"`
+
+	// What the bodies of requests count with.
+	RequestBytes int `json:"requestBytes"`
+
+	// RequestLimit corresponds to the JSON schema field "requestLimit".
+	RequestLimit int `json:"requestLimit"`
+
+	// Bodies that are held.
+	Requests int `json:"requests"`
+}
+
 // Message groups the messages between callers, nodes and targets.
 type Message struct {
 	// Exchange corresponds to the JSON schema field "exchange".
