Stages come in any order, and a route that cannot be run is refused alone

Change: the estimates follow the stages' dependencies. A stage that depends on itself, also through others, or on one that is not there refuses its route, with one log line; its requests get 503 and a time to come back.

--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -9,6 +9,7 @@
 package catalog
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -80,6 +81,8 @@
 	Public bool
 	// Resumable streams may be continued on another target.
 	Resumable bool
+	// Refused says why no request of the route can be served; empty if they can.
+	Refused string
 }
 
 // Retryable reports whether a request of the route may run more than once.
@@ -208,7 +211,8 @@
 
 // New returns a catalog of the given parts. organisations is nil if the configuration has none,
 // so that no route requires a key; if they have been removed one by one, it is empty. New returns
-// an error if a route has no service, or a stage that depends on itself or on a later stage.
+// an error if a route has no service. A route with a stage that depends on itself, or on one that the
+// route does not have, is refused by itself.
 func New(version int64, routes []*Route, services []*Service, organisations []*Organisation, limits Limits) (*Catalog, error) {
 	c := &Catalog{
 		Version: version, Limits: limits, routeCount: len(routes),
@@ -244,13 +248,13 @@
 		return errors.Errorf("route %q has no service", r.Name)
 	}
 	for i, s := range r.Stages {
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return errors.Errorf("route %q: stage %d depends on stage %d, which does not precede it", r.Name, i, a)
-			}
-		}
 		r.Stages[i].After = distinct(s.After)
 	}
+	r.Refused = r.stageFault()
+	if r.Objective <= 0 {
+		// Without an objective an answer is in time as long as the request may be held.
+		r.Objective = r.Timeout
+	}
 	host := strings.ToLower(r.Host)
 	c.routes[host] = append(c.routes[host], r)
 	if r.Kind == Stream && r.Resumable {
@@ -275,6 +279,56 @@
 	return out
 }
 
+// stageFault returns why the stages cannot be run; empty if they can. They may be in any order.
+func (r *Route) stageFault() string {
+	const (
+		unseen = iota
+		entered
+		left
+	)
+	seen := make([]int, len(r.Stages))
+	var fault func(i int) string
+	fault = func(i int) string {
+		if seen[i] == left {
+			return ""
+		}
+		seen[i] = entered
+		for _, a := range r.Stages[i].After {
+			if a < 0 || a >= len(r.Stages) {
+				return fmt.Sprintf("stage %d depends on stage %d, which the route does not have", i, a)
+			}
+			if seen[a] == entered {
+				return fmt.Sprintf("stages %d and %d depend on each other", a, i)
+			}
+			if f := fault(a); f != "" {
+				return f
+			}
+		}
+		seen[i] = left
+		return ""
+	}
+	for i := range r.Stages {
+		if f := fault(i); f != "" {
+			return f
+		}
+	}
+	return ""
+}
+
+// RefusedRoutes returns the routes whose requests cannot be served, in the order of their names.
+func (c *Catalog) RefusedRoutes() []*Route {
+	var list []*Route
+	for _, routes := range c.routes {
+		for _, r := range routes {
+			if r.Refused != "" {
+				list = append(list, r)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
 func (c *Catalog) addObjective(service string, objective time.Duration) {
 	if objective <= 0 {
 		return
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -52,6 +52,10 @@
 	if r.route == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNotFound, "no route matches the request")
 	}
+	if r.route.Refused != "" {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "the route cannot be served: %s", r.route.Refused).
+			WithRetryAfter(notReadyRetryAfter(req.Timeout))
+	}
 	if !r.route.Public && c.NeedsKeys() {
 		org := c.Organisation(req.Key)
 		if org == nil {
--- a/internal/gateway/relay/rules/estimate.go
+++ b/internal/gateway/relay/rules/estimate.go
@@ -13,8 +13,8 @@
 
 // Stage is one stage of a request, as the estimates see it.
 type Stage struct {
-	// After are the indices of the stages whose results this one needs. They are smaller
-	// than the stage's own index.
+	// After are the indices of the stages whose results this one needs. No stage needs itself, also
+	// not through others.
 	After []int
 	// Items is the request's number of items in the stage. A stage without items is
 	// skipped.
@@ -41,23 +41,32 @@
 // backlog while the earlier stages run. Too low an estimate admits requests that are
 // late; too high an estimate refuses requests that would be in time.
 func (s Stages) Total(backlogs []time.Duration) time.Duration {
-	ends := make([]time.Duration, len(s))
-	var longest time.Duration
+	// waits has the backlog of each stage.
+	waits := make([]time.Duration, len(s))
 	planned := 0
 	for i, stage := range s {
-		if stage.Items <= 0 {
-			continue
+		if stage.Items > 0 && backlogs != nil {
+			waits[i] = backlogs[planned]
+			planned++
 		}
-		var begins time.Duration
-		for _, a := range stage.After {
-			begins = max(begins, ends[a])
+	}
+	ends := make([]time.Duration, len(s))
+	known := make([]bool, len(s))
+	var end func(i int) time.Duration
+	end = func(i int) time.Duration {
+		if known[i] || s[i].Items <= 0 {
+			return ends[i]
 		}
-		if backlogs != nil {
-			begins = max(begins, backlogs[planned])
+		begins := waits[i]
+		for _, a := range s[i].After {
+			begins = max(begins, end(a))
 		}
-		planned++
-		ends[i] = begins + stage.Time
-		longest = max(longest, ends[i])
+		ends[i], known[i] = begins+s[i].Time, true
+		return ends[i]
+	}
+	var longest time.Duration
+	for i := range s {
+		longest = max(longest, end(i))
 	}
 	return longest
 }
@@ -81,7 +90,7 @@
 // Following estimates how long the stages that depend on stage i take on idle services.
 func (s Stages) Following(i int) time.Duration {
 	var longest time.Duration
-	for k := i + 1; k < len(s); k++ {
+	for k := range s {
 		for _, a := range s[k].After {
 			if a == i && s[k].Items > 0 {
 				longest = max(longest, s[k].Time+s.Following(k))
--- a/internal/gateway/relay/rules/estimate_test.go
+++ b/internal/gateway/relay/rules/estimate_test.go
@@ -35,6 +35,16 @@
 		shouldTake(chain(1, 1, 0), 700*ms, 400*ms, 500*ms)
 		shouldTake(chain(0, 0, 0), 0)
 	})
+	convey.Convey("The numbers of the stages say nothing of their order", t, func() {
+		turned := Stages{{After: []int{1}, Items: 1, Time: 300 * ms}, {After: []int{2}, Items: 1, Time: 200 * ms}, {Items: 1, Time: 100 * ms}}
+		shouldTake(turned, 600*ms)
+		shouldTake(turned, 700*ms, 400*ms, 0, 0)
+		shouldTake(turned, 1000*ms, 0, 0, 400*ms)
+		for i, want := range []time.Duration{0, 300 * ms, 500 * ms} {
+			convey.So(turned.Following(i), convey.ShouldEqual, want)
+			convey.So(chain(1, 1, 1).Following(2-i), convey.ShouldEqual, []time.Duration{0, 300 * ms, 500 * ms}[i])
+		}
+	})
 	convey.Convey("Independent stages take as long as the longest", t, func() {
 		side := chain(1, 1, 1)
 		side[2].After = nil
--- a/internal/gateway/relay/rules/timeout.go
+++ b/internal/gateway/relay/rules/timeout.go
@@ -40,6 +40,8 @@
 		return 0, false
 	case a.Stream:
 		return max(minStreamIdleTimeout, streamIdleTimeoutFactor*a.PauseLimit), true
+	case a.Objective <= 0:
+		return 0, false
 	}
 	return time.Duration(responseTimeoutFactor * float64(a.Objective)), true
 }
--- a/internal/gateway/relay/withdraw.go
+++ b/internal/gateway/relay/withdraw.go
@@ -69,7 +69,7 @@
 // firstService returns the service of the stage that the request starts with.
 func (r *resolvedRequest) firstService() string {
 	for i, stage := range r.stages {
-		if stage.Items > 0 {
+		if stage.Items > 0 && r.startsAtOnce(i) {
 			return r.route.Stages[i].Service
 		}
 	}
--- a/internal/gateway/viewkeeper.go
+++ b/internal/gateway/viewkeeper.go
@@ -92,6 +92,9 @@
 		k.log.Info().Int64("version", next.CatalogVersion()).Int64("was", old.CatalogVersion()).Int64("revision", int64(next.Revision)).
 			Int("routes", next.Catalog.RouteCount()).Int("organisations", next.Catalog.OrganisationCount()).Int("keys", next.Catalog.KeyCount()).
 			Bool("needsKeys", next.Catalog.NeedsKeys()).Msg("view: configuration in force")
+		for _, r := range next.Catalog.RefusedRoutes() {
+			k.log.Error().Int64("version", next.CatalogVersion()).Str("route", r.Name).Str("why", r.Refused).Msg("view: route refused")
+		}
 		if next.Catalog.NeedsKeys() && next.Catalog.KeyCount() == 0 {
 			k.log.Warn().Int64("version", next.CatalogVersion()).
 				Msg("view: no organisation has a key, so that only public routes are served")
