A request names no more items of stages than the settings allow

Cause: the items that a request names had no bound.

Change: gateway.maxItems in the settings, 4,096 where it is 0, over all stages of a request. More of them end it with 400, as not run, before anything is chosen. Other requests to routes without stages are as before.

--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -90,6 +91,19 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
+// CountItems returns how many items a request has in the stages of the route, of the numbers that it
+// names for them.
+func (r *Route) CountItems(items []int) int {
+	n := 0
+	for _, i := range items[:min(len(items), len(r.Stages))] {
+		if i > 0 {
+			// A sum that would overflow is above all bounds.
+			n = min(n, math.MaxInt-i) + i
+		}
+	}
+	return n
+}
+
 // Service returns the name of the service that a request with the given hash is routed
 // to. It is empty if no share has a positive weight.
 func (r *Route) Service(hash uint64) string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,7 +188,7 @@
 		Observer: &requestLog{now: g.now, log: g.log, metrics: g.metrics}, Now: g.now, RetryPolicy: retries.WithEarlier(started, g.members.earlierSpent), NodeCount: g.members.size,
 		TargetSample: targetSample(g.cfg.Gateway.TargetSpeed),
 		WarmUp:       margin, SendsToCold: g.members.ownsColdTarget, Quarantine: g.quarantine, Parts: g.parts, Streams: g.streams, Gate: g.backpressure.RequestGate(), Lender: g.loans, Isolated: g.paths.isolated,
-		Overload: g.intake.overload, Answers: g.answers,
+		Overload: g.intake.overload, Answers: g.answers, MaxItems: maxItems(g.cfg.Gateway),
 	})
 	g.speeds = &targetSpeeds{log: g.log, sources: func(ctx context.Context) map[string][]targetspeed.View {
 		return map[string][]targetspeed.View{
@@ -198,6 +198,17 @@
 	g.createServers()
 }
 
+// defaultMaxItems bounds the items of one request if the settings do not.
+const defaultMaxItems = 4096
+
+// maxItems returns how many items of stages one request may have.
+func maxItems(cfg *settings.Gateway) int {
+	if cfg.MaxItems > 0 {
+		return cfg.MaxItems
+	}
+	return defaultMaxItems
+}
+
 // newAnswerPool returns the pool of the answers that this node is reading.
 func (g *Gateway) newAnswerPool() *answers.Pool {
 	limit := answers.PoolBytes(int64(g.cfg.Gateway.MemoryMb) << 20)
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -81,6 +81,8 @@
 	Overload func() (intake.Load, bool)
 	// Answers bounds the responses that are being read; nil for a pool of its own.
 	Answers *answers.Pool
+	// MaxItems bounds the items that one request has over all its stages; 0 for no bound.
+	MaxItems int
 }
 
 // Server relays requests. Create it with New.
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -64,6 +64,9 @@
 		r.org = *org
 		outcome.Organisation = org.Name
 	}
+	if n := r.route.CountItems(req.Items); s.cfg.MaxItems > 0 && n > s.cfg.MaxItems {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the request has %d items of stages, %d are allowed", n, s.cfg.MaxItems)
+	}
 	r.toService(c, r.route.Service(xxhash.Sum64String(req.ID)), outcome)
 	r.stages = stagesOf(c, r.route, req.Items)
 	r.times = rules.NewTimes(rules.TimesInput{
--- a/pkg/settings/settings_gen.go
+++ b/pkg/settings/settings_gen.go
@@ -55,6 +55,10 @@
 	// Bandwidth of the machine's link, in Mbit/s; 0 for unknown.
 	LinkMbps float64 `json:"linkMbps,omitempty,omitzero"`
 
+	// The most items of stages that one request may have, over all its stages; 0 for
+	// 4,096.
+	MaxItems int `json:"maxItems,omitempty,omitzero"`
+
 	// Memory of the machine for the process, in MB; 0 for unknown.
 	MemoryMb int `json:"memoryMb,omitempty,omitzero"`
 
