--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 	g.ports.Targets.UsePaths(g.paths)
 	g.answers = g.newAnswerPool()
 	g.ports.Targets.UseAnswers(g.answers)
-	g.bodies = requestbodies.New(requestbodies.BudgetBytes(int64(g.cfg.Gateway.MemoryMb)<<20), g.now)
+	g.bodies = g.newBodyBudget()
 	g.follower = &sourceFollower{
 		source: g.ports.Source, views: g.views, members: g.members, health: g.health, peers: peers,
 		metrics: g.metrics, log: g.log, now: g.now,
@@ -198,26 +198,6 @@
 	g.createServers()
 }
 
-// defaultMaxItems bounds the items of one request if the settings do not.
-const defaultMaxItems = 4096
-
-// maxItems returns how many items of stages one request may have.
-func maxItems(cfg *settings.Gateway) int {
-	if cfg.MaxItems > 0 {
-		return cfg.MaxItems
-	}
-	return defaultMaxItems
-}
-
-// newAnswerPool returns the pool of the answers that this node is reading.
-func (g *Gateway) newAnswerPool() *answers.Pool {
-	limit := answers.PoolBytes(int64(g.cfg.Gateway.MemoryMb) << 20)
-	return answers.NewPool(limit, answers.OnGivenUp(func(bytes int64) {
-		g.metrics.answersGivenUp.Inc(1)
-		g.log.Warn().Int64("bytes", bytes).Int64("most", limit).Msg("answers: the longest answer was given up, since all together have too many bytes")
-	}))
-}
-
 // createIntake creates what decides which callers this node takes, and connects it to the listener of
 // callers, the members and the paths.
 func (g *Gateway) createIntake() {
