Settings take fractions of a second from the platform

Operators could see: with a grace period of 7.5 s nodes that end at once on a signal, since the template of the settings wrote 7.5000 ms; the same of the retry window and of the store's history. Found by the review by reading; no deployment has such a figure.

Cause: the template put three zeros behind the figure.

Whole numbers in documents may be written with an exponent or a fraction of zeros, as their schema already allowed; encoding/json alone refused them.

Evidence: TestSecondsWithFractions fails with the old template (7 ms, or a file that is refused), passes now; the rendered settings of whole figures are the same (golden file unchanged).

--- a/internal/contract/deploy_test.go
+++ b/internal/contract/deploy_test.go
@@ -68,6 +68,29 @@
 	checkFile(t, "deploy/rendered.json", indented(t, parsed)+"\n")
 }
 
+// TestSecondsWithFractions guards against settings that a fraction of a second turns into others: 7.5 s
+// were written as 7.5000 ms.
+func TestSecondsWithFractions(t *testing.T) {
+	gaps := readGaps(t)
+	for i := 0; i < len(gaps); i += 2 {
+		switch gaps[i] {
+		case "{{bounds.gracePeriodS}}", "{{platform.historyRetentionS}}", "{{bounds.retryWindowS}}":
+			gaps[i+1] = "7.5"
+		}
+	}
+	text := strings.NewReplacer(gaps...).Replace(string(readSource(t, settingsTemplate)))
+	parsed, err := settings.Parse("settings.conf", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := parsed.Gateway
+	for name, ms := range map[string]int{"graceMs": g.GraceMs, "sourceHistoryMs": g.SourceHistoryMs, "windowMs": g.Retries.WindowMs} {
+		if ms != 7500 {
+			t.Errorf("%s is %d", name, ms)
+		}
+	}
+}
+
 // TestNoOtherGaps fails when the template doesn't use one of the gaps.
 func TestNoOtherGaps(t *testing.T) {
 	template := string(readSource(t, settingsTemplate))
--- a/internal/jsondoc/jsondoc.go
+++ b/internal/jsondoc/jsondoc.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -86,6 +87,7 @@
 	}
 	plain := tree.Clone()
 	plain.Standardize()
+	writeOutWholeNumbers(&plain)
 	packed := plain.Pack()
 	if ps := doc.validate(packed, schema); len(ps) > 0 {
 		return nil, ps
@@ -98,6 +100,32 @@
 	return doc, nil
 }
 
+// maxExact is beyond all whole numbers that each float64 below it names exactly.
+const maxExact = 1 << 53
+
+// writeOutWholeNumbers writes whole numbers without a fraction or an exponent: 7.5e3 is 7500. The schema
+// takes both, encoding/json reads the second alone into an integer.
+func writeOutWholeNumbers(v *hujson.Value) {
+	switch node := v.Value.(type) {
+	case *hujson.Object:
+		for i := range node.Members {
+			writeOutWholeNumbers(&node.Members[i].Value)
+		}
+	case *hujson.Array:
+		for i := range node.Elements {
+			writeOutWholeNumbers(&node.Elements[i])
+		}
+	case hujson.Literal:
+		text := string(node)
+		if node.Kind() != '0' || !strings.ContainsAny(text, ".eE") {
+			return
+		}
+		if f, err := strconv.ParseFloat(text, 64); err == nil && f == math.Trunc(f) && math.Abs(f) < maxExact {
+			v.Value = hujson.Int(int64(f))
+		}
+	}
+}
+
 // Problem makes a problem for the value at key, a JSON pointer.
 func (d *Document) Problem(key, format string, args ...any) Problem {
 	return Problem{File: d.file, Line: d.line(key), Key: key, Text: fmt.Sprintf(format, args...)}
