Plainer words in comments of uploads, results and bodies

Cause: comments of the new code said that a field "tells" something, where it records, marks or reports it.

Change: comments only, in internal/delivery, internal/gateway/relay and internal/requestbodies.

Result: the tests of these packages pass; no statement changed.

--- a/internal/delivery/conn.go
+++ b/internal/delivery/conn.go
@@ -39,7 +39,7 @@
 	// sealed stops all later writes, retired those of calls that follow the present one.
 	sealed, retired bool
 
-	// upload tells how much of the armed request was written, writes what became of all writes.
+	// upload records how much of the armed request was written, writes the result of all writes.
 	upload upload
 	writes tcpconn.Writes
 
--- a/internal/delivery/upload.go
+++ b/internal/delivery/upload.go
@@ -19,7 +19,7 @@
 // Trusting a wrong end gives a caller a part of an answer as the whole; a wrong doubt fails
 // the call as one that may have run.
 
-// upload tells how much of the armed request was written. The lock of its connection guards it.
+// upload records how much of the armed request was written. The lock of its connection guards it.
 type upload struct {
 	// begun is how many bytes were written on the connection before the request.
 	begun int64
@@ -67,7 +67,7 @@
 }
 
 // endOfAnswer returns the error of a read that ended with err after some bytes of an answer. An
-// encrypted connection tells an orderly end by itself.
+// encrypted connection reports an orderly end by itself.
 func (c *guardedConn) endOfAnswer(err error, answered bool) error {
 	if !errors.Is(err, io.EOF) || !c.plain || !answered || c.wholeRequest() {
 		return err
--- a/internal/gateway/relay/results.go
+++ b/internal/gateway/relay/results.go
@@ -16,7 +16,7 @@
 
 	mu      sync.Mutex
 	results [][]batching.Result
-	// mustRead tells which stages have yet to read their inputs: for the first time, or again
+	// mustRead marks which stages have yet to read their inputs: for the first time, or again
 	// since their own results were lost.
 	mustRead []bool
 	// attempts counts how often each stage began to be computed or lost its results.
@@ -186,7 +186,7 @@
 	return r.results[i] != nil
 }
 
-// made tells which stages have been computed.
+// made reports which stages have been computed.
 func (r *stageResults) made() []bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/relay/rules/results.go
+++ b/internal/gateway/relay/rules/results.go
@@ -21,7 +21,7 @@
 func NeedsInput(items int, held bool) bool { return items > 0 && !held }
 
 // AllInputs reports whether results are held of all items of a stage. A call that reads the stage
-// is sent only then: a target computes what it is given, and nothing in its response tells that a
+// is sent only then: a target computes what it is given, and nothing in its response shows that a
 // part was missing.
 func AllInputs(items, held int) bool { return items == held }
 
--- a/internal/requestbodies/requestbodies.go
+++ b/internal/requestbodies/requestbodies.go
@@ -168,7 +168,7 @@
 	size := firstChunk
 	for {
 		if left := d.announced - d.came; d.announced >= 0 {
-			// Past the announced length one byte tells the end.
+			// Past the announced length a read of one byte finds the end.
 			size = int(min(max(left, 1), lastChunk))
 		}
 		chunk := make([]byte, size)
