A route without an objective keeps its objective of none

Callers could see: a stream of a route without targetLatencyMs refused after all nodes ended, where its version could be inferred: the time within which it can have begun had grown by four times the timeout.

Cause: replaced a missing objective by the timeout in the catalog. The replacement was meant for when an answer is in time; streamorigin.MaxAge reads the objective as well, for how soon a client gives up a silent stream, and so does the ratio of objectives of a service.

Change: Route.Objective stays as configured, Route.ObjectiveOrTimeout is what the relay and its log use.

--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -63,7 +63,7 @@
 	Timeout time.Duration
 	// Objective is the latency objective: the time from a request's arrival within which
 	// its response should arrive; for a stream, the time to the first event. A later
-	// response is of less use.
+	// response is of less use. 0 if the route has none: see ObjectiveOrTimeout.
 	Objective time.Duration
 	// PauseLimit is the longest gap between two events of a stream that counts as on time.
 	PauseLimit time.Duration
@@ -229,6 +229,15 @@
 	return c, nil
 }
 
+// ObjectiveOrTimeout returns how long a response may take to be in time: without an objective, as long
+// as the request may be held. It is no measure of how soon clients give up a silent stream.
+func (r *Route) ObjectiveOrTimeout() time.Duration {
+	if r.Objective > 0 {
+		return r.Objective
+	}
+	return r.Timeout
+}
+
 func (c *Catalog) add(r *Route) error {
 	if len(r.Split) == 0 {
 		return errors.Errorf("route %q has no service", r.Name)
@@ -237,10 +246,6 @@
 		r.Stages[i].After = distinct(s.After)
 	}
 	r.Refused = r.stageFault()
-	if r.Objective <= 0 {
-		// Without an objective an answer is in time as long as the request may be held.
-		r.Objective = r.Timeout
-	}
 	host := strings.ToLower(r.Host)
 	c.routes[host] = append(c.routes[host], r)
 	if r.Kind == Stream && r.Resumable {
--- a/internal/gateway/catalog/catalog_test.go
+++ b/internal/gateway/catalog/catalog_test.go
@@ -104,7 +104,9 @@
 		r.Timeout = 5 * time.Second
 		c, err := catalog.New(1, []*catalog.Route{r}, nil, nil, catalog.Limits{})
 		convey.So(err, convey.ShouldBeNil)
-		convey.So(c.Route("host.example", "/a/").Objective, convey.ShouldEqual, 5*time.Second)
+		convey.So(c.Route("host.example", "/a/").ObjectiveOrTimeout(), convey.ShouldEqual, 5*time.Second)
+		r.Objective = time.Second
+		convey.So(c.Route("host.example", "/a/").ObjectiveOrTimeout(), convey.ShouldEqual, time.Second)
 	})
 }
 
--- a/internal/gateway/relay/admit.go
+++ b/internal/gateway/relay/admit.go
@@ -155,7 +155,7 @@
 func (s *Server) compared(r *resolvedRequest, a *admission, backlogs []time.Duration, now time.Time) rules.Admission {
 	return rules.Admission{
 		Estimated: r.stages.Total(backlogs), Alone: r.stages.Total(nil),
-		Left: r.times.Left(now, a.ownDelay), Objective: r.route.Objective,
+		Left: r.times.Left(now, a.ownDelay), Objective: r.route.ObjectiveOrTimeout(),
 		Priority: r.route.Priority, Retried: a.retried, Reserved: a.reserved(),
 		TakenUp: r.takesUp(), ToDeadline: r.times.ResponseDeadline.Sub(now), OverShare: slices.ContainsFunc(a.quotes, isOverShare),
 	}
--- a/internal/gateway/relay/answer.go
+++ b/internal/gateway/relay/answer.go
@@ -43,7 +43,7 @@
 	return rules.Response{
 		Status: reply.Status, Succeeded: reply.Succeeded, ClaimsNotRun: reply.ClaimsNotRun, Started: s.response.started.Load(),
 		Retryable: s.route.Retryable(), PossibleRuns: possibleRuns, MaxAttempts: s.route.MaxAttempts,
-		Budget: s.budgets.remaining(s.service.Name), Left: s.times.ResponseDeadline.Sub(s.now()), Objective: s.route.Objective,
+		Budget: s.budgets.remaining(s.service.Name), Left: s.times.ResponseDeadline.Sub(s.now()), Objective: s.route.ObjectiveOrTimeout(),
 	}
 }
 
--- a/internal/gateway/relay/delivery.go
+++ b/internal/gateway/relay/delivery.go
@@ -130,7 +130,7 @@
 func (d *delivery) awaitRoom(ctx context.Context) bool {
 	now := d.now()
 	if d.roomUntil.IsZero() {
-		d.roomUntil = now.Add(rules.RoomWait(d.route.Objective))
+		d.roomUntil = now.Add(rules.RoomWait(d.route.ObjectiveOrTimeout()))
 	}
 	return now.Before(d.roomUntil) && wait.For(ctx, roomPoll) == nil
 }
--- a/internal/gateway/relay/resolve.go
+++ b/internal/gateway/relay/resolve.go
@@ -70,7 +70,7 @@
 	r.toService(c, r.route.Service(xxhash.Sum64String(req.ID)), outcome)
 	r.stages = stagesOf(c, r.route, req.Items)
 	r.times = rules.NewTimes(rules.TimesInput{
-		Arrived: req.Arrived, ClientTimeout: req.Timeout, RouteTimeout: r.route.Timeout, Objective: r.route.Objective,
+		Arrived: req.Arrived, ClientTimeout: req.Timeout, RouteTimeout: r.route.Timeout, Objective: r.route.ObjectiveOrTimeout(),
 		TakenUp: r.takesUp(),
 		Prefill: s.prefills.firstEventTime(r.service.Name, req.Tokens),
 	})
--- a/internal/gateway/relay/sender.go
+++ b/internal/gateway/relay/sender.go
@@ -228,7 +228,7 @@
 func (s *sender) startTimer(cancel context.CancelCauseFunc, target directory.Target, possibleRuns int) *attemptTimer {
 	limit, limited := rules.AttemptTimeout(rules.Attempt{
 		Stream: s.route.Kind == catalog.Stream, Retryable: s.route.Retryable(), PossibleRuns: possibleRuns, MaxAttempts: s.route.MaxAttempts,
-		Objective: s.route.Objective, PauseLimit: s.route.PauseLimit,
+		Objective: s.route.ObjectiveOrTimeout(), PauseLimit: s.route.PauseLimit,
 	})
 	if !limited {
 		return nil
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -191,7 +191,7 @@
 	}
 	ev.Str("request", o.Request.ID).Int64("version", o.Version).Int64("revision", o.Revision)
 	if o.Route != nil {
-		ev.Str("route", o.Route.Name).Str("service", o.Service).Dur("objective", o.Route.Objective)
+		ev.Str("route", o.Route.Name).Str("service", o.Service).Dur("objective", o.Route.ObjectiveOrTimeout())
 	}
 	if o.Organisation != "" {
 		ev.Str("organisation", o.Organisation)
