--- a/internal/gateway/relay/stageinputs_test.go
+++ b/internal/gateway/relay/stageinputs_test.go
@@ -306,7 +306,7 @@
 // TestInputsReleasedAsAttemptEnds guards against a request that is sent with a part of its inputs,
 // since they are released early while its next attempt begins.
 func TestInputsReleasedAsAttemptEnds(t *testing.T) {
-	for range 300 {
+	for range 1500 {
 		synctest.Test(t, func(t *testing.T) {
 			// The inputs are released when the attempt at the silent engine times out, after 1.2 s.
 			f, s := setupWithBandwidth(graphRoute(nil, nil), true, 3*8000/1.16)
